--- /dev/null
+++ b/crates/sparscale_admit/src/queue.rs
@@ -0,0 +1,312 @@
+//! The tier queue: higher tiers first, weighted fair among the workspaces of a tier, a floor for the lowest.
+//!
+//! Inside a tier each workspace has a virtual finish time that grows by cost over weight with each dispatch (start-time
+//! fair queueing); the smallest goes next. One in `floor_one_in` dispatches goes to the lowest tier that waits.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use snafu::Snafu;
+
+/// Rounds of smoothing for the observed service time: each new observation counts one part in this many.
+const SMOOTHING: f64 = 16.0;
+
+/// A waiting request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job<K> {
+    /// Names the request.
+    pub key: K,
+    /// Index of its tier, 0 for the highest.
+    pub tier: u8,
+    /// Workspace that pays for it.
+    pub workspace: String,
+    /// Weight of the workspace inside its tier, at least 1.
+    pub weight: u32,
+    /// Expected work, in tokens.
+    pub cost: f64,
+    /// Time at which its caller gives up.
+    pub deadline: Duration,
+}
+
+/// Why a request is refused at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Refusal {
+    /// No room, even after dropping what waits below.
+    #[snafu(display("the queue is full"))]
+    Full {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The expected wait outlasts the deadline.
+    #[snafu(display("the wait would outlast the deadline"))]
+    TooLate {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Limits of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests that the target runs at once.
+    pub running: usize,
+    /// Requests that may wait.
+    pub waiting: usize,
+    /// One in this many dispatches goes to the lowest tier that waits; 0 for none.
+    pub floor_one_in: u32,
+}
+
+/// Answer to an offered request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Admission<K> {
+    /// A request of a lower tier that lost its place to this one and must be refused now.
+    pub displaced: Option<K>,
+}
+
+/// The queue of one target.
+#[derive(Debug)]
+pub struct Queue<K> {
+    limits: Limits,
+    tiers: BTreeMap<u8, Tier<K>>,
+    waiting: usize,
+    running: usize,
+    since_floor: u32,
+    /// Smoothed time that one place is held for one unit of cost.
+    seconds_per_cost: f64,
+}
+
+#[derive(Debug)]
+struct Tier<K> {
+    lanes: BTreeMap<String, Lane<K>>,
+    /// Lanes that have work, by virtual finish time.
+    order: BTreeSet<(Virtual, String)>,
+    virtual_now: Virtual,
+    cost: f64,
+}
+
+#[derive(Debug)]
+struct Lane<K> {
+    jobs: VecDeque<Job<K>>,
+    finish: Virtual,
+}
+
+/// Virtual time in thousandths of a cost unit at weight 1.
+type Virtual = u64;
+
+impl<K: Clone + PartialEq> Queue<K> {
+    /// An empty queue.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            tiers: BTreeMap::new(),
+            waiting: 0,
+            running: 0,
+            since_floor: 0,
+            seconds_per_cost: 0.0,
+        }
+    }
+
+    /// Uses other limits from now on; what waits or runs already stays.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Takes `job` in, or refuses it at once.
+    pub fn offer(&mut self, job: Job<K>, now: Duration) -> Result<Admission<K>, Refusal> {
+        let wait = self.expected_wait(job.tier, job.cost);
+        if self.running >= self.limits.running && now + wait >= job.deadline {
+            return Err(Refusal::TooLate { retry_after: wait });
+        }
+        let displaced = if self.has_room() {
+            None
+        } else {
+            let dropped = self.drop_lower(job.tier);
+            Some(dropped.ok_or(Refusal::Full { retry_after: wait })?)
+        };
+        self.push(job);
+        Ok(Admission { displaced })
+    }
+
+    /// The request that runs next, if a place is free. Those whose deadline has passed come back in `expired`.
+    pub fn next(&mut self, now: Duration, expired: &mut Vec<K>) -> Option<Job<K>> {
+        while self.running < self.limits.running {
+            let tier = self.next_tier()?;
+            let job = self.pop(tier)?;
+            if job.deadline <= now {
+                expired.push(job.key);
+                continue;
+            }
+            self.count_floor(tier);
+            self.running += 1;
+            return Some(job);
+        }
+        None
+    }
+
+    /// Frees the place of a request that ran for `held` with expected work `cost`.
+    pub fn finished(&mut self, cost: f64, held: Duration) {
+        self.running = self.running.saturating_sub(1);
+        let observed = held.as_secs_f64() / cost.max(1.0);
+        if self.seconds_per_cost == 0.0 {
+            self.seconds_per_cost = observed;
+        }
+        self.seconds_per_cost += (observed - self.seconds_per_cost) / SMOOTHING;
+    }
+
+    /// Frees the place of a request that turned out not to run.
+    pub fn gave_up_place(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Takes a waiting request out; false if it does not wait.
+    pub fn remove(&mut self, key: &K) -> bool {
+        for tier in self.tiers.values_mut() {
+            if let Some(cost) = tier.remove(key) {
+                tier.cost -= cost;
+                self.waiting -= 1;
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Expected wait of a new request of `tier`: the work at or above that tier, over the places.
+    pub fn expected_wait(&self, tier: u8, cost: f64) -> Duration {
+        let ahead: f64 = self.tiers.range(..=tier).map(|(_, tier)| tier.cost).sum();
+        let busy = if self.running >= self.limits.running { cost } else { 0.0 };
+        let seconds = (ahead + busy) * self.seconds_per_cost / self.limits.running.max(1) as f64;
+        Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
+    }
+
+    fn has_room(&self) -> bool {
+        self.waiting < self.limits.waiting || self.running < self.limits.running
+    }
+
+    /// Drops the newest request of the lowest tier below `tier`, to make room for one of `tier`.
+    fn drop_lower(&mut self, tier: u8) -> Option<K> {
+        let below = self
+            .tiers
+            .range(tier + 1..)
+            .rev()
+            .find(|(_, tier)| !tier.order.is_empty());
+        let lowest = below.map(|(index, _)| *index)?;
+        let job = self.tiers.get_mut(&lowest)?.drop_newest()?;
+        self.waiting -= 1;
+        Some(job.key)
+    }
+
+    fn push(&mut self, job: Job<K>) {
+        self.waiting += 1;
+        self.tiers.entry(job.tier).or_insert_with(Tier::new).push(job);
+    }
+
+    fn pop(&mut self, tier: u8) -> Option<Job<K>> {
+        let job = self.tiers.get_mut(&tier)?.pop()?;
+        self.waiting -= 1;
+        Some(job)
+    }
+
+    fn next_tier(&self) -> Option<u8> {
+        let mut busy = self.tiers.iter().filter(|(_, tier)| !tier.order.is_empty());
+        let highest = busy.next()?;
+        let lowest = busy.next_back().unwrap_or(highest);
+        let floor_due = self.limits.floor_one_in > 0 && self.since_floor + 1 >= self.limits.floor_one_in;
+        let chosen = if floor_due { lowest } else { highest };
+        Some(*chosen.0)
+    }
+
+    fn count_floor(&mut self, tier: u8) {
+        let others_wait = self.tiers.range(tier + 1..).any(|(_, tier)| !tier.order.is_empty());
+        self.since_floor = if others_wait { self.since_floor + 1 } else { 0 };
+    }
+}
+
+impl<K: Clone + PartialEq> Tier<K> {
+    fn new() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            order: BTreeSet::new(),
+            virtual_now: 0,
+            cost: 0.0,
+        }
+    }
+
+    fn push(&mut self, job: Job<K>) {
+        self.cost += job.cost;
+        let name = job.workspace.clone();
+        let lane = self.lanes.entry(name.clone()).or_insert_with(|| Lane {
+            jobs: VecDeque::new(),
+            finish: 0,
+        });
+        if lane.jobs.is_empty() {
+            // A workspace that was idle starts at the present: it gains no credit by waiting.
+            lane.finish = lane.finish.max(self.virtual_now);
+            self.order.insert((lane.finish, name));
+        }
+        lane.jobs.push_back(job);
+    }
+
+    fn pop(&mut self) -> Option<Job<K>> {
+        let (finish, name) = self.order.pop_first()?;
+        self.virtual_now = finish;
+        let lane = self.lanes.get_mut(&name)?;
+        let job = lane.jobs.pop_front()?;
+        self.cost -= job.cost;
+        lane.finish = finish + virtual_cost(&job);
+        if lane.jobs.is_empty() {
+            self.forget_idle_lanes();
+        } else {
+            self.order.insert((lane.finish, name));
+        }
+        Some(job)
+    }
+
+    /// Idle lanes whose finish time has passed hold no information; dropping them bounds the memory.
+    fn forget_idle_lanes(&mut self) {
+        let now = self.virtual_now;
+        self.lanes.retain(|_, lane| !lane.jobs.is_empty() || lane.finish > now);
+        if self.order.is_empty() {
+            self.cost = 0.0;
+        }
+    }
+
+    fn remove(&mut self, key: &K) -> Option<f64> {
+        for (name, lane) in &mut self.lanes {
+            let Some(index) = lane.jobs.iter().position(|job| job.key == *key) else {
+                continue;
+            };
+            let job = lane.jobs.remove(index)?;
+            if lane.jobs.is_empty() {
+                self.order.remove(&(lane.finish, name.clone()));
+            }
+            return Some(job.cost);
+        }
+        None
+    }
+
+    fn drop_newest(&mut self) -> Option<Job<K>> {
+        let (finish, name) = self.order.last()?.clone();
+        let lane = self.lanes.get_mut(&name)?;
+        let job = lane.jobs.pop_back()?;
+        if lane.jobs.is_empty() {
+            self.order.remove(&(finish, name));
+        }
+        self.cost -= job.cost;
+        Some(job)
+    }
+}
+
+fn virtual_cost<K>(job: &Job<K>) -> Virtual {
+    let cost = job.cost.max(1.0) * 1_000.0 / f64::from(job.weight.max(1));
+    (cost as Virtual).max(1)
+}
--- /dev/null
+++ b/crates/sparscale_agent/src/core.rs
@@ -0,0 +1,492 @@
+//! The agent's state and what happens to each request: ledger, queue, buffered answers.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use sha2::{Digest as _, Sha256};
+use sparscale_admit::ledger::{self, Keyed, Ledger};
+use sparscale_admit::queue::{self, Queue};
+use sparscale_telemetry::{DECISION, Metrics};
+use sparscale_wire::{
+    Attempt, AttemptId, Call, Chunk, Failure, Head, Load, Outcome, Refusal, RefusalReason, Settlement,
+};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::answer::Answer;
+use crate::engine::{CallError, Engine, EngineLoad};
+
+/// Time after its deadline for which an attempt stays in the ledger.
+const KEEP_AFTER_DEADLINE: Duration = Duration::from_mins(1);
+/// Time for which an answer that nobody reads stays buffered.
+const LINGER: Duration = Duration::from_secs(10);
+/// Time after which a request that may be repeated is cancelled because nobody reads its answer.
+const ABANDONED: Duration = Duration::from_secs(5);
+/// When to come back to an agent that is going away: at once, another one takes the request.
+const DRAIN_RETRY_MS: u64 = 100;
+/// When to come back to a target that cannot be reached.
+const DOWN_RETRY_MS: u64 = 1_000;
+/// Entries whose highest counter is remembered.
+const MAX_ENTRIES: usize = 4_096;
+
+/// How one attempt begins.
+pub(crate) enum Begun {
+    /// Its answer, from the start.
+    Answer(Arc<Answer>),
+    /// It was not handed on.
+    Refused(Refusal),
+    /// Nobody can tell whether it ran.
+    Unknown(String),
+}
+
+struct State {
+    ledger: Ledger,
+    queue: Queue<AttemptId>,
+    attempts: HashMap<AttemptId, Held>,
+    seen: HashMap<u64, u64>,
+    draining: bool,
+    ready: bool,
+    engine_load: EngineLoad,
+}
+
+struct Held {
+    attempt: Arc<Attempt>,
+    answer: Arc<Answer>,
+    keep_until: Instant,
+}
+
+/// The agent's core.
+pub(crate) struct Core {
+    pub(crate) incarnation: u64,
+    state: Mutex<State>,
+    engine: Arc<dyn Engine>,
+    metrics: Metrics,
+    started: Instant,
+    changed: watch::Sender<bool>,
+}
+
+impl Core {
+    pub(crate) fn new(incarnation: u64, ledger_entries: usize, engine: Arc<dyn Engine>, metrics: Metrics) -> Self {
+        let limits = queue::Limits {
+            running: 1,
+            waiting: 0,
+            floor_one_in: 0,
+        };
+        let (changed, _) = watch::channel(false);
+        Self {
+            incarnation,
+            state: Mutex::new(State {
+                ledger: Ledger::new(ledger_entries),
+                queue: Queue::new(limits),
+                attempts: HashMap::new(),
+                seen: HashMap::new(),
+                draining: false,
+                ready: false,
+                engine_load: EngineLoad::default(),
+            }),
+            engine,
+            metrics,
+            started: Instant::now(),
+            changed,
+        }
+    }
+
+    pub(crate) fn engine(&self) -> &Arc<dyn Engine> {
+        &self.engine
+    }
+
+    /// Uses the limits of the bundle in force.
+    pub(crate) fn set_limits(&self, limits: queue::Limits) {
+        let mut state = self.lock();
+        state.queue.set_limits(limits);
+        state.ready = true;
+    }
+
+    pub(crate) fn set_engine_load(&self, load: EngineLoad) {
+        self.lock().engine_load = load;
+    }
+
+    /// Refuses new work from now on; entries that watch are told at once.
+    pub(crate) fn drain(&self) {
+        self.lock().draining = true;
+        self.changed.send_replace(true);
+    }
+
+    /// Shows whether the agent drains.
+    pub(crate) fn draining(&self) -> watch::Receiver<bool> {
+        self.changed.subscribe()
+    }
+
+    /// Requests that wait or run.
+    pub(crate) fn in_progress(&self) -> usize {
+        let state = self.lock();
+        state.queue.waiting() + state.queue.running()
+    }
+
+    /// Load as told to the entry with this incarnation.
+    pub(crate) fn load(&self, entry: u64) -> Load {
+        self.load_of(&self.lock(), entry)
+    }
+
+    /// Takes an attempt in, or refuses it at once.
+    pub(crate) fn begin(self: &Arc<Self>, attempt: Attempt) -> Begun {
+        let begun = self.admit(attempt);
+        self.dispatch();
+        begun
+    }
+
+    fn admit(self: &Arc<Self>, attempt: Attempt) -> Begun {
+        let now = self.now();
+        let id = attempt.id;
+        let mut state = self.lock();
+        note_seen(&mut state.seen, id);
+        if let Some(reason) = self.refusal_before_entry(&state, &attempt) {
+            return self.refuse(&mut state, id, reason, DRAIN_RETRY_MS);
+        }
+        let deadline = now + Duration::from_millis(attempt.deadline_ms);
+        let keep = Duration::from_secs(attempt.keep_seconds).max(KEEP_AFTER_DEADLINE);
+        match state.ledger.enter(ledger_id(id), deadline + keep, now) {
+            Ok(()) => {}
+            Err(refusal) => return self.refuse_entry(&state, id, refusal),
+        }
+        if let Some(earlier) = bind(&mut state, &attempt) {
+            // The attempt itself was not handed on and never will be: the earlier one answers for it.
+            state.ledger.settle(ledger_id(id), deadline + keep, now);
+            return match earlier {
+                Earlier::Attempt(earlier) => kept_answer(&state, earlier),
+                Earlier::OtherBody => Begun::Refused(self.refusal(&state, id, RefusalReason::KeyReused, 0)),
+            };
+        }
+        let job = queue::Job {
+            key: id,
+            tier: attempt.tier,
+            workspace: attempt.workspace.clone(),
+            weight: attempt.weight,
+            cost: f64::from(attempt.answer_tokens.max(1)),
+            deadline,
+        };
+        match state.queue.offer(job, now) {
+            Ok(admission) => {
+                if let Some(displaced) = admission.displaced {
+                    self.displace(&mut state, displaced);
+                }
+                let answer = Arc::new(Answer::new());
+                let held = Held {
+                    attempt: Arc::new(attempt),
+                    answer: Arc::clone(&answer),
+                    keep_until: Instant::now() + keep,
+                };
+                state.attempts.insert(id, held);
+                Begun::Answer(answer)
+            }
+            Err(queue::Refusal::Full { retry_after }) => {
+                self.refuse(&mut state, id, RefusalReason::QueueFull, whole_ms(retry_after))
+            }
+            Err(queue::Refusal::TooLate { retry_after }) => {
+                self.refuse(&mut state, id, RefusalReason::TooLate, whole_ms(retry_after))
+            }
+        }
+    }
+
+    fn refusal_before_entry(&self, state: &State, attempt: &Attempt) -> Option<RefusalReason> {
+        if attempt.incarnation != 0 && attempt.incarnation != self.incarnation {
+            return Some(RefusalReason::OtherIncarnation);
+        }
+        if !state.ready {
+            return Some(RefusalReason::NotReady);
+        }
+        // A re-send under a key that is bound here asks for an answer, not for work.
+        let bound = attempt
+            .key
+            .is_some_and(|key| state.ledger.bound(key.as_bytes()).is_some());
+        (state.draining && !bound).then_some(RefusalReason::Draining)
+    }
+
+    /// Refuses with a tombstone, so that a late copy of the attempt is refused, too.
+    fn refuse(&self, state: &mut State, id: AttemptId, reason: RefusalReason, retry_after_ms: u64) -> Begun {
+        let now = self.now();
+        let settled = state.ledger.settle(ledger_id(id), now + KEEP_AFTER_DEADLINE, now);
+        match settled {
+            Some(ledger::State::Tombstone) => Begun::Refused(self.refusal(state, id, reason, retry_after_ms)),
+            Some(_) => Begun::Unknown("the attempt was handed on before".to_owned()),
+            // Without room for a tombstone, nothing was handed on either, but a copy could still come.
+            None => Begun::Unknown("the ledger has no room for a proof".to_owned()),
+        }
+    }
+
+    fn refusal(&self, state: &State, id: AttemptId, reason: RefusalReason, retry_after_ms: u64) -> Refusal {
+        self.metrics.count("attempt.refused");
+        log::info!(target: DECISION, decision = "refuse", attempt = id.to_string().as_str(), reason:? = reason, retry_after_ms, queued = state.queue.waiting(), running = state.queue.running(); "refused");
+        Refusal {
+            reason,
+            retry_after_ms,
+            load: self.load_of(state, id.entry),
+        }
+    }
+
+    fn refuse_entry(&self, state: &State, id: AttemptId, refusal: ledger::Refusal) -> Begun {
+        match refusal {
+            ledger::Refusal::Known {
+                state: ledger::State::Tombstone,
+            } => Begun::Refused(self.refusal(state, id, RefusalReason::Tombstone, 0)),
+            ledger::Refusal::Known { .. } => kept_answer(state, id),
+            ledger::Refusal::Forgotten => Begun::Unknown("the attempt is older than the ledger remembers".to_owned()),
+            // Not entered means not handed on, now; a copy that comes later meets the same ledger or runs first.
+            ledger::Refusal::Full => Begun::Refused(self.refusal(state, id, RefusalReason::LedgerFull, DOWN_RETRY_MS)),
+        }
+    }
+
+    fn displace(&self, state: &mut State, id: AttemptId) {
+        let wait = state.queue.expected_wait(u8::MAX, 1.0);
+        self.refuse_waiting(state, id, RefusalReason::QueueFull, whole_ms(wait));
+    }
+
+    /// Refuses a request that was taken out of the queue.
+    fn refuse_waiting(&self, state: &mut State, id: AttemptId, reason: RefusalReason, retry_after_ms: u64) {
+        let now = self.now();
+        state.ledger.settle(ledger_id(id), now + KEEP_AFTER_DEADLINE, now);
+        let refusal = self.refusal(state, id, reason, retry_after_ms);
+        if let Some(held) = state.attempts.get(&id) {
+            held.answer.push(Outcome::Refused(refusal));
+        }
+    }
+
+    /// Hands on whatever has a free place.
+    fn dispatch(self: &Arc<Self>) {
+        let mut state = self.lock();
+        let mut expired = Vec::new();
+        loop {
+            let job = state.queue.next(self.now(), &mut expired);
+            for id in std::mem::take(&mut expired) {
+                self.refuse_waiting(&mut state, id, RefusalReason::TooLate, DRAIN_RETRY_MS);
+            }
+            let Some(job) = job else { return };
+            let held = state.attempts.get(&job.key);
+            let held = held.map(|held| (Arc::clone(&held.attempt), Arc::clone(&held.answer)));
+            if let Some((attempt, answer)) = held
+                && state.ledger.hand_on(ledger_id(job.key))
+            {
+                log::info!(target: DECISION, decision = "hand_on", attempt = job.key.to_string().as_str(), tier = job.tier, workspace = job.workspace.as_str(), queued = state.queue.waiting(), running = state.queue.running(); "handed on");
+                tokio::spawn(Arc::clone(self).run(attempt, answer, job.cost));
+            } else {
+                // It was settled while it waited; whoever reads its answer must hear so.
+                state.queue.gave_up_place();
+                self.refuse_waiting(&mut state, job.key, RefusalReason::Tombstone, 0);
+            }
+        }
+    }
+
+    async fn run(self: Arc<Self>, attempt: Arc<Attempt>, answer: Arc<Answer>, cost: f64) {
+        let began = Instant::now();
+        let deadline = began + Duration::from_millis(attempt.deadline_ms);
+        let ran = tokio::time::timeout_at(deadline, self.call(&attempt, &answer)).await;
+        let result = ran.unwrap_or_else(|_elapsed| {
+            Err(CallError::Lost {
+                message: "the deadline passed".to_owned(),
+            })
+        });
+        if result.is_err() && attempt.repeatable {
+            // The target may still work on it; a cancel that fails costs only that work.
+            let _cancelled = self.engine.cancel(&attempt.id.to_string()).await;
+        }
+        self.finish(&attempt, &answer, result, cost, began.elapsed());
+        self.dispatch();
+    }
+
+    async fn call(&self, attempt: &Attempt, answer: &Answer) -> Result<u64, CallError> {
+        let mut started = self.engine.call(attempt).await?;
+        answer.push(Outcome::Head(Head {
+            status: started.status,
+            content_type: started.content_type,
+            incarnation: self.incarnation,
+            load: self.load(attempt.id.entry),
+        }));
+        let mut sequence = 0;
+        while let Some(data) = started.chunks.next().await {
+            let data = data?;
+            answer.push(Outcome::Chunk(Chunk { sequence, data }));
+            sequence += 1;
+            if answer.has_ended() {
+                // Cancelled meanwhile.
+                return Ok(sequence);
+            }
+        }
+        Ok(sequence)
+    }
+
+    fn finish(&self, attempt: &Attempt, answer: &Answer, result: Result<u64, CallError>, cost: f64, held: Duration) {
+        let mut state = self.lock();
+        state.queue.finished(cost, held);
+        self.metrics.time("attempt.held", held);
+        let part = match result {
+            Ok(chunks) => {
+                state.ledger.end(ledger_id(attempt.id));
+                let load = self.load_of(&state, attempt.id.entry);
+                Outcome::End { chunks, load }
+            }
+            Err(CallError::NotSent { message }) => {
+                state.ledger.take_back(ledger_id(attempt.id));
+                log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "the target cannot be reached");
+                Outcome::Refused(self.refusal(&state, attempt.id, RefusalReason::TargetDown, DOWN_RETRY_MS))
+            }
+            Err(CallError::Lost { message }) => {
+                state.ledger.end(ledger_id(attempt.id));
+                log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "no whole answer from the target");
+                Outcome::Failed(Failure::Unknown { message })
+            }
+        };
+        answer.push(part);
+    }
+
+    /// The buffered answer of an earlier attempt.
+    pub(crate) fn resume(&self, id: AttemptId) -> Option<Arc<Answer>> {
+        let state = self.lock();
+        state.attempts.get(&id).map(|held| Arc::clone(&held.answer))
+    }
+
+    /// What became of an attempt; if it was not handed on, it never will be.
+    pub(crate) fn settle(&self, id: AttemptId) -> Settlement {
+        let now = self.now();
+        let mut state = self.lock();
+        let settled = state.ledger.settle(ledger_id(id), now + KEEP_AFTER_DEADLINE, now);
+        if settled == Some(ledger::State::Tombstone) && state.queue.remove(&id) {
+            self.refuse_waiting(&mut state, id, RefusalReason::Tombstone, 0);
+        }
+        match settled {
+            Some(ledger::State::Tombstone) => Settlement::NotRun,
+            Some(ledger::State::Running) => Settlement::Running,
+            Some(ledger::State::Ended) => Settlement::Ended,
+            Some(ledger::State::Queued) | None => Settlement::Unknown,
+        }
+    }
+
+    /// Stops an attempt whose caller went away: one that waits never runs, one that runs stops if it may be repeated.
+    pub(crate) async fn cancel(self: &Arc<Self>, id: AttemptId) {
+        if self.settle(id) != Settlement::Running {
+            return;
+        }
+        let held = self
+            .lock()
+            .attempts
+            .get(&id)
+            .map(|held| (Arc::clone(&held.attempt), Arc::clone(&held.answer)));
+        let Some((attempt, answer)) = held else { return };
+        if !attempt.repeatable || attempt.key.is_some() {
+            return;
+        }
+        let message = "the caller went away".to_owned();
+        answer.push(Outcome::Failed(Failure::Unknown { message }));
+        // The target may be unreachable; then it ends by itself.
+        let _cancelled = self.engine.cancel(&id.to_string()).await;
+    }
+
+    /// Drops answers that nobody needs any more and stops requests that nobody waits for; to be called now and then.
+    pub(crate) async fn sweep(self: &Arc<Self>) {
+        let now = Instant::now();
+        let abandoned: Vec<AttemptId> = {
+            let mut state = self.lock();
+            state.ledger.expire(self.now());
+            state.attempts.retain(|_, held| !is_over(held, now));
+            let unread = state.attempts.iter().filter(|(_, held)| is_abandoned(held, now));
+            unread.map(|(id, _)| *id).collect()
+        };
+        for id in abandoned {
+            log::info!(attempt = id.to_string().as_str(); "nobody reads this answer");
+            self.cancel(id).await;
+        }
+    }
+
+    fn load_of(&self, state: &State, entry: u64) -> Load {
+        Load {
+            incarnation: self.incarnation,
+            seen: state.seen.get(&entry).copied().unwrap_or(0),
+            running: state.queue.running() as u32,
+            queued: state.queue.waiting() as u32,
+            prefill_tokens: state.engine_load.prefill_tokens,
+            step_micros: state.engine_load.step_micros,
+            map: state.engine_load.map,
+            draining: state.draining,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a re-send under a key meets.
+enum Earlier {
+    Attempt(AttemptId),
+    OtherBody,
+}
+
+fn kept_answer(state: &State, id: AttemptId) -> Begun {
+    match state.attempts.get(&id) {
+        Some(held) => Begun::Answer(Arc::clone(&held.answer)),
+        None => Begun::Unknown("the answer is not kept any more".to_owned()),
+    }
+}
+
+fn bind(state: &mut State, attempt: &Attempt) -> Option<Earlier> {
+    let key = attempt.key?;
+    match state
+        .ledger
+        .bind(*key.as_bytes(), body_digest(&attempt.call), ledger_id(attempt.id))
+    {
+        Keyed::New => None,
+        Keyed::Earlier(earlier) => Some(Earlier::Attempt(AttemptId {
+            entry: earlier.sender,
+            counter: earlier.counter,
+        })),
+        Keyed::OtherBody => Some(Earlier::OtherBody),
+    }
+}
+
+fn body_digest(call: &Call) -> [u8; 32] {
+    match call {
+        Call::Model { body } => Sha256::digest(body).into(),
+        Call::Service { name, body, .. } => {
+            let mut digest = Sha256::new();
+            digest.update(name.as_bytes());
+            digest.update([0]);
+            digest.update(body);
+            digest.finalize().into()
+        }
+    }
+}
+
+fn ledger_id(id: AttemptId) -> ledger::Attempt {
+    ledger::Attempt {
+        sender: id.entry,
+        counter: id.counter,
+    }
+}
+
+fn note_seen(seen: &mut HashMap<u64, u64>, id: AttemptId) {
+    if seen.len() >= MAX_ENTRIES && !seen.contains_key(&id.entry) {
+        // An entry that is gone is not missed; one that is not only sees a lower counter once.
+        seen.clear();
+    }
+    let highest = seen.entry(id.entry).or_default();
+    *highest = (*highest).max(id.counter);
+}
+
+fn is_over(held: &Held, now: Instant) -> bool {
+    let unread = held.answer.unread_since().is_some_and(|since| now >= since + LINGER);
+    let kept = held.attempt.key.is_some() && now < held.keep_until;
+    held.answer.has_ended() && unread && !kept
+}
+
+fn is_abandoned(held: &Held, now: Instant) -> bool {
+    let unread = held.answer.unread_since().is_some_and(|since| now >= since + ABANDONED);
+    held.attempt.repeatable && held.attempt.key.is_none() && !held.answer.has_ended() && unread
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    (time.as_millis() as u64).max(1)
+}
--- /dev/null
+++ b/crates/sparscale_board/src/board.rs
@@ -0,0 +1,386 @@
+//! Targets and groups, and how controllers change them.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+use sparscale_bundle::{Bundle, Call, Fleet};
+
+use crate::hints::Hints;
+use crate::model::StepModel;
+
+new_key_type! {
+    /// Names a target on the board.
+    pub struct TargetKey;
+    /// Names a group on the board.
+    pub struct GroupKey;
+}
+
+/// Dispatches that are remembered for one target until a load report covers them.
+const MAX_UNSEEN: usize = 1_024;
+/// A dispatch that no report covers after this long is taken as lost.
+const UNSEEN_AGE: Duration = Duration::from_secs(5);
+
+/// Whether a target takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// The box list does not show it.
+    #[default]
+    Absent,
+    /// It takes work.
+    Live,
+    /// It takes no new work: the list or its agent says so.
+    Leaving,
+}
+
+/// How far a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum HallDistance {
+    /// In the entry's hall.
+    Same,
+    /// In another hall of the entry's region.
+    Region,
+    /// In another region.
+    #[default]
+    Far,
+}
+
+impl HallDistance {
+    /// Time that a message and its answer take on the way, in milliseconds.
+    pub fn round_trip_ms(self) -> f64 {
+        match self {
+            Self::Same => 0.2,
+            Self::Region => 3.0,
+            Self::Far => 25.0,
+        }
+    }
+}
+
+/// Load as last reported.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Load {
+    /// Incarnation of the agent.
+    pub incarnation: u64,
+    /// Highest counter of this entry that the report covers.
+    pub seen: u64,
+    /// Requests at the target.
+    pub running: u32,
+    /// Requests that wait at the agent.
+    pub queued: u32,
+    /// Prompt tokens that wait for prefill.
+    pub prefill_tokens: u32,
+    /// Time of the latest step, in milliseconds.
+    pub step_ms: f64,
+    /// Number of the expert map in use.
+    pub map: u64,
+    /// Whether the agent refuses new work.
+    pub draining: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Unseen {
+    counter: u64,
+    prefill_tokens: u32,
+    at: Duration,
+}
+
+/// A back end.
+#[derive(Debug, Clone, Default)]
+pub struct Target {
+    /// Unique name.
+    pub name: String,
+    /// How far it is from this entry.
+    pub distance: HallDistance,
+    /// Address of its agent.
+    pub address: Option<SocketAddr>,
+    /// Whether the box list lets it take work.
+    pub standing: Standing,
+    /// Group and rank, for a model rank.
+    pub rank: Option<(GroupKey, usize)>,
+    /// Load as last reported.
+    pub load: Load,
+    /// Prompt prefixes that it probably has.
+    pub hints: Hints,
+    /// Not to be used before this time, after a failure.
+    pub avoid_until: Duration,
+    unseen: VecDeque<Unseen>,
+    failures: u32,
+}
+
+/// A group of ranks.
+#[derive(Debug, Clone)]
+pub struct Group {
+    /// Unique name.
+    pub name: String,
+    /// Model that it serves.
+    pub model: String,
+    /// Its ranks, in rank order.
+    pub ranks: Vec<TargetKey>,
+    /// What its step time depends on.
+    pub step: StepModel,
+}
+
+/// A plain service.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Targets that run it.
+    pub targets: Vec<TargetKey>,
+    /// Calls that callers may make.
+    pub calls: Vec<Call>,
+}
+
+/// Everything that an entry knows about back ends.
+#[derive(Debug, Default)]
+pub struct Board {
+    hall: String,
+    targets: SlotMap<TargetKey, Target>,
+    groups: SlotMap<GroupKey, Group>,
+    by_name: HashMap<String, TargetKey>,
+    services: BTreeMap<String, Service>,
+    /// Version of the bundle that the board shows; 0 for none.
+    pub version: u64,
+    /// Requests that one target runs at once.
+    pub places: u32,
+}
+
+impl Board {
+    /// An empty board of an entry in `hall`.
+    pub fn new(hall: &str) -> Self {
+        Self {
+            hall: hall.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// The target under `key`.
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
+    }
+
+    /// The target under `key`, to be changed.
+    pub fn target_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.targets.get_mut(key)
+    }
+
+    /// The target called `name`.
+    pub fn find(&self, name: &str) -> Option<TargetKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.targets.iter()
+    }
+
+    /// The group under `key`.
+    pub fn group(&self, key: GroupKey) -> Option<&Group> {
+        self.groups.get(key)
+    }
+
+    /// All groups.
+    pub fn groups(&self) -> impl Iterator<Item = (GroupKey, &Group)> {
+        self.groups.iter()
+    }
+
+    /// The plain service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All ranks that serve `model`.
+    pub fn ranks_of(&self, model: &str) -> Vec<TargetKey> {
+        let groups = self.groups.values().filter(|group| group.model == model);
+        groups.flat_map(|group| group.ranks.iter().copied()).collect()
+    }
+
+    /// Shows `bundle`. Targets that stay keep their key and everything that is known about them.
+    pub fn apply_bundle(&mut self, bundle: &Bundle) {
+        let fleet = bundle.fleet();
+        self.version = bundle.version();
+        self.places = fleet.limits.in_flight_per_target;
+        self.replace_targets(fleet);
+        self.replace_groups(fleet);
+        self.services = fleet
+            .services
+            .iter()
+            .map(|service| {
+                let targets = service.targets.iter().filter_map(|name| self.find(name)).collect();
+                let calls = service.calls.clone();
+                (service.name.clone(), Service { targets, calls })
+            })
+            .collect();
+    }
+
+    fn replace_targets(&mut self, fleet: &Fleet) {
+        let listed: HashMap<&str, &str> = fleet
+            .targets
+            .iter()
+            .map(|target| (target.name.as_str(), target.hall.as_str()))
+            .collect();
+        self.targets
+            .retain(|_, target| listed.contains_key(target.name.as_str()));
+        let targets = &self.targets;
+        self.by_name.retain(|_, key| targets.contains_key(*key));
+        for (name, hall) in listed {
+            let distance = distance(fleet, &self.hall, hall);
+            let key = self.by_name.get(name).copied().unwrap_or_else(|| {
+                self.targets.insert(Target {
+                    name: name.to_owned(),
+                    ..Target::default()
+                })
+            });
+            self.by_name.insert(name.to_owned(), key);
+            if let Some(target) = self.targets.get_mut(key) {
+                target.distance = distance;
+                target.rank = None;
+            }
+        }
+    }
+
+    fn replace_groups(&mut self, fleet: &Fleet) {
+        let known: HashMap<String, StepModel> = self
+            .groups
+            .values()
+            .map(|group| (group.name.clone(), group.step))
+            .collect();
+        self.groups.clear();
+        for group in &fleet.groups {
+            let ranks: Vec<TargetKey> = group.ranks.iter().filter_map(|name| self.find(name)).collect();
+            let key = self.groups.insert(Group {
+                name: group.name.clone(),
+                model: group.model.clone(),
+                ranks: ranks.clone(),
+                step: known.get(&group.name).copied().unwrap_or_default(),
+            });
+            for (index, rank) in ranks.into_iter().enumerate() {
+                if let Some(target) = self.targets.get_mut(rank) {
+                    target.rank = Some((key, index));
+                }
+            }
+        }
+    }
+
+    /// Takes in what the box list says about the target called `name`; a target that it does not show is absent.
+    pub fn apply_listed(&mut self, listed: &HashMap<String, (SocketAddr, Standing)>) {
+        for target in self.targets.values_mut() {
+            let (address, standing) = match listed.get(&target.name) {
+                Some((address, standing)) => (Some(*address), *standing),
+                None => (target.address, Standing::Absent),
+            };
+            if target.address != address {
+                // Another box has taken the name: nothing known about the old one holds.
+                *target = Target {
+                    name: std::mem::take(&mut target.name),
+                    distance: target.distance,
+                    rank: target.rank,
+                    address,
+                    ..Target::default()
+                };
+            }
+            target.standing = standing;
+        }
+    }
+
+    /// Takes in a load report of the target under `key`.
+    pub fn apply_load(&mut self, key: TargetKey, load: Load, now: Duration) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if load.incarnation < target.load.incarnation {
+            return;
+        }
+        if load.incarnation > target.load.incarnation {
+            target.hints.clear();
+            target.unseen.clear();
+        }
+        target.load = load;
+        target.failures = 0;
+        target.avoid_until = Duration::ZERO;
+        target.forget_seen(now);
+        self.observe_step(key);
+    }
+
+    /// Notes that request `counter` was sent to the target under `key`.
+    pub fn note_sent(&mut self, key: TargetKey, counter: u64, prefill_tokens: u32, blocks: &[u64], now: Duration) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        target.hints.note(blocks, now);
+        target.unseen.push_back(Unseen {
+            counter,
+            prefill_tokens,
+            at: now,
+        });
+        if target.unseen.len() > MAX_UNSEEN {
+            target.unseen.pop_front();
+        }
+    }
+
+    /// Notes that the target under `key` could not be reached; it is avoided for a while that doubles each time.
+    pub fn note_failure(&mut self, key: TargetKey, now: Duration) {
+        const FIRST: Duration = Duration::from_millis(500);
+        const MAX_DOUBLINGS: u32 = 5;
+        if let Some(target) = self.targets.get_mut(key) {
+            let pause = FIRST * 2_u32.pow(target.failures.min(MAX_DOUBLINGS));
+            target.failures += 1;
+            target.avoid_until = now + pause;
+        }
+    }
+
+    fn observe_step(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get(key) else { return };
+        let Some((group, _)) = target.rank else { return };
+        let step_ms = target.load.step_ms;
+        let Some(members) = self.groups.get(group) else { return };
+        let loads = members.ranks.iter().filter_map(|rank| self.targets.get(*rank));
+        let largest = loads.map(|rank| rank.load.running).max().unwrap_or(0);
+        if step_ms <= 0.0 {
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(group) {
+            group.step.observe(f64::from(largest), step_ms);
+        }
+    }
+}
+
+impl Target {
+    /// Requests at the target or on their way there: the report, plus what this entry sent since.
+    pub fn expected_requests(&self) -> f64 {
+        f64::from(self.load.running + self.load.queued) + self.unseen.len() as f64
+    }
+
+    /// Prompt tokens that wait for prefill there, with what this entry sent since the report.
+    pub fn expected_prefill(&self) -> f64 {
+        let unseen: u32 = self.unseen.iter().map(|unseen| unseen.prefill_tokens).sum();
+        f64::from(self.load.prefill_tokens + unseen)
+    }
+
+    /// Whether new work may go there now.
+    pub fn takes_work(&self, now: Duration) -> bool {
+        self.standing == Standing::Live && !self.load.draining && self.address.is_some() && now >= self.avoid_until
+    }
+
+    fn forget_seen(&mut self, now: Duration) {
+        let seen = self.load.seen;
+        self.unseen
+            .retain(|unseen| unseen.counter > seen && now.saturating_sub(unseen.at) < UNSEEN_AGE);
+    }
+}
+
+fn distance(fleet: &Fleet, own: &str, other: &str) -> HallDistance {
+    if own == other {
+        return HallDistance::Same;
+    }
+    let region = |name: &str| {
+        fleet
+            .halls
+            .iter()
+            .find(|hall| hall.name == name)
+            .map(|hall| hall.region.as_str())
+    };
+    match (region(own), region(other)) {
+        (Some(own), Some(other)) if own == other => HallDistance::Region,
+        _ => HallDistance::Far,
+    }
+}
--- /dev/null
+++ b/crates/sparscale_bundle/src/bundle.rs
@@ -0,0 +1,254 @@
+//! The checked bundle, in hash buckets that versions share.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::check::{self, Error};
+use crate::document::{Document, Fleet, KeyHash, Workspace};
+
+/// Buckets of workspaces; a delta of one workspace hashes one bucket and the list of bucket hashes.
+const BUCKETS: usize = 256;
+
+/// Hash of a whole bundle's content.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hash([u8; 32]);
+
+impl Hash {
+    /// The raw digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Hash({}..)", hex::encode(&self.0[..4]))
+    }
+}
+
+#[derive(Clone)]
+struct Bucket {
+    workspaces: BTreeMap<String, Arc<Workspace>>,
+    hash: [u8; 32],
+}
+
+/// A checked bundle. Cloning shares everything.
+#[derive(Clone)]
+pub struct Bundle {
+    version: u64,
+    fleet: Arc<Fleet>,
+    fleet_hash: [u8; 32],
+    buckets: Vec<Arc<Bucket>>,
+    keys: Vec<Arc<BTreeMap<KeyHash, Arc<Workspace>>>>,
+}
+
+impl Bundle {
+    /// The bundle's version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Everything that is not per workspace.
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.fleet
+    }
+
+    /// The workspace whose caller sent `key`.
+    pub fn authenticate(&self, key: &str) -> Option<Arc<Workspace>> {
+        let hash = KeyHash::of(key);
+        self.keys[key_bucket(&hash)].get(&hash).map(Arc::clone)
+    }
+
+    /// The workspace called `name`.
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.buckets[name_bucket(name)].workspaces.get(name)
+    }
+
+    /// All workspaces, in bucket order.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.buckets.iter().flat_map(|bucket| bucket.workspaces.values())
+    }
+
+    /// Hash of the content, version included.
+    pub fn hash(&self) -> Hash {
+        let mut digest = Sha256::new();
+        digest.update(b"sparscale bundle 1");
+        digest.update(self.version.to_be_bytes());
+        digest.update(self.fleet_hash);
+        for bucket in &self.buckets {
+            digest.update(bucket.hash);
+        }
+        Hash(digest.finalize().into())
+    }
+
+    /// The text form, with workspaces in name order.
+    pub fn to_document(&self) -> Document {
+        let mut workspaces: Vec<Workspace> = self.workspaces().map(|found| found.as_ref().clone()).collect();
+        workspaces.sort_by(|left, right| left.name.cmp(&right.name));
+        Document {
+            version: self.version,
+            fleet: self.fleet.as_ref().clone(),
+            workspaces,
+        }
+    }
+
+    /// The same content under another version.
+    #[must_use]
+    pub fn with_version(&self, version: u64) -> Self {
+        Self {
+            version,
+            ..self.clone()
+        }
+    }
+
+    /// Replaces the fleet section; all workspaces must still fit it.
+    pub(crate) fn replace_fleet(&mut self, fleet: Fleet) -> Result<(), Error> {
+        check::fleet(&fleet)?;
+        for workspace in self.workspaces() {
+            check::workspace(workspace, &fleet)?;
+        }
+        self.set_fleet(fleet);
+        Ok(())
+    }
+
+    fn set_fleet(&mut self, fleet: Fleet) {
+        self.fleet_hash = hash_of(&fleet);
+        self.fleet = Arc::new(fleet);
+    }
+
+    /// Adds `workspace` or replaces the one of that name.
+    pub(crate) fn put_workspace(&mut self, workspace: Workspace) -> Result<(), Error> {
+        check::workspace(&workspace, &self.fleet)?;
+        for hash in &workspace.key_hashes {
+            let holder = self.keys[key_bucket(hash)].get(hash);
+            if let Some(holder) = holder.filter(|holder| holder.name != workspace.name) {
+                return Err(check::shared_key(&workspace.name, &holder.name));
+            }
+        }
+        self.remove_keys_of(&workspace.name);
+        let workspace = Arc::new(workspace);
+        for hash in &workspace.key_hashes {
+            Arc::make_mut(&mut self.keys[key_bucket(hash)]).insert(*hash, Arc::clone(&workspace));
+        }
+        self.edit_bucket(&workspace.name, |workspaces| {
+            workspaces.insert(workspace.name.clone(), Arc::clone(&workspace));
+        });
+        Ok(())
+    }
+
+    /// Removes the workspace called `name`, if there is one.
+    pub(crate) fn remove_workspace(&mut self, name: &str) {
+        self.remove_keys_of(name);
+        self.edit_bucket(name, |workspaces| {
+            workspaces.remove(name);
+        });
+    }
+
+    fn remove_keys_of(&mut self, name: &str) {
+        let Some(workspace) = self.workspace(name).map(Arc::clone) else {
+            return;
+        };
+        for hash in &workspace.key_hashes {
+            Arc::make_mut(&mut self.keys[key_bucket(hash)]).remove(hash);
+        }
+    }
+
+    fn edit_bucket(&mut self, name: &str, edit: impl FnOnce(&mut BTreeMap<String, Arc<Workspace>>)) {
+        let bucket = Arc::make_mut(&mut self.buckets[name_bucket(name)]);
+        edit(&mut bucket.workspaces);
+        bucket.hash = bucket_hash(&bucket.workspaces);
+    }
+}
+
+impl fmt::Debug for Bundle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Bundle {{ version: {}, hash: {:?} }}", self.version, self.hash())
+    }
+}
+
+impl PartialEq for Bundle {
+    fn eq(&self, other: &Self) -> bool {
+        self.hash() == other.hash()
+    }
+}
+
+impl TryFrom<Document> for Bundle {
+    type Error = Error;
+
+    fn try_from(document: Document) -> Result<Self, Self::Error> {
+        check::document(&document)?;
+        let empty = Arc::new(Bucket {
+            workspaces: BTreeMap::new(),
+            hash: bucket_hash(&BTreeMap::new()),
+        });
+        let mut grouped: Vec<BTreeMap<String, Arc<Workspace>>> = vec![BTreeMap::new(); BUCKETS];
+        let mut keys: Vec<BTreeMap<KeyHash, Arc<Workspace>>> = vec![BTreeMap::new(); BUCKETS];
+        for workspace in document.workspaces {
+            let workspace = Arc::new(workspace);
+            for hash in &workspace.key_hashes {
+                keys[key_bucket(hash)].insert(*hash, Arc::clone(&workspace));
+            }
+            grouped[name_bucket(&workspace.name)].insert(workspace.name.clone(), workspace);
+        }
+        let share = |workspaces: BTreeMap<String, Arc<Workspace>>| {
+            if workspaces.is_empty() {
+                return Arc::clone(&empty);
+            }
+            let hash = bucket_hash(&workspaces);
+            Arc::new(Bucket { workspaces, hash })
+        };
+        Ok(Self {
+            version: document.version,
+            fleet_hash: hash_of(&document.fleet),
+            fleet: Arc::new(document.fleet),
+            buckets: grouped.into_iter().map(share).collect(),
+            keys: keys.into_iter().map(Arc::new).collect(),
+        })
+    }
+}
+
+impl Serialize for Bundle {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.to_document().serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bundle {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let document = Document::deserialize(deserializer)?;
+        Self::try_from(document).map_err(serde::de::Error::custom)
+    }
+}
+
+fn key_bucket(hash: &KeyHash) -> usize {
+    usize::from(hash.as_bytes()[0])
+}
+
+fn name_bucket(name: &str) -> usize {
+    usize::from(Sha256::digest(name.as_bytes())[0])
+}
+
+fn bucket_hash(workspaces: &BTreeMap<String, Arc<Workspace>>) -> [u8; 32] {
+    let mut digest = Sha256::new();
+    for workspace in workspaces.values() {
+        digest.update(hash_of(workspace.as_ref()));
+    }
+    digest.finalize().into()
+}
+
+/// Hash of the `postcard` form, which has one encoding for each value.
+fn hash_of<T: Serialize>(value: &T) -> [u8; 32] {
+    // Serialising plain data into memory has no way to fail; an empty form would show as a hash mismatch.
+    let encoded = postcard::to_stdvec(value).unwrap_or_default();
+    Sha256::digest(encoded).into()
+}
--- /dev/null
+++ b/crates/sparscale_bundle/src/delta.rs
@@ -0,0 +1,59 @@
+//! What changed between two versions of a bundle.
+
+use serde::{Deserialize, Serialize};
+
+use crate::bundle::Bundle;
+use crate::check::Error;
+use crate::document::{Fleet, Workspace};
+
+/// One change of a bundle.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// Adds a workspace or replaces the one of that name.
+    PutWorkspace(Workspace),
+    /// Removes the workspace of that name.
+    RemoveWorkspace(String),
+    /// Replaces the fleet section.
+    SetFleet(Box<Fleet>),
+}
+
+/// All changes from one version to the next.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Changes in the order in which they are applied.
+    pub changes: Vec<Change>,
+}
+
+impl Delta {
+    /// The changes that turn `old` into `new`.
+    pub fn between(old: &Bundle, new: &Bundle) -> Self {
+        let removed = old
+            .workspaces()
+            .filter(|workspace| new.workspace(&workspace.name).is_none())
+            .map(|workspace| Change::RemoveWorkspace(workspace.name.clone()));
+        // Removals come first: a key may move from a removed workspace to another one.
+        let mut changes: Vec<Change> = removed.collect();
+        if old.fleet() != new.fleet() {
+            changes.push(Change::SetFleet(Box::new(new.fleet().as_ref().clone())));
+        }
+        let put = new
+            .workspaces()
+            .filter(|workspace| old.workspace(&workspace.name) != Some(*workspace))
+            .map(|workspace| Change::PutWorkspace(Workspace::clone(workspace)));
+        changes.extend(put);
+        Self { changes }
+    }
+
+    /// Applies the changes to `base`; the result carries `version`.
+    pub fn apply(&self, base: &Bundle, version: u64) -> Result<Bundle, Error> {
+        let mut bundle = base.with_version(version);
+        for change in &self.changes {
+            match change {
+                Change::PutWorkspace(workspace) => bundle.put_workspace(workspace.clone())?,
+                Change::RemoveWorkspace(name) => bundle.remove_workspace(name),
+                Change::SetFleet(fleet) => bundle.replace_fleet(Fleet::clone(fleet))?,
+            }
+        }
+        Ok(bundle)
+    }
+}
--- /dev/null
+++ b/crates/sparscale_cli/src/key.rs
@@ -0,0 +1,42 @@
+//! `sparscale key …`: operators' keys and callers' key hashes.
+
+use std::fs::OpenOptions;
+use std::io::Write as _;
+use std::os::unix::fs::OpenOptionsExt as _;
+use std::path::Path;
+
+use serde::Serialize;
+use snafu::ResultExt as _;
+use sparscale_bundle::{KeyHash, sign};
+
+use crate::error::{Error, WriteSnafu};
+use crate::report::{Exit, Report};
+
+#[derive(Serialize)]
+struct NewKey {
+    public_key: String,
+}
+
+#[derive(Serialize)]
+struct Hashed {
+    key_hash: KeyHash,
+}
+
+/// Writes a new secret key to `path`, readable by its owner alone, and prints the public key.
+pub(crate) fn new(path: &Path) -> Result<Report, Error> {
+    let key = sign::new_key();
+    let mut options = OpenOptions::new();
+    // An existing key is never overwritten.
+    options.write(true).create_new(true).mode(0o600);
+    let mut file = options.open(path).context(WriteSnafu { path })?;
+    writeln!(file, "{}", hex::encode(key.to_bytes())).context(WriteSnafu { path })?;
+    let public_key = sign::public_text(&key);
+    Ok(Report::new(Exit::Success, public_key.clone(), &NewKey { public_key }))
+}
+
+/// Prints the hash of a caller's key, as a bundle lists it.
+pub(crate) fn hash(key: &str) -> Report {
+    let key_hash = KeyHash::of(key);
+    let text = hex::encode(key_hash.as_bytes());
+    Report::new(Exit::Success, text, &Hashed { key_hash })
+}
--- /dev/null
+++ b/crates/sparscale_cli/src/settings.rs
@@ -0,0 +1,25 @@
+//! `sparscale settings check`: checks a settings file without starting anything.
+
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::operator;
+use crate::report::{Exit, Report};
+
+#[derive(Serialize)]
+struct Checked {
+    result: &'static str,
+}
+
+/// Checks the settings file of `program` at `path`.
+pub(crate) fn check(program: &str, path: &Path) -> Result<Report, Error> {
+    match program {
+        "entry" => drop(sparscale_settings::load::<sparscale_entry::Raw>(path)?),
+        "agent" => drop(sparscale_settings::load::<sparscale_agent::Raw>(path)?),
+        _ => drop(sparscale_settings::load::<operator::Raw>(path)?),
+    }
+    let text = format!("{}: valid settings of {program}", path.display());
+    Ok(Report::new(Exit::Success, text, &Checked { result: "valid" }))
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/caller.rs
@@ -0,0 +1,609 @@
+//! The HTTP face towards callers.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime};
+
+use bytes::{Bytes, BytesMut};
+use dropshot::{ApiDescription, Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
+use futures::StreamExt as _;
+use http::{HeaderMap, Response, StatusCode, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use sparscale_board::prefix_blocks;
+use sparscale_bundle::{Bundle, Workspace};
+use sparscale_control::{Journal, SubmitError};
+use sparscale_journal::{Binding, BindingKey, Body as RecordBody, Verdict};
+use sparscale_route::Request as RouteRequest;
+use sparscale_wire::{Call, Settlement};
+use sync_wrapper::SyncStream;
+use tokio::time::Instant;
+
+use crate::completion;
+use crate::dispatch::{Dispatcher, Job, Pool};
+use crate::limits::{InFlight, Place};
+use crate::live::Live;
+use crate::problem::Problem;
+use crate::ticket::{self, TICKET_PREFIX, Ticket};
+
+/// Header in which a caller names its deadline, in milliseconds from now.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header with which a caller marks re-sends of one request.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in characters.
+const MAX_KEY: usize = 255;
+/// Time for which the outcome under a plain key is kept by its agent.
+const KEEP_PLAIN_KEY: Duration = Duration::from_mins(50);
+/// Time by which an agent keeps an outcome beyond the ticket's end, for clocks that differ.
+const KEEP_AFTER_TICKET: Duration = Duration::from_mins(5);
+/// Time that binding a key through the log may take.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+/// When to come back while the log is down or has no room.
+const LOG_RETRY: Duration = Duration::from_secs(2);
+/// When to come back to an entry that has no bundle, and with a workspace that has too much in progress.
+const SHORT_RETRY: Duration = Duration::from_secs(1);
+/// Expected work of a plain service's call, in tokens.
+const SERVICE_TOKENS: u32 = 1;
+
+/// What handlers need.
+pub(crate) struct Api {
+    pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) journal: Arc<Journal>,
+    pub(crate) in_flight: InFlight,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) ticket_lifetime: Duration,
+    pub(crate) stopping: AtomicBool,
+}
+
+/// A request whose caller is known.
+struct Caller {
+    bundle: Arc<Bundle>,
+    workspace: Arc<Workspace>,
+    tier: u8,
+    deadline: Instant,
+    place: Place,
+}
+
+type Context = RequestContext<Arc<Api>>;
+type Answer = Result<Response<Body>, HttpError>;
+
+#[derive(Deserialize, JsonSchema)]
+struct ServicePath {
+    service: String,
+    call: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct TicketPath {
+    service: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct RequestPath {
+    id: String,
+}
+
+#[derive(Serialize)]
+struct TicketAnswer {
+    ticket: String,
+    expires_in_seconds: u64,
+}
+
+#[derive(Serialize)]
+struct Settled {
+    outcome: &'static str,
+}
+
+/// A model answer, streamed if the caller asks for it.
+#[endpoint { method = POST, path = "/v1/chat/completions" }]
+async fn complete(context: Context, body: StreamingBody) -> Answer {
+    let api = context.context();
+    answer(api.complete(context.request.headers(), body).await)
+}
+
+/// A call of a plain service.
+#[endpoint { method = POST, path = "/v1/services/{service}/{call}" }]
+async fn call_service(context: Context, path: Path<ServicePath>, body: StreamingBody) -> Answer {
+    let api = context.context();
+    answer(
+        api.call_service(context.request.headers(), &path.into_inner(), body)
+            .await,
+    )
+}
+
+/// A ticket for one call that may not be repeated.
+#[endpoint { method = POST, path = "/v1/tickets/{service}" }]
+async fn issue_ticket(context: Context, path: Path<TicketPath>) -> Answer {
+    let api = context.context();
+    answer(api.issue_ticket(context.request.headers(), path.into_inner().service))
+}
+
+/// What became of a request.
+#[endpoint { method = GET, path = "/v1/requests/{id}" }]
+async fn ask_about(context: Context, path: Path<RequestPath>) -> Answer {
+    let api = context.context();
+    answer(api.ask_about(context.request.headers(), &path.into_inner().id).await)
+}
+
+/// Whether the process lives.
+#[endpoint { method = GET, path = "/healthz" }]
+async fn health(_context: Context) -> Answer {
+    Ok(Response::new(Body::from("alive\n")))
+}
+
+/// Whether the balancer may send callers here.
+#[endpoint { method = GET, path = "/readyz" }]
+async fn readiness(context: Context) -> Answer {
+    let api = context.context();
+    let mut response = Response::new(Body::from("ready\n"));
+    if api.stopping.load(Ordering::Relaxed) || api.journal.in_force().is_none() {
+        response = Response::new(Body::from("not ready\n"));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+/// All endpoints.
+pub(crate) fn description() -> Result<ApiDescription<Arc<Api>>, String> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(complete)
+        .and_then(|()| api.register(call_service))
+        .and_then(|()| api.register(issue_ticket))
+        .and_then(|()| api.register(ask_about))
+        .and_then(|()| api.register(health))
+        .and_then(|()| api.register(readiness));
+    registered.map_err(|error| error.to_string())?;
+    Ok(api)
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "the type that dropshot's handlers return")]
+fn answer(result: Result<Response<Body>, Problem>) -> Answer {
+    Ok(result.unwrap_or_else(|problem| problem.to_response()))
+}
+
+impl Api {
+    async fn complete(&self, headers: &HeaderMap, body: StreamingBody) -> Result<Response<Body>, Problem> {
+        let caller = self.caller(headers)?;
+        let body = self.read_body(body).await?;
+        let request = completion::Request::parse(&body).map_err(|error| bad_request(&error.to_string()))?;
+        let known = caller
+            .bundle
+            .fleet()
+            .models
+            .iter()
+            .any(|model| model.name == request.model);
+        if !known {
+            return Err(not_found(&format!("no model is called {}", request.model)));
+        }
+        let prompt = request.prompt();
+        let job = Arc::new(Job {
+            workspace: Arc::clone(&caller.workspace),
+            tier: caller.tier,
+            deadline: caller.deadline,
+            repeatable: true,
+            key: None,
+            keep: Duration::ZERO,
+            call: Call::Model { body },
+            pool: Pool::Model(request.model.clone()),
+            route: RouteRequest {
+                prompt_tokens: completion::prompt_tokens(&prompt),
+                answer_tokens: request.answer_tokens(),
+                blocks: prefix_blocks(&prompt),
+            },
+            limits: caller.bundle.fleet().limits.clone(),
+        });
+        if request.stream {
+            let live = self.dispatcher.begin(&job).await?;
+            return Ok(stream_answer(live, caller.place));
+        }
+        self.collect_answer(&job, &request.model).await
+    }
+
+    /// Reads a whole model answer. While the caller has seen no byte, a broken one starts again elsewhere.
+    async fn collect_answer(&self, job: &Arc<Job>, model: &str) -> Result<Response<Body>, Problem> {
+        const STARTS: usize = 2;
+        let mut last = None;
+        for _ in 0..STARTS {
+            let mut live = self.dispatcher.begin(job).await?;
+            match collect_text(&mut live).await {
+                Ok(text) => {
+                    let id = live.request_id();
+                    return Ok(json_response(completion::whole(&id, model, &text)));
+                }
+                Err(problem) if Instant::now() < job.deadline => last = Some(problem),
+                Err(problem) => return Err(problem),
+            }
+        }
+        Err(last.unwrap_or_else(|| Problem::failed("no whole answer")))
+    }
+
+    async fn call_service(
+        &self,
+        headers: &HeaderMap,
+        path: &ServicePath,
+        body: StreamingBody,
+    ) -> Result<Response<Body>, Problem> {
+        let caller = self.caller(headers)?;
+        let body = self.read_body(body).await?;
+        let repeatable = repeatable(&caller.bundle, path)?;
+        let content_type = text_of(headers, header::CONTENT_TYPE.as_str()).unwrap_or("application/octet-stream");
+        let mut job = Job {
+            workspace: Arc::clone(&caller.workspace),
+            tier: caller.tier,
+            deadline: caller.deadline,
+            repeatable,
+            key: None,
+            keep: Duration::ZERO,
+            call: Call::Service {
+                name: path.call.clone(),
+                content_type: content_type.to_owned(),
+                body,
+            },
+            pool: Pool::Service(path.service.clone()),
+            route: RouteRequest {
+                answer_tokens: SERVICE_TOKENS,
+                ..RouteRequest::default()
+            },
+            limits: caller.bundle.fleet().limits.clone(),
+        };
+        if let Some(key) = idempotency_key(headers)?
+            && !repeatable
+        {
+            self.bind(&mut job, &path.service, key).await?;
+        }
+        let mut live = self.dispatcher.begin(&Arc::new(job)).await?;
+        let body = collect_bytes(&mut live).await?;
+        service_response(&live, body)
+    }
+
+    /// Binds a request to one agent incarnation, through the ticket that it carries or through the log.
+    async fn bind(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
+        job.key = Some(BindingKey::new(&job.workspace.name, key));
+        if key.starts_with(TICKET_PREFIX) {
+            return self.bind_by_ticket(job, service, key);
+        }
+        self.bind_by_log(job).await
+    }
+
+    fn bind_by_ticket(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
+        let opened = self.dispatcher.seal.open_ticket(key, SystemTime::now());
+        let ticket = match opened {
+            Ok(ticket) => ticket,
+            Err(ticket::Error::Expired) => {
+                return Err(Problem::unknown(
+                    "the ticket has expired: it may have been used before, and nothing can run under it any more",
+                ));
+            }
+            Err(error) => return Err(bad_request(&error.to_string())),
+        };
+        if ticket.workspace != job.workspace.name || ticket.service != service {
+            return Err(bad_request("the ticket was issued for another workspace or service"));
+        }
+        let left = ticket.expires.saturating_sub(ticket::seconds(SystemTime::now()));
+        job.keep = Duration::from_secs(left) + KEEP_AFTER_TICKET;
+        job.pool = Pool::Bound {
+            target: ticket.target,
+            incarnation: ticket.incarnation,
+        };
+        Ok(())
+    }
+
+    async fn bind_by_log(&self, job: &mut Job) -> Result<(), Problem> {
+        let Some(key) = job.key else { return Ok(()) };
+        job.keep = KEEP_PLAIN_KEY;
+        let known = self.journal.with_state(|state| state.binding(&key).cloned());
+        let binding = match known {
+            Some(binding) => binding,
+            None => self.append_binding(job, key).await?,
+        };
+        job.pool = Pool::Bound {
+            target: binding.target,
+            incarnation: binding.incarnation,
+        };
+        Ok(())
+    }
+
+    /// Appends a binding and reads back which one won.
+    async fn append_binding(&self, job: &Job, key: BindingKey) -> Result<Binding, Problem> {
+        let (target, incarnation) = self.dispatcher.choose_home(job)?;
+        let binding = Binding {
+            key,
+            target,
+            incarnation,
+            body: [0; 32],
+        };
+        let submitted = self
+            .journal
+            .submit(RecordBody::Bind(binding.clone()), BIND_TIMEOUT)
+            .await;
+        match submitted {
+            Ok(receipt) if receipt.verdict == Verdict::Accepted => Ok(binding),
+            Ok(_) => {
+                let winner = self.journal.with_state(|state| state.binding(&key).cloned());
+                winner.ok_or_else(|| Problem::unknown("the log refused the key").retry_after(LOG_RETRY))
+            }
+            Err(error) => Err(binding_unknown(&error)),
+        }
+    }
+
+    fn issue_ticket(&self, headers: &HeaderMap, service: String) -> Result<Response<Body>, Problem> {
+        let caller = self.caller(headers)?;
+        if !caller.bundle.fleet().services.iter().any(|known| known.name == service) {
+            return Err(not_found(&format!("no service is called {service}")));
+        }
+        let job = Job {
+            workspace: Arc::clone(&caller.workspace),
+            tier: caller.tier,
+            deadline: caller.deadline,
+            repeatable: false,
+            key: None,
+            keep: Duration::ZERO,
+            call: Call::Model { body: Bytes::new() },
+            pool: Pool::Service(service.clone()),
+            route: RouteRequest::default(),
+            limits: caller.bundle.fleet().limits.clone(),
+        };
+        let (target, incarnation) = self.dispatcher.choose_home(&job)?;
+        let lifetime = self.ticket_lifetime.as_secs();
+        let ticket = Ticket {
+            workspace: caller.workspace.name.clone(),
+            service,
+            target,
+            incarnation,
+            expires: ticket::seconds(SystemTime::now()) + lifetime,
+            nonce: rand::random(),
+        };
+        let answer = TicketAnswer {
+            ticket: self.dispatcher.seal.issue_ticket(&ticket),
+            expires_in_seconds: lifetime,
+        };
+        // Serialising plain data into memory has no way to fail.
+        Ok(json_response(serde_json::to_string(&answer).unwrap_or_default()))
+    }
+
+    async fn ask_about(&self, headers: &HeaderMap, id: &str) -> Result<Response<Body>, Problem> {
+        let caller = self.caller(headers)?;
+        let name = self
+            .dispatcher
+            .seal
+            .open_request_id(id)
+            .map_err(|error| bad_request(&error.to_string()))?;
+        if name.workspace != caller.workspace.name {
+            return Err(not_found("no such request in this workspace"));
+        }
+        let address = {
+            let board = self.dispatcher.board.lock();
+            let target = board.find(&name.target).and_then(|key| board.target(key));
+            target.and_then(|target| target.address)
+        };
+        let settlement = match address {
+            Some(address) => self.dispatcher.settle(address, name.attempt).await,
+            None => Settlement::Unknown,
+        };
+        let outcome = match settlement {
+            Settlement::NotRun => "not_run",
+            Settlement::Running => "running",
+            Settlement::Ended => "ended",
+            Settlement::Unknown => "unknown",
+        };
+        Ok(json_response(
+            serde_json::to_string(&Settled { outcome }).unwrap_or_default(),
+        ))
+    }
+
+    /// Authenticates the caller and takes a place for its request.
+    fn caller(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+        let Some(certificate) = self.journal.in_force() else {
+            let detail = "this entry has no configuration yet";
+            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "Not ready", detail);
+            return Err(problem.retry_after(SHORT_RETRY));
+        };
+        let bundle = Arc::clone(&certificate.bundle);
+        let key = text_of(headers, header::AUTHORIZATION.as_str()).and_then(|value| value.strip_prefix("Bearer "));
+        let workspace = key.and_then(|key| bundle.authenticate(key)).ok_or_else(unauthorized)?;
+        let fleet = bundle.fleet();
+        let tier = fleet
+            .tiers
+            .iter()
+            .position(|tier| tier.name == workspace.tier)
+            .unwrap_or_default();
+        let deadline = Instant::now() + deadline_of(headers, fleet.limits.deadline_ms)?;
+        let place = self
+            .in_flight
+            .enter(&workspace.name, workspace.in_flight)
+            .ok_or_else(|| {
+                let detail = format!("the workspace has {} requests in progress", workspace.in_flight);
+                Problem::not_run(StatusCode::TOO_MANY_REQUESTS, "Too many requests in progress", detail)
+                    .retry_after(SHORT_RETRY)
+            })?;
+        Ok(Caller {
+            bundle,
+            workspace,
+            tier: tier as u8,
+            deadline,
+            place,
+        })
+    }
+
+    async fn read_body(&self, body: StreamingBody) -> Result<Bytes, Problem> {
+        let mut collected = BytesMut::new();
+        let mut pieces = std::pin::pin!(body.into_stream());
+        while let Some(piece) = pieces.next().await {
+            let piece = piece.map_err(|error| bad_request(&error.external_message))?;
+            collected.extend_from_slice(&piece);
+            if collected.len() > self.max_body_bytes {
+                let detail = format!("a body has at most {} bytes", self.max_body_bytes);
+                return Err(Problem::not_run(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "The body is too long",
+                    detail,
+                ));
+            }
+        }
+        Ok(collected.freeze())
+    }
+}
+
+fn stream_answer(live: Live, place: Place) -> Response<Body> {
+    let id = live.request_id();
+    let state = Stream {
+        live,
+        pending: VecDeque::new(),
+        over: false,
+        _place: place,
+    };
+    let events = futures::stream::unfold(state, |mut state| async move {
+        let event = state.next().await?;
+        Some((Ok::<_, std::convert::Infallible>(Frame::data(event)), state))
+    });
+    // A handler's body has to be shareable between threads; polling it from one at a time is all that is needed.
+    let body = Body::wrap(StreamBody::new(SyncStream::new(events)));
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
+    if let Ok(id) = header::HeaderValue::from_str(&id) {
+        headers.insert("x-request-id", id);
+    }
+    response
+}
+
+/// A stream of events, with the place that its request takes.
+struct Stream {
+    live: Live,
+    pending: VecDeque<Bytes>,
+    over: bool,
+    _place: Place,
+}
+
+impl Stream {
+    async fn next(&mut self) -> Option<Bytes> {
+        if let Some(event) = self.pending.pop_front() {
+            return Some(event);
+        }
+        if self.over {
+            return None;
+        }
+        match self.live.next().await {
+            Some(Ok(piece)) => Some(completion::event(&piece)),
+            Some(Err(problem)) => {
+                self.over = true;
+                Some(completion::error_event(&problem.to_json()))
+            }
+            None => {
+                self.over = true;
+                Some(completion::done())
+            }
+        }
+    }
+}
+
+async fn collect_text(live: &mut Live) -> Result<String, Problem> {
+    let mut text = String::new();
+    while let Some(piece) = live.next().await {
+        let piece = completion::piece_text(&piece?);
+        text += &piece.map_err(|error| Problem::failed(format!("the engine's answer: {error}")))?;
+    }
+    Ok(text)
+}
+
+async fn collect_bytes(live: &mut Live) -> Result<Bytes, Problem> {
+    let mut whole = BytesMut::new();
+    while let Some(piece) = live.next().await {
+        whole.extend_from_slice(&piece?);
+    }
+    Ok(whole.freeze())
+}
+
+fn service_response(live: &Live, body: Bytes) -> Result<Response<Body>, Problem> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = StatusCode::from_u16(live.head.status)
+        .map_err(|_range| Problem::failed("the target's status is no HTTP status"))?;
+    let headers = response.headers_mut();
+    if let Ok(content_type) = header::HeaderValue::from_str(&live.head.content_type) {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    if let Ok(id) = header::HeaderValue::from_str(&live.request_id()) {
+        headers.insert("x-request-id", id);
+    }
+    Ok(response)
+}
+
+fn json_response(json: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(json));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn repeatable(bundle: &Bundle, path: &ServicePath) -> Result<bool, Problem> {
+    let service = bundle
+        .fleet()
+        .services
+        .iter()
+        .find(|service| service.name == path.service);
+    let service = service.ok_or_else(|| not_found(&format!("no service is called {}", path.service)))?;
+    let call = service.calls.iter().find(|call| call.name == path.call);
+    let call = call.ok_or_else(|| not_found(&format!("service {} has no call {}", path.service, path.call)))?;
+    Ok(call.repeatable)
+}
+
+fn deadline_of(headers: &HeaderMap, default_ms: u64) -> Result<Duration, Problem> {
+    let Some(text) = text_of(headers, DEADLINE_HEADER) else {
+        return Ok(Duration::from_millis(default_ms));
+    };
+    let parsed: Option<u64> = text.parse().ok();
+    match parsed {
+        Some(milliseconds @ 1..=3_600_000) => Ok(Duration::from_millis(milliseconds)),
+        _ => Err(bad_request(&format!(
+            "{DEADLINE_HEADER} is a number of milliseconds from 1 to 3600000"
+        ))),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<&str>, Problem> {
+    if !headers.contains_key(KEY_HEADER) {
+        return Ok(None);
+    }
+    let key = text_of(headers, KEY_HEADER).filter(|key| (1..=MAX_KEY).contains(&key.len()));
+    let wrong = || bad_request(&format!("{KEY_HEADER} has 1 to {MAX_KEY} ASCII characters"));
+    key.map(Some).ok_or_else(wrong)
+}
+
+fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// This sending was not run, but an earlier one under the same key may have been: only the log could tell.
+fn binding_unknown(error: &SubmitError) -> Problem {
+    let retry = match error {
+        SubmitError::Budget { retry_after } => *retry_after,
+        SubmitError::NotAppended { .. } | SubmitError::Unknown => LOG_RETRY,
+    };
+    let detail = format!(
+        "this sending was not run; whether an earlier one under the key was cannot be told now ({error}); send it again with the same key, or use a ticket"
+    );
+    let mut problem = Problem::unknown(detail).retry_after(retry);
+    problem.status = StatusCode::SERVICE_UNAVAILABLE;
+    problem
+}
+
+fn bad_request(detail: &str) -> Problem {
+    Problem::not_run(StatusCode::BAD_REQUEST, "The request is not valid", detail)
+}
+
+fn not_found(detail: &str) -> Problem {
+    Problem::not_run(StatusCode::NOT_FOUND, "No such thing", detail)
+}
+
+fn unauthorized() -> Problem {
+    let detail = "send `Authorization: Bearer KEY` with a key of a workspace";
+    Problem::not_run(StatusCode::UNAUTHORIZED, "The key is not known", detail)
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/completion.rs
@@ -0,0 +1,125 @@
+//! Chat completions: what callers send and get, in the usual JSON shape.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a prompt that make a token, on average.
+const BYTES_PER_TOKEN: usize = 4;
+/// Answer length that is expected when the caller names none, in tokens.
+const DEFAULT_ANSWER_TOKENS: u32 = 256;
+
+/// A request; members that the entry does not need are passed on untouched.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Request {
+    pub(crate) model: String,
+    pub(crate) messages: Vec<Message>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    pub(crate) max_tokens: Option<u32>,
+}
+
+/// One message of the conversation.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Message {
+    pub(crate) content: String,
+}
+
+/// One piece of an answer as the engine sends it.
+#[derive(Debug, Deserialize)]
+struct Piece {
+    choices: Vec<PieceChoice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PieceChoice {
+    delta: Delta,
+}
+
+#[derive(Debug, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [CompletionChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct CompletionChoice<'a> {
+    index: u32,
+    message: CompletionMessage<'a>,
+    finish_reason: &'static str,
+}
+
+#[derive(Serialize)]
+struct CompletionMessage<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+impl Request {
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(body)
+    }
+
+    pub(crate) fn prompt(&self) -> Vec<u8> {
+        self.messages
+            .iter()
+            .flat_map(|message| message.content.bytes())
+            .collect()
+    }
+
+    pub(crate) fn answer_tokens(&self) -> u32 {
+        self.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS)
+    }
+}
+
+/// Estimated length of `prompt`, in tokens.
+pub(crate) fn prompt_tokens(prompt: &[u8]) -> u32 {
+    (prompt.len() / BYTES_PER_TOKEN) as u32
+}
+
+/// The text that a piece adds to the answer.
+pub(crate) fn piece_text(piece: &[u8]) -> Result<String, serde_json::Error> {
+    let piece: Piece = serde_json::from_slice(piece)?;
+    Ok(piece.choices.into_iter().map(|choice| choice.delta.content).collect())
+}
+
+/// The whole answer for a caller that did not ask for a stream.
+pub(crate) fn whole(id: &str, model: &str, content: &str) -> String {
+    let completion = Completion {
+        id,
+        object: "chat.completion",
+        model,
+        choices: [CompletionChoice {
+            index: 0,
+            message: CompletionMessage {
+                role: "assistant",
+                content,
+            },
+            finish_reason: "stop",
+        }],
+    };
+    // Serialising plain data into memory has no way to fail.
+    serde_json::to_string(&completion).unwrap_or_default()
+}
+
+/// A server-sent event with `data`.
+pub(crate) fn event(data: &[u8]) -> Bytes {
+    [b"data: ", data, b"\n\n"].concat().into()
+}
+
+/// The event that ends a whole stream.
+pub(crate) fn done() -> Bytes {
+    Bytes::from_static(b"data: [DONE]\n\n")
+}
+
+/// The event that ends a stream that is not whole.
+pub(crate) fn error_event(problem: &str) -> Bytes {
+    Bytes::from(format!("event: error\ndata: {problem}\n\n"))
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The entry: takes requests from callers, routes them to agents, streams answers back.
+//!
+//! No entry is special. Each follows the log, keeps a board of targets, and may hold a placer's duty.
+
+pub mod assembly;
+mod board_control;
+mod caller;
+mod completion;
+mod dispatch;
+mod limits;
+mod live;
+mod peer;
+mod problem;
+mod program;
+mod settings;
+mod ticket;
+
+pub use program::{Error, command, run};
+pub use settings::{Raw, Settings};
--- /dev/null
+++ b/crates/sparscale_entry/src/limits.rs
@@ -0,0 +1,91 @@
+//! What one entry allows: requests in progress per workspace, and retries.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Retries that may be spent before any first attempt was made.
+const INITIAL_RETRIES: f64 = 10.0;
+/// Retries that can be saved up.
+const MAX_RETRIES: f64 = 100.0;
+
+/// Counts requests in progress per workspace.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct InFlight {
+    counts: Arc<Mutex<HashMap<String, u32>>>,
+}
+
+/// One request in progress; it stops counting when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Place {
+    counts: Arc<Mutex<HashMap<String, u32>>>,
+    workspace: String,
+}
+
+impl InFlight {
+    /// A place for one more request of `workspace`, if fewer than `limit` are in progress.
+    pub(crate) fn enter(&self, workspace: &str, limit: u32) -> Option<Place> {
+        let mut counts = lock(&self.counts);
+        let count = counts.entry(workspace.to_owned()).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(Place {
+            counts: Arc::clone(&self.counts),
+            workspace: workspace.to_owned(),
+        })
+    }
+
+    /// Requests in progress of all workspaces.
+    pub(crate) fn total(&self) -> u32 {
+        lock(&self.counts).values().sum()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut counts = lock(&self.counts);
+        if let Some(count) = counts.get_mut(&self.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.workspace);
+            }
+        }
+    }
+}
+
+/// Retries come out of a budget that first attempts fill, so that retries never multiply an overload.
+#[derive(Debug)]
+pub(crate) struct RetryBudget {
+    saved: Mutex<f64>,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            saved: Mutex::new(INITIAL_RETRIES),
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a first attempt, which earns `percent` of a retry.
+    pub(crate) fn earn(&self, percent: u32) {
+        let mut saved = lock(&self.saved);
+        *saved = (*saved + f64::from(percent) / 100.0).min(MAX_RETRIES);
+    }
+
+    /// Spends one retry, if there is one.
+    pub(crate) fn spend(&self) -> bool {
+        let mut saved = lock(&self.saved);
+        if *saved < 1.0 {
+            return false;
+        }
+        *saved -= 1.0;
+        true
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/live.rs
@@ -0,0 +1,137 @@
+//! An answer on its way to the caller. A broken stream is resumed at the first missing chunk.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sparscale_wire::{Channel, Frame, Head};
+use tokio::time::Instant;
+
+use crate::assembly::{Assembly, Step};
+use crate::dispatch::{Dispatcher, Job, Sent, failed};
+use crate::problem::Problem;
+
+/// Resumptions in a row without a new chunk, after which the answer is given up.
+const MAX_RESUMES: u32 = 3;
+/// Pause between two of them.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
+/// An answer that has begun.
+pub(crate) struct Live {
+    dispatcher: Arc<Dispatcher>,
+    job: Arc<Job>,
+    sent: Sent,
+    assembly: Assembly,
+    channel: Channel,
+    ready: VecDeque<Bytes>,
+    resumes: u32,
+    over: bool,
+    pub(crate) head: Head,
+}
+
+impl Live {
+    pub(crate) fn new(
+        dispatcher: Arc<Dispatcher>,
+        job: Arc<Job>,
+        sent: Sent,
+        assembly: Assembly,
+        channel: Channel,
+        head: Head,
+    ) -> Self {
+        Self {
+            dispatcher,
+            job,
+            sent,
+            assembly,
+            channel,
+            ready: VecDeque::new(),
+            resumes: 0,
+            over: false,
+            head,
+        }
+    }
+
+    /// Id under which the caller may ask about the request.
+    pub(crate) fn request_id(&self) -> String {
+        self.dispatcher.request_id(&self.job, &self.sent)
+    }
+
+    /// The next chunk; none after a whole answer.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Problem>> {
+        loop {
+            if let Some(chunk) = self.ready.pop_front() {
+                return Some(Ok(chunk));
+            }
+            if self.over {
+                return None;
+            }
+            if let Err(problem) = self.receive().await {
+                self.over = true;
+                return Some(Err(problem.request_id(self.request_id())));
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> Result<(), Problem> {
+        let received = tokio::time::timeout_at(self.job.deadline, self.channel.receiver.receive()).await;
+        match received {
+            Ok(Ok(Frame::Answer(answer))) => self.accept(answer).await,
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => self.resume(&error.to_string()).await,
+            Err(_elapsed) => Err(self.gave_up("the deadline passed")),
+        }
+    }
+
+    async fn accept(&mut self, answer: sparscale_wire::Answer) -> Result<(), Problem> {
+        match self.assembly.accept(answer) {
+            Step::Nothing | Step::Head(_) => Ok(()),
+            Step::Chunks(chunks) => {
+                self.resumes = 0;
+                self.ready.extend(chunks);
+                Ok(())
+            }
+            Step::End { chunks, load } => {
+                self.ready.extend(chunks);
+                self.over = true;
+                self.dispatcher.note_load(&self.sent, &load);
+                Ok(())
+            }
+            Step::Failed(failure) => Err(failed(&self.job, &failure)),
+            Step::Refused(_) => self.resume("refused after the answer began").await,
+            Step::Broken(reason) => self.resume(reason).await,
+        }
+    }
+
+    async fn resume(&mut self, reason: &str) -> Result<(), Problem> {
+        loop {
+            if self.resumes >= MAX_RESUMES || Instant::now() >= self.job.deadline {
+                return Err(self.gave_up("the target's agent cannot be reached any more"));
+            }
+            self.resumes += 1;
+            let from = self.assembly.next_chunk();
+            log::info!(target: sparscale_telemetry::DECISION, decision = "resume", attempt = self.sent.attempt.to_string().as_str(), from, reason; "resuming a broken stream");
+            if let Ok(channel) = self.dispatcher.resume(&self.sent, from).await {
+                self.channel = channel;
+                return Ok(());
+            }
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+    }
+
+    fn gave_up(&self, detail: &str) -> Problem {
+        if self.job.repeatable {
+            Problem::failed(detail)
+        } else {
+            Problem::unknown(detail)
+        }
+    }
+}
+
+impl Drop for Live {
+    fn drop(&mut self) {
+        if !self.assembly.has_ended() {
+            self.dispatcher.cancel_in_background(&self.sent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/program.rs
@@ -0,0 +1,140 @@
+//! Puts an entry together and runs it until it is told to stop.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use clap::{Arg, Command, value_parser};
+use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use snafu::Snafu;
+use sparscale_control::process;
+use sparscale_telemetry::DECISION;
+
+use crate::board_control::{SharedBoard, follow_boxes, follow_bundle, watch_loads};
+use crate::caller::{self, Api};
+use crate::dispatch::Dispatcher;
+use crate::limits::InFlight;
+use crate::peer;
+use crate::settings::{Raw, Settings};
+use crate::ticket::Seal;
+
+/// Targets of one model whose load an entry watches.
+const WATCHED_PER_MODEL: usize = 40;
+/// Time that the last frames get before the socket closes.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why an entry cannot run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The settings file cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Settings {
+        /// What is wrong with it.
+        source: sparscale_settings::Error,
+    },
+    /// The process cannot start.
+    #[snafu(display("{source}"), context(false))]
+    Process {
+        /// What is wrong.
+        source: process::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals cannot be received: {source}"), context(false))]
+    Signal {
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// Callers cannot be served.
+    #[snafu(display("callers: {message}; choose a free address of this box"))]
+    Callers {
+        /// What the server said.
+        message: String,
+    },
+}
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("sparscale-entry")
+        .about("Takes requests from callers and routes them to targets")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file, JSON with comments"),
+        )
+}
+
+/// Runs an entry with the settings file at `path` until SIGTERM, then finishes what is in progress.
+pub async fn run(path: &Path) -> Result<(), Error> {
+    let settings: Settings = sparscale_settings::load::<Raw>(path)?;
+    let process = settings.process.start("sparscale.entry")?;
+    let name = settings.process.raw.name.clone();
+    let board = Arc::new(SharedBoard::new(&name, &settings.process.raw.hall));
+    tokio::spawn(follow_bundle(
+        Arc::clone(&board),
+        Arc::clone(&process.journal),
+        process.boxes.clone(),
+    ));
+    tokio::spawn(follow_boxes(Arc::clone(&board), process.boxes.clone()));
+    tokio::spawn(watch_loads(
+        Arc::clone(&board),
+        Arc::clone(&process.endpoint),
+        process.incarnation,
+        WATCHED_PER_MODEL,
+    ));
+    tokio::spawn(peer::accept(
+        Arc::clone(&process.journal),
+        Arc::clone(&process.endpoint),
+    ));
+    let dispatcher = Dispatcher::new(
+        board,
+        Arc::clone(&process.endpoint),
+        Seal::new(&settings.secret),
+        process.metrics.clone(),
+        process.incarnation,
+    );
+    let api = Arc::new(Api {
+        dispatcher: Arc::new(dispatcher),
+        journal: Arc::clone(&process.journal),
+        in_flight: InFlight::default(),
+        max_body_bytes: settings.max_body_bytes,
+        ticket_lifetime: settings.ticket_lifetime,
+        stopping: AtomicBool::new(false),
+    });
+    let server = serve(&settings, Arc::clone(&api))?;
+    log::info!(name = name.as_str(), incarnation = process.incarnation, callers = server.local_addr().to_string().as_str(); "entry ready");
+    process::wait_for_stop(&process.endpoint).await?;
+    stop(&settings, &api, server).await;
+    let _closed = tokio::time::timeout(CLOSE_TIMEOUT, process.endpoint.close()).await;
+    log::info!("entry stopped");
+    Ok(())
+}
+
+fn serve(settings: &Settings, api: Arc<Api>) -> Result<HttpServer<Arc<Api>>, Error> {
+    let description = caller::description().map_err(|message| Error::Callers { message })?;
+    let config = ConfigDropshot {
+        bind_address: settings.callers,
+        // The handlers read bodies themselves, up to the limit of the settings, and refuse longer ones.
+        default_request_body_max_bytes: usize::MAX,
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    ServerBuilder::new(description, api, sparscale_telemetry::dropshot_log())
+        .config(config)
+        .start()
+        .map_err(|error| Error::Callers {
+            message: error.to_string(),
+        })
+}
+
+/// Says no to the balancer, accepts what it still sends for its lag, and finishes all answers.
+async fn stop(settings: &Settings, api: &Api, server: HttpServer<Arc<Api>>) {
+    api.stopping.store(true, Ordering::Relaxed);
+    log::info!(target: DECISION, decision = "drain", reason = "told to stop", in_progress = api.in_flight.total(); "draining");
+    tokio::time::sleep(settings.stop_lag).await;
+    if let Err(error) = server.close().await {
+        log::warn!(error = error.as_str(); "the server for callers did not close well");
+    }
+}
--- /dev/null
+++ b/crates/sparscale_entry/src/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use sparscale_control::process;
+use sparscale_settings::{Check, Problem};
+
+/// Shortest secret for tickets and request ids, in characters.
+const MIN_SECRET: usize = 32;
+
+/// The settings file as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Raw {
+    /// What every process has.
+    pub process: process::Raw,
+    /// Address at which callers are served, HTTP.
+    pub callers: SocketAddr,
+    /// Longest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Secret that all entries share; tickets and request ids are sealed with it.
+    pub secret: String,
+    /// Lifetime of a ticket, in seconds.
+    pub ticket_seconds: u64,
+    /// Time for which a stopping entry still accepts requests, in milliseconds: the balancer's lag.
+    pub stop_lag_ms: u64,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub(crate) process: process::Settings,
+    pub(crate) callers: SocketAddr,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) secret: String,
+    pub(crate) ticket_lifetime: Duration,
+    pub(crate) stop_lag: Duration,
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = Vec<Problem>;
+
+    fn try_from(raw: Raw) -> Result<Self, Self::Error> {
+        let mut problems = Vec::new();
+        if raw.secret.len() < MIN_SECRET {
+            let mend = "use 32 random characters or more, the same on every entry";
+            problems.push(Problem::new("secret", "is too short", mend));
+        }
+        if !(1_024..=1 << 20).contains(&raw.max_body_bytes) {
+            let mend = "use 1024 to 1048576; a frame between processes holds no more";
+            problems.push(Problem::new("max_body_bytes", "is out of range", mend));
+        }
+        if !(1..=86_400).contains(&raw.ticket_seconds) {
+            problems.push(Problem::new("ticket_seconds", "is out of range", "use 1 to 86400"));
+        }
+        match process::Settings::try_from(raw.process) {
+            Ok(process) if problems.is_empty() => Ok(Self {
+                process,
+                callers: raw.callers,
+                max_body_bytes: raw.max_body_bytes,
+                secret: raw.secret,
+                ticket_lifetime: Duration::from_secs(raw.ticket_seconds),
+                stop_lag: Duration::from_millis(raw.stop_lag_ms),
+            }),
+            Ok(_) => Err(problems),
+            Err(more) => Err(problems.into_iter().chain(more).collect()),
+        }
+    }
+}
+
+impl Check for Raw {
+    type Checked = Settings;
+
+    fn check(self) -> Result<Settings, Vec<Problem>> {
+        Settings::try_from(self)
+    }
+}
--- /dev/null
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -0,0 +1,592 @@
+//! A running fleet.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use nix::sys::signal::Signal;
+use serde::Serialize;
+use serde_json::json;
+use sparscale_bundle::{Document, Operator, sign};
+use sparscale_standin::boxes::{List, Listed, Role, Standing};
+use sparscale_standin::{Fault, keys};
+
+use crate::client::{Client, Reply};
+use crate::plan::{Plan, caller_key};
+use crate::process::{Process, find_program};
+
+/// Name of the model.
+pub const MODEL: &str = "lark";
+/// Name of the group that serves it.
+pub const GROUP: &str = "lark-a";
+/// Name of the plain service.
+pub const SERVICE: &str = "calculator";
+
+/// Time after which something that must happen counts as not happening.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// Operators of every fleet.
+const OPERATORS: [&str; 3] = ["alice", "bob", "carol"];
+
+/// Ports on the fleet's own address.
+const LOG_PORT: u16 = 7_000;
+const BOXES_PORT: u16 = 7_001;
+const WEIGHTS_PORT: u16 = 7_002;
+const RANK_PORT: u16 = 7_100;
+const SERVICE_PORT: u16 = 7_200;
+const AGENT_PORT: u16 = 7_300;
+const ENTRY_PORT: u16 = 7_400;
+const CALLERS_PORT: u16 = 7_500;
+
+/// What went wrong with a fleet, as text for a test's message.
+pub type Error = String;
+
+/// A whole system on loopback.
+#[derive(Debug)]
+pub struct Fleet {
+    plan: Plan,
+    folder: PathBuf,
+    address: IpAddr,
+    operators: Vec<Operator>,
+    processes: BTreeMap<String, Process>,
+    client: Client,
+}
+
+/// Waits until `look` gives something, or says that it did not happen in time.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(what: &str, look: impl Fn() -> F) -> Result<T, Error> {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return Ok(found);
+        }
+        if Instant::now() >= deadline {
+            return Err(format!("did not happen in time: {what}"));
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+impl Fleet {
+    /// Starts everything of `plan`, with the first bundle in force, and waits until entries and agents are ready.
+    pub async fn start(name: &str, plan: Plan) -> Result<Self, Error> {
+        let mut fleet = Self::prepare(name, plan)?;
+        fleet.start_platform().await?;
+        fleet.roll_bundle(&fleet.document(1)).await?;
+        fleet.start_all()?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Writes keys and settings, and starts nothing.
+    pub fn prepare(name: &str, plan: Plan) -> Result<Self, Error> {
+        let folder = std::env::temp_dir().join(format!("sparscale-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).map_err(text)?;
+        keys::write(&folder)?;
+        let mut fleet = Self {
+            plan,
+            folder,
+            address: next_address(),
+            operators: Vec::new(),
+            processes: BTreeMap::new(),
+            client: Client::default(),
+        };
+        fleet.write_operators()?;
+        fleet.write_settings()?;
+        Ok(fleet)
+    }
+
+    /// Starts the platform's stand-ins and fills the box list.
+    pub async fn start_platform(&mut self) -> Result<(), Error> {
+        let listen = |port: u16| vec!["--listen".to_owned(), self.socket(port).to_string()];
+        let log = [vec!["log".to_owned()], listen(LOG_PORT)].concat();
+        let boxes = [vec!["boxes".to_owned()], listen(BOXES_PORT)].concat();
+        let weights = [vec!["weights".to_owned()], listen(WEIGHTS_PORT)].concat();
+        self.spawn("log", "sparscale-standin", &log)?;
+        self.spawn("boxes", "sparscale-standin", &boxes)?;
+        self.spawn("weights", "sparscale-standin", &weights)?;
+        self.start_group()?;
+        for index in 0..self.plan.services {
+            self.start_service(index)?;
+        }
+        self.put_boxes(&self.box_list()).await
+    }
+
+    fn start_group(&mut self) -> Result<(), Error> {
+        let plan = &self.plan;
+        let mut arguments = vec!["group".to_owned()];
+        for index in 0..plan.ranks {
+            arguments.extend(["--listen".to_owned(), self.rank_socket(index).to_string()]);
+        }
+        let options = [
+            ("--experts", u64::from(plan.experts)),
+            ("--slots", u64::from(plan.slots)),
+            ("--step-micros", plan.step_micros),
+        ];
+        for (option, value) in options {
+            arguments.extend([option.to_owned(), value.to_string()]);
+        }
+        arguments.extend(["--weights".to_owned(), self.url(WEIGHTS_PORT)]);
+        if !plan.checks_fence {
+            arguments.push("--no-fence".to_owned());
+        }
+        self.spawn("group", "sparscale-standin", &arguments)
+    }
+
+    /// Starts the plain service's server with this index.
+    pub fn start_service(&mut self, index: usize) -> Result<(), Error> {
+        let arguments = [
+            "service".to_owned(),
+            "--listen".to_owned(),
+            self.socket(SERVICE_PORT + index as u16).to_string(),
+            "--work-ms".to_owned(),
+            self.plan.service_work_ms.to_string(),
+        ];
+        self.spawn(&format!("service-{index}"), "sparscale-standin", &arguments)
+    }
+
+    /// Starts all agents and entries.
+    pub fn start_all(&mut self) -> Result<(), Error> {
+        for name in self.agent_names() {
+            self.start_agent(&name)?;
+        }
+        for name in self.plan.entry_names() {
+            self.start_entry(&name)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the agent of the target called `name`.
+    pub fn start_agent(&mut self, name: &str) -> Result<(), Error> {
+        self.spawn(name, "sparscale-agent", &[self.settings_path(name)])
+    }
+
+    /// Starts the entry called `name`.
+    pub fn start_entry(&mut self, name: &str) -> Result<(), Error> {
+        self.spawn(name, "sparscale-entry", &[self.settings_path(name)])
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, arguments: &[String]) -> Result<(), Error> {
+        let log = self.log_path(name);
+        let process = Process::start(program, arguments, &log)?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    /// Waits until every entry serves and reaches every target.
+    pub async fn wait_until_ready(&self) -> Result<(), Error> {
+        for name in self.plan.entry_names() {
+            self.wait_until_entry_ready(&name).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the entry called `name` serves both kinds of requests.
+    pub async fn wait_until_entry_ready(&self, name: &str) -> Result<(), Error> {
+        eventually(&format!("{name} answers"), || async {
+            let reply = self.send_chat(name, "teal", "are you there", 1).await.ok()?;
+            if self.plan.services > 0 {
+                let rates = self.call_service(name, "rates", "{}", &[]).await.ok()?;
+                rates.status.is_success().then_some(())?;
+            }
+            reply.status.is_success().then_some(())
+        })
+        .await
+    }
+
+    /// Ends a process at once, as a crash would.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(process) = self.processes.remove(name) {
+            process.kill();
+        }
+    }
+
+    /// Stops a process without ending it, as a long pause would.
+    pub fn freeze(&self, name: &str) -> Result<(), Error> {
+        self.signal(name, Signal::SIGSTOP)
+    }
+
+    /// Lets a stopped process go on.
+    pub fn wake(&self, name: &str) -> Result<(), Error> {
+        self.signal(name, Signal::SIGCONT)
+    }
+
+    /// Tells a process to stop in good order.
+    pub fn terminate(&self, name: &str) -> Result<(), Error> {
+        self.signal(name, Signal::SIGTERM)
+    }
+
+    /// Tells a process to read its certificates again.
+    pub fn reload(&self, name: &str) -> Result<(), Error> {
+        self.signal(name, Signal::SIGHUP)
+    }
+
+    fn signal(&self, name: &str, signal: Signal) -> Result<(), Error> {
+        let process = self.processes.get(name).ok_or_else(|| format!("{name} does not run"))?;
+        process.signal(signal)
+    }
+
+    /// Waits until the process called `name` has ended by itself, and tells whether it ended well.
+    pub async fn wait_for_exit(&mut self, name: &str) -> Result<bool, Error> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let process = self
+                .processes
+                .get_mut(name)
+                .ok_or_else(|| format!("{name} does not run"))?;
+            if let Some(status) = process.exit_status() {
+                self.processes.remove(name);
+                return Ok(status.success());
+            }
+            if Instant::now() >= deadline {
+                return Err(format!("{name} does not end"));
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Process id of the process called `name`.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        self.processes.get(name).map(Process::id)
+    }
+
+    /// The fleet's plan.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// The HTTP client.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// Folder with settings, keys and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Names of all agents.
+    pub fn agent_names(&self) -> Vec<String> {
+        [self.plan.rank_names(), self.plan.service_names()].concat()
+    }
+
+    /// Everything that the process called `name` has logged.
+    pub fn log_of(&self, name: &str) -> String {
+        fs::read_to_string(self.log_path(name)).unwrap_or_default()
+    }
+
+    /// Path of the log of the process called `name`.
+    pub fn log_path(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// Path of the settings of the process called `name`.
+    pub fn settings_path(&self, name: &str) -> String {
+        self.folder.join(format!("{name}.json")).display().to_string()
+    }
+
+    /// Sends a chat completion that is not streamed.
+    pub async fn send_chat(&self, entry: &str, workspace: &str, prompt: &str, tokens: u32) -> Result<Reply, Error> {
+        let url = format!("{}/v1/chat/completions", self.callers_url(entry));
+        let body = chat_body(prompt, tokens, false);
+        let key = bearer(workspace);
+        self.client
+            .send(Method::POST, &url, &[("authorization", &key)], &body)
+            .await
+    }
+
+    /// Begins a chat completion that is streamed.
+    pub async fn stream_chat(
+        &self,
+        entry: &str,
+        workspace: &str,
+        prompt: &str,
+        tokens: u32,
+    ) -> Result<crate::StreamReply, Error> {
+        let url = format!("{}/v1/chat/completions", self.callers_url(entry));
+        let body = chat_body(prompt, tokens, true);
+        let key = bearer(workspace);
+        self.client.stream(&url, &[("authorization", &key)], &body).await
+    }
+
+    /// Calls the plain service as workspace `teal`.
+    pub async fn call_service(
+        &self,
+        entry: &str,
+        call: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Reply, Error> {
+        let url = format!("{}/v1/services/{SERVICE}/{call}", self.callers_url(entry));
+        let key = bearer("teal");
+        let headers = [headers, &[("authorization", key.as_str())]].concat();
+        self.client.send(Method::POST, &url, &headers, body).await
+    }
+
+    /// Asks an entry anything else as workspace `teal`.
+    pub async fn ask_entry(&self, entry: &str, method: Method, path: &str) -> Result<Reply, Error> {
+        let url = format!("{}{path}", self.callers_url(entry));
+        let key = bearer("teal");
+        self.client.send(method, &url, &[("authorization", &key)], "").await
+    }
+
+    /// Asks the stand-in called `name`, for example `log` or `rank-0`.
+    pub async fn ask_standin(&self, name: &str, path: &str) -> Result<Reply, Error> {
+        let url = format!("{}{path}", self.standin_url(name)?);
+        self.client.send(Method::GET, &url, &[], "").await
+    }
+
+    /// Changes the stand-in called `name`.
+    pub async fn change_standin<T: Serialize>(&self, name: &str, path: &str, change: &T) -> Result<(), Error> {
+        let url = format!("{}{path}", self.standin_url(name)?);
+        let body = serde_json::to_string(change).map_err(text)?;
+        let reply = self.client.send(Method::PUT, &url, &[], &body).await?;
+        if reply.status.is_success() {
+            Ok(())
+        } else {
+            Err(reply.text())
+        }
+    }
+
+    /// Switches the faults of the stand-in called `name`.
+    pub async fn fault(&self, name: &str, fault: Fault) -> Result<(), Error> {
+        self.change_standin(name, "/admin/faults", &fault).await
+    }
+
+    /// Bodies of all calls that had an effect at the plain service's server with this index.
+    pub async fn effects(&self, index: usize) -> Result<Vec<String>, Error> {
+        let reply = self.ask_standin(&format!("service-{index}"), "/admin/effects").await?;
+        let effects: Vec<sparscale_standin::service::Effect> = reply.json()?;
+        Ok(effects.into_iter().map(|effect| effect.body).collect())
+    }
+
+    /// Replaces the box list.
+    pub async fn put_boxes(&self, list: &List) -> Result<(), Error> {
+        eventually("the box list is there", || async {
+            self.change_standin("boxes", "/admin/boxes", list).await.ok()
+        })
+        .await
+    }
+
+    /// The list of all boxes, live.
+    pub fn box_list(&self) -> List {
+        let agents = self.agent_names().into_iter().enumerate();
+        let agents = agents.map(|(index, name)| self.listed(name, Role::Target, index, AGENT_PORT));
+        let entries = self.plan.entry_names().into_iter().enumerate();
+        let entries = entries.map(|(index, name)| self.listed(name, Role::Entry, index, ENTRY_PORT));
+        List {
+            boxes: agents.chain(entries).collect(),
+            lag_ms: 0,
+        }
+    }
+
+    fn listed(&self, name: String, role: Role, index: usize, port: u16) -> Listed {
+        Listed {
+            name,
+            role,
+            hall: Plan::hall(index).to_owned(),
+            address: self.socket(port + index as u16).to_string(),
+            standing: Standing::Live,
+        }
+    }
+
+    /// The fleet's bundle under another version.
+    pub fn document(&self, version: u64) -> Document {
+        self.plan.document(version, self.operators.clone())
+    }
+
+    /// Runs the operators' program as operator `name`.
+    pub async fn operator(&self, name: &str, arguments: &[&str]) -> Result<Output, Error> {
+        let program = find_program("sparscale")?;
+        let settings = self.settings_path(&format!("operator-{name}"));
+        let arguments: Vec<String> = arguments.iter().map(|argument| (*argument).to_owned()).collect();
+        let run = tokio::task::spawn_blocking(move || {
+            Command::new(program)
+                .args(arguments)
+                .arg("--settings")
+                .arg(settings)
+                .output()
+        });
+        run.await.map_err(text)?.map_err(text)
+    }
+
+    /// Writes `document` to a file and returns its path.
+    pub fn write_bundle(&self, document: &Document) -> Result<String, Error> {
+        let path = self.folder.join(format!("bundle-{}.json", document.version));
+        fs::write(&path, serde_json::to_string_pretty(document).map_err(text)?).map_err(text)?;
+        Ok(path.display().to_string())
+    }
+
+    /// Publishes, approves and rolls `document`.
+    pub async fn roll_bundle(&self, document: &Document) -> Result<(), Error> {
+        let path = self.write_bundle(document)?;
+        let version = document.version.to_string();
+        let steps: [(&str, Vec<&str>); 3] = [
+            ("alice", vec!["bundle", "publish", &path]),
+            ("bob", vec!["bundle", "approve", &version]),
+            ("alice", vec!["bundle", "roll", &version]),
+        ];
+        for (name, arguments) in steps {
+            let output = self.operator(name, &arguments).await?;
+            if !output.status.success() {
+                return Err(format!(
+                    "{arguments:?}: {}{}",
+                    String::from_utf8_lossy(&output.stdout),
+                    String::from_utf8_lossy(&output.stderr)
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn write_operators(&mut self) -> Result<(), Error> {
+        for name in OPERATORS {
+            let key = sign::new_key();
+            let path = self.folder.join(format!("{name}.key"));
+            fs::write(path, hex::encode(key.to_bytes())).map_err(text)?;
+            self.operators.push(Operator {
+                name: name.to_owned(),
+                key: sign::public_text(&key),
+            });
+        }
+        for name in OPERATORS {
+            let settings = json!({
+                "log": self.url(LOG_PORT),
+                "operator": name,
+                "key_file": self.folder.join(format!("{name}.key")),
+                "operators": self.operators,
+                "patience_seconds": 5,
+            });
+            self.write_json(&format!("operator-{name}"), &settings)?;
+        }
+        Ok(())
+    }
+
+    fn write_settings(&self) -> Result<(), Error> {
+        for (index, name) in self.agent_names().into_iter().enumerate() {
+            let is_rank = index < self.plan.ranks;
+            let target = if is_rank {
+                format!("http://{}", self.rank_socket(index))
+            } else {
+                self.url(SERVICE_PORT + (index - self.plan.ranks) as u16)
+            };
+            let settings = json!({
+                "process": self.process_settings(&name, "agent", index, AGENT_PORT),
+                "kind": if is_rank { "model" } else { "service" },
+                "target": target,
+                "ledger_entries": 100_000,
+            });
+            self.write_json(&name, &settings)?;
+        }
+        for (index, name) in self.plan.entry_names().into_iter().enumerate() {
+            let settings = json!({
+                "process": self.process_settings(&name, "entry", index, ENTRY_PORT),
+                "callers": self.socket(CALLERS_PORT + index as u16),
+                "max_body_bytes": 262_144,
+                "secret": "a secret of the demo and of tests only",
+                "ticket_seconds": 600,
+                "stop_lag_ms": self.plan.stop_lag_ms,
+            });
+            self.write_json(&name, &settings)?;
+        }
+        Ok(())
+    }
+
+    fn process_settings(&self, name: &str, role: &str, index: usize, port: u16) -> serde_json::Value {
+        json!({
+            "name": name,
+            "hall": Plan::hall(index),
+            "listen": self.socket(port + index as u16),
+            "certificate": self.folder.join(format!("{role}.pem")),
+            "key": self.folder.join(format!("{role}.key")),
+            "authority": self.folder.join("authority.pem"),
+            "log": self.url(LOG_PORT),
+            "boxes": self.url(BOXES_PORT),
+            "boxes_interval_ms": 100,
+            "operators": self.operators,
+            "snapshot_every": self.plan.snapshot_every,
+            "metrics": null,
+        })
+    }
+
+    fn write_json(&self, name: &str, value: &serde_json::Value) -> Result<(), Error> {
+        let content = serde_json::to_string_pretty(value).map_err(text)?;
+        fs::write(self.settings_path(name), content).map_err(text)
+    }
+
+    /// Base URL of the entry called `name`, for callers.
+    pub fn callers_url(&self, name: &str) -> String {
+        let index = index_of(name);
+        self.url(CALLERS_PORT + index)
+    }
+
+    /// Base URL of the stand-in called `name`.
+    pub fn standin_url(&self, name: &str) -> Result<String, Error> {
+        match name {
+            "log" => Ok(self.url(LOG_PORT)),
+            "boxes" => Ok(self.url(BOXES_PORT)),
+            "weights" => Ok(self.url(WEIGHTS_PORT)),
+            _ if name.starts_with("rank-") => Ok(self.url(RANK_PORT + index_of(name))),
+            _ if name.starts_with("service-") => Ok(self.url(SERVICE_PORT + index_of(name))),
+            _ => Err(format!("there is no stand-in called {name}")),
+        }
+    }
+
+    fn rank_socket(&self, index: usize) -> SocketAddr {
+        self.socket(RANK_PORT + index as u16)
+    }
+
+    fn socket(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.address, port)
+    }
+
+    fn url(&self, port: u16) -> String {
+        format!("http://{}", self.socket(port))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for (_, process) in std::mem::take(&mut self.processes) {
+            process.kill();
+        }
+        if std::env::var_os("SPARSCALE_KEEP").is_none() {
+            // What cannot be removed lies in the folder for temporary files.
+            let _removed = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn chat_body(prompt: &str, tokens: u32, stream: bool) -> String {
+    let messages = [json!({ "role": "user", "content": prompt })];
+    json!({ "model": MODEL, "messages": messages, "max_tokens": tokens, "stream": stream }).to_string()
+}
+
+fn bearer(workspace: &str) -> String {
+    format!("Bearer {}", caller_key(workspace))
+}
+
+fn index_of(name: &str) -> u16 {
+    name.rsplit('-')
+        .next()
+        .and_then(|index| index.parse().ok())
+        .unwrap_or(0)
+}
+
+/// A loopback address that no other fleet uses.
+fn next_address() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let process = std::process::id();
+    let fleet = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 10 + (high & 0x7f), low, fleet as u8))
+}
+
+fn text(error: impl std::fmt::Display) -> Error {
+    error.to_string()
+}
--- /dev/null
+++ b/crates/sparscale_fleet/src/lib.rs
@@ -0,0 +1,13 @@
+//! Starts a whole system as separate processes on loopback, for the demo and for tests of failures.
+//!
+//! Each fleet has a loopback address of its own, so that fleets of tests that run side by side never meet. Processes
+//! are ended by their ids when the fleet is dropped.
+
+mod client;
+mod fleet;
+mod plan;
+mod process;
+
+pub use client::{Client, Reply, StreamReply};
+pub use fleet::{Error, Fleet, GROUP, MODEL, SERVICE, eventually};
+pub use plan::{Plan, caller_key};
--- /dev/null
+++ b/crates/sparscale_fleet/src/plan.rs
@@ -0,0 +1,173 @@
+//! What a fleet consists of.
+
+use sparscale_bundle::{
+    Call, Document, Fleet, Group, Hall, KeyHash, Limits, Model, Operator, Placement, Service, Target, Tier, Workspace,
+};
+
+use crate::fleet::{GROUP, MODEL, SERVICE};
+
+/// Size and habits of a fleet.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Entry boxes.
+    pub entries: usize,
+    /// Ranks of the one group.
+    pub ranks: usize,
+    /// Servers of the one plain service.
+    pub services: usize,
+    /// Whether ranks check fences themselves.
+    pub checks_fence: bool,
+    /// Logical experts in each layer.
+    pub experts: u32,
+    /// Expert replicas that fit on one rank.
+    pub slots: u32,
+    /// Step time without load, in microseconds.
+    pub step_micros: u64,
+    /// Time that one call of the plain service works after its effect, in milliseconds.
+    pub service_work_ms: u64,
+    /// Records after which the folded state is appended again.
+    pub snapshot_every: u64,
+    /// Cost of one unit of skew.
+    pub weight_skew: f64,
+    /// Cost of one second of loading.
+    pub weight_move: f64,
+    /// Requests that one target runs at once.
+    pub in_flight_per_target: u32,
+    /// Time for which a stopping entry still accepts requests, in milliseconds.
+    pub stop_lag_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            ranks: 2,
+            services: 1,
+            checks_fence: true,
+            experts: 8,
+            slots: 6,
+            step_micros: 1_000,
+            service_work_ms: 2,
+            snapshot_every: 1_000,
+            weight_skew: 1.0,
+            weight_move: 0.01,
+            in_flight_per_target: 64,
+            stop_lag_ms: 200,
+        }
+    }
+}
+
+/// Bearer key of the workspace called `name`.
+pub fn caller_key(name: &str) -> String {
+    format!("key-of-{name}")
+}
+
+impl Plan {
+    /// Names of the targets that are ranks.
+    pub fn rank_names(&self) -> Vec<String> {
+        (0..self.ranks).map(|index| format!("rank-{index}")).collect()
+    }
+
+    /// Names of the targets that run the plain service.
+    pub fn service_names(&self) -> Vec<String> {
+        (0..self.services).map(|index| format!("calc-{index}")).collect()
+    }
+
+    /// Names of the entries.
+    pub fn entry_names(&self) -> Vec<String> {
+        (0..self.entries).map(|index| format!("entry-{index}")).collect()
+    }
+
+    /// Hall of the box with this index; boxes are dealt out over two halls.
+    pub fn hall(index: usize) -> &'static str {
+        if index.is_multiple_of(2) { "derby" } else { "nottingham" }
+    }
+
+    /// The bundle of this fleet.
+    pub fn document(&self, version: u64, operators: Vec<Operator>) -> Document {
+        Document {
+            version,
+            fleet: self.fleet(operators),
+            workspaces: vec![workspace("teal", "gold"), workspace("umber", "silver")],
+        }
+    }
+
+    fn fleet(&self, operators: Vec<Operator>) -> Fleet {
+        let hall = |name: &str| Hall {
+            name: name.to_owned(),
+            region: "midlands".to_owned(),
+        };
+        let names = self.rank_names().into_iter().chain(self.service_names());
+        let targets = names.enumerate().map(|(index, name)| Target {
+            name,
+            hall: Self::hall(index).to_owned(),
+            checks_fence: self.checks_fence,
+        });
+        Fleet {
+            operators,
+            halls: vec![hall("derby"), hall("nottingham")],
+            tiers: vec![tier("gold"), tier("silver")],
+            models: vec![Model {
+                name: MODEL.to_owned(),
+                version: "1".to_owned(),
+            }],
+            services: vec![self.service()],
+            groups: vec![self.group()],
+            targets: targets.collect(),
+            placement: Placement {
+                weight_skew: self.weight_skew,
+                weight_move: self.weight_move,
+                move_budget: 64,
+                quiet_hours: Vec::new(),
+                half_life_seconds: 2.0,
+                weight_store_bytes_per_second: 100_000_000.0,
+            },
+            limits: Limits {
+                in_flight_per_target: self.in_flight_per_target,
+                queue_per_target: 256,
+                floor_one_in: 20,
+                deadline_ms: 20_000,
+                retry_percent: 20,
+                candidates: 40,
+            },
+        }
+    }
+
+    fn service(&self) -> Service {
+        let call = |name: &str, repeatable: bool| Call {
+            name: name.to_owned(),
+            repeatable,
+        };
+        Service {
+            name: SERVICE.to_owned(),
+            targets: self.service_names(),
+            calls: vec![call("rates", true), call("illustration", false)],
+        }
+    }
+
+    fn group(&self) -> Group {
+        Group {
+            name: GROUP.to_owned(),
+            model: MODEL.to_owned(),
+            ranks: self.rank_names(),
+            layers: 1,
+            experts: self.experts,
+            slots: self.slots,
+            expert_bytes: 1_000_000,
+        }
+    }
+}
+
+fn tier(name: &str) -> Tier {
+    Tier { name: name.to_owned() }
+}
+
+fn workspace(name: &str, tier: &str) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        tier: tier.to_owned(),
+        weight: 1,
+        key_hashes: vec![KeyHash::of(&caller_key(name))],
+        in_flight: 200,
+    }
+}
--- /dev/null
+++ b/crates/sparscale_fleet/src/process.rs
@@ -0,0 +1,67 @@
+//! One child process, ended by its id.
+
+use std::fs::{File, OpenOptions};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// A running program whose log goes to a file.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program`; its output is added to the file at `log`.
+    pub(crate) fn start(program: &str, arguments: &[String], log: &Path) -> Result<Self, String> {
+        let output = open_log(log)?;
+        let errors = output.try_clone().map_err(|error| error.to_string())?;
+        let path = find_program(program)?;
+        let child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(Self { child })
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) -> Result<(), String> {
+        let id = Pid::from_raw(self.child.id().cast_signed());
+        kill(id, signal).map_err(|error| error.to_string())
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(mut self) {
+        // A process that has ended by itself needs no end.
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// The status of a process that has ended by itself.
+    pub(crate) fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+fn open_log(path: &Path) -> Result<File, String> {
+    let opened = OpenOptions::new().create(true).append(true).open(path);
+    opened.map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// Finds a program of this workspace beside the running one.
+pub(crate) fn find_program(name: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let folders = own.ancestors().skip(1).take(2);
+    let mut candidates = folders.map(|folder| folder.join(name));
+    candidates
+        .find(|path| path.is_file())
+        .ok_or_else(|| format!("{name} is not built; run `cargo build --workspace --bins` first"))
+}
--- /dev/null
+++ b/crates/sparscale_place/src/map.rs
@@ -0,0 +1,79 @@
+//! The expert map of a group: for each layer, the experts that each rank holds.
+
+use serde::{Deserialize, Serialize};
+
+/// Dimensions of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Shape {
+    /// Ranks in the group.
+    pub ranks: usize,
+    /// Mixture-of-experts layers.
+    pub layers: usize,
+    /// Logical experts in each layer.
+    pub experts: usize,
+    /// Expert replicas that fit on one rank, in each layer.
+    pub slots: usize,
+}
+
+/// One layer of a map.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Layer {
+    /// Experts that each rank holds, in rank order; at most `Shape::slots` for each.
+    pub ranks: Vec<Vec<u16>>,
+}
+
+/// The expert map that all ranks of a group use in one step.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Map {
+    /// All layers, first to last.
+    pub layers: Vec<Layer>,
+}
+
+impl Map {
+    /// The map that a group starts with: experts dealt out in order, spare slots left empty.
+    pub fn initial(shape: Shape) -> Self {
+        let mut ranks = vec![Vec::with_capacity(shape.slots); shape.ranks];
+        for expert in 0..shape.experts {
+            ranks[expert % shape.ranks].push(expert as u16);
+        }
+        let layer = Layer { ranks };
+        Self {
+            layers: vec![layer; shape.layers],
+        }
+    }
+
+    /// Whether every layer holds every expert and no rank holds more than fits.
+    pub fn fits(&self, shape: Shape) -> bool {
+        self.layers.len() == shape.layers && self.layers.iter().all(|layer| layer.fits(shape))
+    }
+
+    /// Replicas that `next` holds and this map does not: what a switch to `next` has to load.
+    pub fn loads_of(&self, next: &Self) -> usize {
+        let pairs = self.layers.iter().zip(&next.layers);
+        pairs.map(|(old, new)| old.loads_of(new)).sum()
+    }
+}
+
+impl Layer {
+    fn fits(&self, shape: Shape) -> bool {
+        let mut held = vec![false; shape.experts];
+        for rank in &self.ranks {
+            for expert in rank {
+                let Some(seen) = held.get_mut(usize::from(*expert)) else {
+                    return false;
+                };
+                *seen = true;
+            }
+        }
+        self.ranks.len() == shape.ranks
+            && self.ranks.iter().all(|rank| rank.len() <= shape.slots)
+            && held.into_iter().all(|seen| seen)
+    }
+
+    fn loads_of(&self, next: &Self) -> usize {
+        let pairs = self.ranks.iter().zip(&next.ranks);
+        pairs
+            .map(|(old, new)| new.iter().filter(|expert| !old.contains(expert)).count())
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/sparscale_route/src/candidates.rs
@@ -0,0 +1,36 @@
+//! The bounded set of targets that one entry considers, so that 400 entries do not all talk to 1,300 agents.
+
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
+use sparscale_board::{Board, TargetKey};
+
+/// Targets that an entry considers for one model or service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Subset {
+    /// Keys, nearest first.
+    pub targets: Vec<TargetKey>,
+}
+
+/// At most `limit` of `all`, nearest halls first; among equals a hash of entry and target decides, so that entries
+/// spread over all targets and each keeps its own few.
+pub fn subset(board: &Board, entry: &str, all: &[TargetKey], limit: usize) -> Subset {
+    let mut ranked: Vec<_> = all
+        .iter()
+        .filter_map(|key| {
+            let target = board.target(*key)?;
+            Some((target.distance, spread(entry, &target.name), *key))
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(distance, spread, _)| (*distance, *spread));
+    ranked.truncate(limit);
+    Subset {
+        targets: ranked.into_iter().map(|(_, _, key)| key).collect(),
+    }
+}
+
+fn spread(entry: &str, target: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    entry.hash(&mut hasher);
+    target.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/sparscale_telemetry/src/lib.rs
@@ -0,0 +1,46 @@
+//! The one structured log and the metrics of a process.
+//!
+//! Log lines are JSON on standard output. Every routing or placement decision is one line with target
+//! [`DECISION`]. Lines of dropshot, which logs through slog, come out in the same log.
+
+mod metrics;
+
+pub use metrics::Metrics;
+
+use logforth::append::Stdout;
+use logforth::layout::JsonLayout;
+use logforth::record::{Level, LevelFilter};
+use slog::Drain as _;
+use snafu::Snafu;
+
+/// Log target of decision lines.
+pub const DECISION: &str = "sparscale::decision";
+/// Log target of alarms: lines that operators must act on.
+pub const ALARM: &str = "sparscale::alarm";
+
+/// A log that cannot be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("the log cannot be set up: {message}"))]
+pub struct Error {
+    message: String,
+}
+
+/// Sets up the log of this process; to be called once, before anything else.
+pub fn init_log() -> Result<(), Error> {
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch
+                .filter(LevelFilter::MoreSevereEqual(Level::Info))
+                .append(Stdout::default().with_layout(JsonLayout::default()))
+        })
+        .try_apply()
+        .map_err(|error| Error {
+            message: error.to_string(),
+        })
+}
+
+/// A logger for dropshot that writes warnings and errors into the one log.
+pub fn dropshot_log() -> slog::Logger {
+    let drain = slog::LevelFilter::new(slog_stdlog::StdLog, slog::Level::Warning);
+    slog::Logger::root(drain.fuse(), slog::o!())
+}
--- /dev/null
+++ b/crates/sparscale_wire/src/endpoint.rs
@@ -0,0 +1,222 @@
+//! One UDP socket of a process, and its connections to other processes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use quinn::{Connection, TransportConfig, VarInt};
+use rustls::pki_types::CertificateDer;
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use tokio::sync::OnceCell;
+
+use crate::stream::Channel;
+use crate::tls::{self, Identity, Role};
+
+/// A connection without any packet for this long is given up.
+const IDLE_TIMEOUT_MS: u32 = 3_000;
+/// Packets that keep an idle connection alive; several fit into the idle timeout.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Time that a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Streams that one peer may have open at once.
+const MAX_STREAMS: u32 = 16_384;
+
+/// Why a process cannot talk to another.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The socket cannot be opened.
+    #[snafu(display("{address}: cannot be opened: {source}; choose a free address of this box"))]
+    Bind {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The certificates cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Tls {
+        /// What is wrong with them.
+        source: tls::Error,
+    },
+    /// The address cannot be connected to.
+    #[snafu(display("{address}: {source}"))]
+    Connect {
+        /// The other process.
+        address: SocketAddr,
+        /// What the transport said.
+        source: quinn::ConnectError,
+    },
+    /// The connection failed or broke.
+    #[snafu(display("{address}: {source}"))]
+    Connection {
+        /// The other process.
+        address: SocketAddr,
+        /// What the transport said.
+        source: quinn::ConnectionError,
+    },
+    /// No connection came about in time.
+    #[snafu(display("{address}: no connection within {} ms", CONNECT_TIMEOUT.as_millis()))]
+    Timeout {
+        /// The other process.
+        address: SocketAddr,
+    },
+    /// The endpoint was closed.
+    #[snafu(display("this process is stopping"))]
+    Closed,
+    /// The peer's certificate names no role.
+    #[snafu(display("{address}: the certificate names no role of the system; issue it for {}", Role::Entry.dns_name()))]
+    Stranger {
+        /// The other process.
+        address: SocketAddr,
+    },
+}
+
+/// A process that connected to this one.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// What its certificate says it is.
+    pub role: Role,
+    connection: Connection,
+}
+
+/// A process that is connecting to this one.
+#[derive(Debug)]
+pub struct Incoming {
+    incoming: quinn::Incoming,
+}
+
+type Slot = Arc<OnceCell<Connection>>;
+
+/// The socket of a process.
+#[derive(Debug)]
+pub struct Endpoint {
+    socket: quinn::Endpoint,
+    identity: Identity,
+    client: Mutex<quinn::ClientConfig>,
+    connections: Mutex<HashMap<(SocketAddr, Role), Slot>>,
+}
+
+impl Endpoint {
+    /// Opens the socket at `address` with the certificates of `identity`.
+    pub fn bind(address: SocketAddr, identity: Identity) -> Result<Self, Error> {
+        let configs = identity.load()?;
+        let server = with_transport_server(configs.server);
+        let endpoint = quinn::Endpoint::server(server, address).context(BindSnafu { address })?;
+        Ok(Self {
+            socket: endpoint,
+            identity,
+            client: Mutex::new(with_transport_client(configs.client)),
+            connections: Mutex::new(HashMap::new()),
+        })
+    }
+
+    /// Address that the socket has.
+    pub fn local_address(&self) -> Result<SocketAddr, std::io::Error> {
+        self.socket.local_addr()
+    }
+
+    /// Reads the certificate files again. Connections that stand keep going; new ones use the new certificates.
+    pub fn reload(&self) -> Result<(), Error> {
+        let configs = self.identity.load()?;
+        self.socket
+            .set_server_config(Some(with_transport_server(configs.server)));
+        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = with_transport_client(configs.client);
+        Ok(())
+    }
+
+    /// The next process that knocks. Its handshake is left to the caller, so that a slow one delays nobody.
+    pub async fn accept(&self) -> Result<Incoming, Error> {
+        let incoming = self.socket.accept().await.context(ClosedSnafu)?;
+        Ok(Incoming { incoming })
+    }
+
+    /// Opens a stream to the process at `address`, over the connection that stands or a new one.
+    pub async fn open(&self, address: SocketAddr, role: Role) -> Result<Channel, Error> {
+        let slot = self.slot(address, role);
+        let connection = slot.get_or_try_init(|| self.connect(address, role)).await?;
+        match connection.open_bi().await {
+            Ok((send, receive)) => Ok(Channel::new(send, receive)),
+            Err(_broken) => {
+                self.forget(address, role, &slot);
+                let slot = self.slot(address, role);
+                let connection = slot.get_or_try_init(|| self.connect(address, role)).await?;
+                let (send, receive) = connection.open_bi().await.context(ConnectionSnafu { address })?;
+                Ok(Channel::new(send, receive))
+            }
+        }
+    }
+
+    /// Closes all connections.
+    pub async fn close(&self) {
+        self.socket.close(VarInt::from_u32(0), b"stopping");
+        self.socket.wait_idle().await;
+    }
+
+    async fn connect(&self, address: SocketAddr, role: Role) -> Result<Connection, Error> {
+        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let connecting = self.socket.connect_with(client, address, role.dns_name());
+        let connecting = connecting.context(ConnectSnafu { address })?;
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected = connected.map_err(|_elapsed| Error::Timeout { address })?;
+        connected.context(ConnectionSnafu { address })
+    }
+
+    fn slot(&self, address: SocketAddr, role: Role) -> Slot {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(connections.entry((address, role)).or_default())
+    }
+
+    fn forget(&self, address: SocketAddr, role: Role, broken: &Slot) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let same = connections
+            .get(&(address, role))
+            .is_some_and(|slot| Arc::ptr_eq(slot, broken));
+        if same {
+            connections.remove(&(address, role));
+        }
+    }
+}
+
+impl Incoming {
+    /// Finishes the handshake; a process without a valid certificate of the system is refused.
+    pub async fn establish(self) -> Result<Peer, Error> {
+        let address = self.incoming.remote_address();
+        let connection = self.incoming.await.context(ConnectionSnafu { address })?;
+        let role = role_of(&connection).context(StrangerSnafu { address })?;
+        Ok(Peer { role, connection })
+    }
+}
+
+impl Peer {
+    /// The next stream that the peer opens.
+    pub async fn accept(&self) -> Result<Channel, Error> {
+        let address = self.connection.remote_address();
+        let (send, receive) = self.connection.accept_bi().await.context(ConnectionSnafu { address })?;
+        Ok(Channel::new(send, receive))
+    }
+}
+
+fn role_of(connection: &Connection) -> Option<Role> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    Role::of(chain.first()?)
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    Arc::new(transport)
+}
+
+fn with_transport_server(mut config: quinn::ServerConfig) -> quinn::ServerConfig {
+    config.transport_config(transport());
+    config
+}
+
+fn with_transport_client(mut config: quinn::ClientConfig) -> quinn::ClientConfig {
+    config.transport_config(transport());
+    config
+}
--- /dev/null
+++ b/crates/sparscale_wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! What the system's own processes say to each other: frames over quinn streams, with mutual TLS.
+
+mod endpoint;
+mod frame;
+mod stream;
+mod tls;
+
+pub use endpoint::{Endpoint, Error as EndpointError, Incoming, Peer};
+pub use frame::{
+    Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Outcome, Refusal, RefusalReason, Relayed,
+    Settlement,
+};
+pub use stream::{Channel, Error as StreamError, Receiver, Sender};
+pub use tls::{Error as TlsError, Identity, Role};
--- /dev/null
+++ b/crates/sparscale_wire/src/tls.rs
@@ -0,0 +1,149 @@
+//! Mutual TLS: each process proves its role with a certificate of the fleet's own authority.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::client::verify_server_name;
+use rustls::crypto::ring;
+use rustls::pki_types::pem::PemObject as _;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use snafu::{ResultExt as _, Snafu};
+
+/// Protocol name in the TLS handshake.
+const PROTOCOL: &[u8] = b"sparscale/1";
+
+/// What a process is, as its certificate says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Takes requests from callers.
+    Entry,
+    /// Stands beside a target.
+    Agent,
+}
+
+impl Role {
+    /// Every role.
+    pub const ALL: [Self; 2] = [Self::Entry, Self::Agent];
+
+    /// DNS name that certificates of this role carry.
+    pub fn dns_name(self) -> &'static str {
+        match self {
+            Self::Entry => "entry.sparscale.internal",
+            Self::Agent => "agent.sparscale.internal",
+        }
+    }
+
+    pub(crate) fn of(certificate: &CertificateDer<'_>) -> Option<Self> {
+        let parsed = ParsedCertificate::try_from(certificate).ok()?;
+        Self::ALL.into_iter().find(|role| {
+            let name = ServerName::try_from(role.dns_name());
+            name.is_ok_and(|name| verify_server_name(&parsed, &name).is_ok())
+        })
+    }
+}
+
+/// Files that a process proves itself with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// PEM file with the certificate chain of this process.
+    pub certificate: PathBuf,
+    /// PEM file with its private key.
+    pub key: PathBuf,
+    /// PEM file with the authority that all processes trust.
+    pub authority: PathBuf,
+}
+
+/// Why certificates cannot be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A file cannot be read or holds no PEM of that kind.
+    #[snafu(display("{}: {source}; give a readable PEM file", path.display()))]
+    Pem {
+        /// The file.
+        path: PathBuf,
+        /// What the parser said.
+        source: rustls::pki_types::pem::Error,
+    },
+    /// The certificate does not fit the key, or the authority is not usable.
+    #[snafu(display("certificate {} cannot be used: {message}; issue certificate and key again", path.display()))]
+    Unusable {
+        /// The certificate file.
+        path: PathBuf,
+        /// What the library said.
+        message: String,
+    },
+}
+
+pub(crate) struct Configs {
+    pub(crate) server: quinn::ServerConfig,
+    pub(crate) client: quinn::ClientConfig,
+}
+
+impl Identity {
+    pub(crate) fn load(&self) -> Result<Configs, Error> {
+        let chain = read_chain(&self.certificate)?;
+        let key = PrivateKeyDer::from_pem_file(&self.key).context(PemSnafu { path: &self.key })?;
+        let mut roots = RootCertStore::empty();
+        for authority in read_chain(&self.authority)? {
+            roots.add(authority).map_err(|error| self.unusable(&error))?;
+        }
+        let roots = Arc::new(roots);
+        Ok(Configs {
+            server: self.server(chain.clone(), key.clone_key(), Arc::clone(&roots))?,
+            client: self.client(chain, key, roots)?,
+        })
+    }
+
+    fn server(
+        &self,
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+        roots: Arc<RootCertStore>,
+    ) -> Result<quinn::ServerConfig, Error> {
+        let provider = Arc::new(ring::default_provider());
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider))
+            .build()
+            .map_err(|error| self.unusable(&error))?;
+        let mut config = ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|error| self.unusable(&error))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain, key)
+            .map_err(|error| self.unusable(&error))?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let quic = QuicServerConfig::try_from(config).map_err(|error| self.unusable(&error))?;
+        Ok(quinn::ServerConfig::with_crypto(Arc::new(quic)))
+    }
+
+    fn client(
+        &self,
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+        roots: Arc<RootCertStore>,
+    ) -> Result<quinn::ClientConfig, Error> {
+        let mut config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|error| self.unusable(&error))?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key)
+            .map_err(|error| self.unusable(&error))?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let quic = QuicClientConfig::try_from(config).map_err(|error| self.unusable(&error))?;
+        Ok(quinn::ClientConfig::new(Arc::new(quic)))
+    }
+
+    fn unusable(&self, error: &dyn std::error::Error) -> Error {
+        Error::Unusable {
+            path: self.certificate.clone(),
+            message: error.to_string(),
+        }
+    }
+}
+
+fn read_chain(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let certificates = CertificateDer::pem_file_iter(path).context(PemSnafu { path })?;
+    certificates.collect::<Result<_, _>>().context(PemSnafu { path })
+}
