Map switch: tie joins to a rank's incarnation, never take a release back

Cause: a random walk over two placers and three ranks found three ways to run one step on two maps: (1) after all ranks were replaced, orders to join that were still on their way gave two ranks different plans; (2) a late report made the conductor disarm a rank that was armed for the very step it then released; (3) by design review, a late copy of an order to join could reach a later incarnation of a rank. Ruled out: trusting a peer's word on the log's head when a new agent starts (its age may be as old as a pause): the agent now asks the log itself, once, before it passes the first order on. Conclusion: a step that any rank was told to disarm for is never released; a join names the incarnation it is for; when every rank is new and two different joins may be on their way, only a higher fence helps.

--- a/crates/sparscale_agent/src/order.rs
+++ b/crates/sparscale_agent/src/order.rs
@@ -38,7 +38,7 @@
     pub(crate) async fn carry_out(&self, group: &str, order: &Order) -> Option<Report> {
         let mut highest = self.highest.lock().await;
         // Until the log was folded to its head, a higher fence may be there that this agent has not seen.
-        if !self.journal.has_caught_up() || !self.is_rank_of(group) {
+        if !self.journal.confirm_head().await || !self.is_rank_of(group) {
             return None;
         }
         *highest = (*highest).max(self.fence_in_log(group));
@@ -79,7 +79,7 @@
     fn maps_of(&self, group: &str, act: &Act) -> Option<Vec<Numbered>> {
         let numbers = match act {
             Act::Stage { number } => vec![*number],
-            Act::Join(plan) => std::iter::once(plan.number)
+            Act::Join { plan, .. } => std::iter::once(plan.number)
                 .chain(plan.next.map(|change| change.number))
                 .collect(),
             Act::Enlist | Act::Arm(_) | Act::Release(_) | Act::Disarm(_) => Vec::new(),
@@ -120,6 +120,7 @@
 /// The report that tells a placer of a higher fence.
 fn refused(fence: u64) -> Report {
     Report {
+        incarnation: 0,
         fence,
         done: false,
         step: 0,
--- a/crates/sparscale_control/src/journal.rs
+++ b/crates/sparscale_control/src/journal.rs
@@ -1,7 +1,7 @@
 //! The log as one process knows it: the folded state, a short memory of records for peers, and appends.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -53,6 +53,8 @@
     budget: Mutex<Budget>,
     heads: watch::Sender<u64>,
     heard: Mutex<Option<Instant>>,
+    /// End of the log when this process first asked.
+    first_end: OnceLock<u64>,
     started: Instant,
 }
 
@@ -82,6 +84,7 @@
             budget: Mutex::default(),
             heads,
             heard: Mutex::default(),
+            first_end: OnceLock::new(),
             started: Instant::now(),
         }
     }
@@ -123,6 +126,21 @@
         lock(&self.heard).is_some()
     }
 
+    /// Whether everything that was in the log when this process first asked is folded here.
+    ///
+    /// Asks the log itself, once: what peers say of its head may be as old as a pause of theirs or of this process.
+    pub async fn confirm_head(&self) -> bool {
+        let known = self.first_end.get().copied();
+        let end = match known {
+            Some(end) => end,
+            None => match self.log.read(self.head(), 1, Duration::ZERO).await {
+                Ok(batch) => *self.first_end.get_or_init(|| batch.next),
+                Err(_) => return false,
+            },
+        };
+        self.head() >= end
+    }
+
     pub(crate) fn heard_from_log(&self, age: Duration) {
         let at = Instant::now().checked_sub(age);
         let mut heard = lock(&self.heard);
--- a/crates/sparscale_place/src/switch/conductor.rs
+++ b/crates/sparscale_place/src/switch/conductor.rs
@@ -28,6 +28,8 @@
     Done,
     /// A rank has seen a higher fence: another placer has taken over.
     Overtaken,
+    /// Every rank is new, and orders under this fence may still be on their way: only a higher fence helps.
+    Stuck,
 }
 
 /// Drives the ranks of one group to one map under one fence.
@@ -40,18 +42,31 @@
     attempt: Option<Change>,
     /// Highest step that was ever tried under this fence.
     tried: u64,
+    /// The change that some rank was told to run: it is never taken back, whatever late reports say.
+    released: Option<Change>,
+    /// Plans that ranks were told to join with under this fence.
+    joined: Vec<Plan>,
+    lead: u64,
     overtaken: bool,
 }
 
 impl Conductor {
     /// A conductor of `ranks` ranks towards map `goal`.
     pub fn new(fence: u64, ranks: usize, goal: u64) -> Self {
+        Self::with_lead(fence, ranks, goal, LEAD_STEPS)
+    }
+
+    /// The same with another lead, in steps.
+    pub fn with_lead(fence: u64, ranks: usize, goal: u64, lead: u64) -> Self {
         Self {
             fence,
             goal,
             reports: vec![None; ranks],
             attempt: None,
             tried: 0,
+            released: None,
+            joined: Vec::new(),
+            lead,
             overtaken: false,
         }
     }
@@ -94,13 +109,11 @@
         let Some(reports) = self.complete() else {
             return Progress::Enlisting;
         };
-        if let Some(change) = decided(&reports) {
-            let armed = reports.iter().any(|report| report.armed == Some(change));
-            return if armed {
-                Progress::Releasing
-            } else {
-                Progress::Switching
-            };
+        if reports.iter().all(|report| report.plan.is_none()) && self.joined.len() > 1 {
+            return Progress::Stuck;
+        }
+        if let Some(change) = self.decided(&reports) {
+            return decided_progress(&reports, change);
         }
         if reports.iter().any(|report| report.plan.is_none()) {
             return Progress::Joining;
@@ -127,7 +140,21 @@
             self.choose_step();
         }
         let ranks = 0..self.reports.len();
-        ranks.map(|rank| self.order(progress, self.reports[rank])).collect()
+        let orders: Vec<Order> = ranks.map(|rank| self.order(progress, self.reports[rank])).collect();
+        for order in &orders {
+            self.remember(order.act);
+        }
+        orders
+    }
+
+    fn remember(&mut self, act: Act) {
+        match act {
+            Act::Release(change) => self.released = Some(change),
+            // A rank that was told to disarm may do so late: that step must never be released.
+            Act::Disarm(change) if self.attempt == Some(change) => self.attempt = None,
+            Act::Join { plan, .. } if !self.joined.contains(&plan) => self.joined.push(plan),
+            _ => {}
+        }
     }
 
     fn order(&self, progress: Progress, report: Option<Report>) -> Order {
@@ -137,16 +164,22 @@
 
     fn act(&self, progress: Progress, report: &Report) -> Act {
         let wanted = match progress {
-            Progress::Releasing => report.armed.map(Act::Release),
-            Progress::Disarming => report.armed.map(Act::Disarm),
+            Progress::Releasing => self.release(report),
+            Progress::Disarming => report.armed.filter(|armed| self.attempt != Some(*armed)).map(Act::Disarm),
             Progress::Switching | Progress::Joining => self.join_or_disarm(report),
             Progress::Staging => self.stage(report),
             Progress::Arming => self.arm(report),
-            Progress::Enlisting | Progress::Done | Progress::Overtaken => None,
+            Progress::Enlisting | Progress::Done | Progress::Overtaken | Progress::Stuck => None,
         };
         wanted.unwrap_or(Act::Enlist)
     }
 
+    fn release(&self, report: &Report) -> Option<Act> {
+        let reports = self.complete()?;
+        let change = self.decided(&reports).or(self.attempt)?;
+        (report.armed == Some(change)).then_some(Act::Release(change))
+    }
+
     fn stage(&self, report: &Report) -> Option<Act> {
         (report.staged != Some(self.goal)).then_some(Act::Stage { number: self.goal })
     }
@@ -160,11 +193,42 @@
     /// that the plan it is given is the one that the others will follow.
     fn join_or_disarm(&self, report: &Report) -> Option<Act> {
         let reports = self.complete()?;
-        if decided(&reports).is_none() && reports.iter().any(|other| other.armed.is_some()) {
+        let undecided = self.decided(&reports).is_none();
+        if undecided && reports.iter().any(|other| other.armed.is_some()) {
             return report.armed.map(Act::Disarm);
         }
-        let plan = common_plan(&reports)?;
-        report.plan.is_none().then_some(Act::Join(plan))
+        let plan = self.common_plan(&reports);
+        let incarnation = report.incarnation;
+        report.plan.is_none().then_some(Act::Join { plan, incarnation })
+    }
+
+    /// The plan that a new rank has to follow to run every coming step like the others.
+    ///
+    /// If every rank is new, any plan will do, but an earlier order to join may still be on its way: its plan it is.
+    fn common_plan(&self, reports: &[Report]) -> Plan {
+        let plans = || reports.iter().filter_map(|report| report.plan);
+        let pending = plans().find(|plan| plan.next.is_some());
+        let common = pending
+            .or_else(|| plans().next())
+            .or_else(|| self.joined.first().copied());
+        common.unwrap_or(Plan {
+            number: self.goal,
+            next: None,
+        })
+    }
+
+    /// The change that some rank was released for: from then on every rank must be.
+    fn decided(&self, reports: &[Report]) -> Option<Change> {
+        // While a rank is not there yet, a change that was ordered stands, whatever a late report says.
+        let arrived = |report: &Report, change: Change| {
+            report
+                .plan
+                .is_some_and(|plan| plan.number == change.number && plan.next.is_none())
+        };
+        let ordered = self
+            .released
+            .filter(|change| !reports.iter().all(|report| arrived(report, *change)));
+        ordered.or_else(|| decided_by(reports))
     }
 
     fn complete(&self) -> Option<Vec<Report>> {
@@ -196,7 +260,7 @@
     fn choose_step(&mut self) {
         let Some(reports) = self.complete() else { return };
         let highest = reports.iter().map(|report| report.step).max().unwrap_or(0);
-        let at = highest.max(self.tried) + LEAD_STEPS;
+        let at = highest.max(self.tried) + self.lead;
         self.tried = at;
         self.attempt = Some(Change { number: self.goal, at });
     }
@@ -205,15 +269,25 @@
     pub fn drop_missed_attempt(&mut self) {
         let Some(attempt) = self.attempt else { return };
         let missed = |report: &Report| report.armed != Some(attempt) && report.step >= attempt.at;
-        let decided = self.complete().is_some_and(|reports| decided(&reports).is_some());
+        let decided = self.complete().is_some_and(|reports| self.decided(&reports).is_some());
         if !decided && self.reports.iter().flatten().any(missed) {
             self.attempt = None;
         }
     }
 }
 
-/// The change that some rank was released for: from then on every rank must be.
-fn decided(reports: &[Report]) -> Option<Change> {
+fn decided_progress(reports: &[Report], change: Change) -> Progress {
+    if reports.iter().any(|report| report.armed == Some(change)) {
+        return Progress::Releasing;
+    }
+    if reports.iter().any(|report| report.plan.is_none()) {
+        return Progress::Joining;
+    }
+    Progress::Switching
+}
+
+/// The change that a report shows as released.
+fn decided_by(reports: &[Report]) -> Option<Change> {
     let pending = reports.iter().find_map(|report| report.plan.and_then(|plan| plan.next));
     if pending.is_some() {
         return pending;
@@ -223,9 +297,3 @@
     let runs = |report: &Report| report.plan.is_some_and(|plan| plan.number == armed.number);
     reports.iter().any(runs).then_some(armed)
 }
-
-/// The plan that a new rank has to follow to run every coming step like the others.
-fn common_plan(reports: &[Report]) -> Option<Plan> {
-    let plans = || reports.iter().filter_map(|report| report.plan);
-    plans().find(|plan| plan.next.is_some()).or_else(|| plans().next())
-}
--- a/crates/sparscale_place/src/switch/mod.rs
+++ b/crates/sparscale_place/src/switch/mod.rs
@@ -65,13 +65,21 @@
     Release(Change),
     /// Take the promise back.
     Disarm(Change),
-    /// Start with this plan; only for a rank that has none.
-    Join(Plan),
+    /// Start with this plan; only for a rank that has none, and only for this incarnation of it: a late copy must
+    /// not give a later incarnation a plan that the others have left.
+    Join {
+        /// Plan of the other ranks.
+        plan: Plan,
+        /// Incarnation of the rank that is meant.
+        incarnation: u64,
+    },
 }
 
 /// A rank's state, in answer to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Report {
+    /// Incarnation of the rank.
+    pub incarnation: u64,
     /// Highest fence that the rank has seen.
     pub fence: u64,
     /// Whether the order was carried out, now or before.
--- a/crates/sparscale_place/src/switch/rank.rs
+++ b/crates/sparscale_place/src/switch/rank.rs
@@ -7,6 +7,7 @@
 /// State of one rank. The engine asks it before each step.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rank {
+    incarnation: u64,
     fence: u64,
     step: u64,
     plan: Option<Plan>,
@@ -16,16 +17,17 @@
 
 impl Rank {
     /// A rank of a group that has never run a step: it starts on the initial map, number 0.
-    pub fn cold() -> Self {
+    pub fn cold(incarnation: u64) -> Self {
         Self {
             plan: Some(Plan { number: 0, next: None }),
-            ..Self::joining()
+            ..Self::joining(incarnation)
         }
     }
 
     /// A rank that is new in a group that runs already: it begins no step before it is told the group's plan.
-    pub fn joining() -> Self {
+    pub fn joining(incarnation: u64) -> Self {
         Self {
+            incarnation,
             fence: 0,
             step: 0,
             plan: None,
@@ -52,7 +54,7 @@
             Act::Arm(change) => self.arm(change),
             Act::Release(change) => self.release(change),
             Act::Disarm(change) => self.disarm(change),
-            Act::Join(plan) => self.join(plan),
+            Act::Join { plan, incarnation } => incarnation == self.incarnation && self.join(plan),
         };
         self.report(done)
     }
@@ -83,6 +85,7 @@
     /// The state as reported.
     pub fn report(&self, done: bool) -> Report {
         Report {
+            incarnation: self.incarnation,
             fence: self.fence,
             done,
             step: self.step,
--- a/crates/sparscale_standin/src/engine.rs
+++ b/crates/sparscale_standin/src/engine.rs
@@ -128,7 +128,7 @@
 impl Group {
     pub(crate) fn new(shape: Shape, speed: Speed, checks_fence: bool) -> Self {
         let ranks = (0..shape.ranks)
-            .map(|_| Rank::new(Switch::cold(), checks_fence, shape))
+            .map(|_| Rank::new(Switch::cold(rand::random()), checks_fence, shape))
             .collect();
         Self {
             shape,
@@ -148,7 +148,7 @@
     /// Replaces rank `index` by a new process without any state.
     pub(crate) fn replace(&mut self, index: usize) {
         let checks_fence = self.ranks[index].checks_fence;
-        self.ranks[index] = Rank::new(Switch::joining(), checks_fence, self.shape);
+        self.ranks[index] = Rank::new(Switch::joining(rand::random()), checks_fence, self.shape);
     }
 
     /// Advances all ranks by one step, or none.
