Property tests of ledger, queue, assembly, fold, writer, bundle and settings

Cause: the pure state machines carry the promises; none was proved yet. Before: no test but those of the map switch.

--- /dev/null
+++ b/crates/sparscale_admit/tests/attempt_ledger.rs
@@ -0,0 +1,135 @@
+//! An attempt is handed on at most once, and "not run" holds for ever after.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sparscale_admit::ledger::{Attempt, Keyed, Ledger, Refusal, State};
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Enter(Attempt),
+    HandOn(Attempt),
+    End(Attempt),
+    TakeBack(Attempt),
+    Settle(Attempt),
+    Pass(u8),
+}
+
+fn attempt(random: &mut Gen) -> Attempt {
+    Attempt {
+        sender: u64::arbitrary(random) % 2,
+        counter: u64::arbitrary(random) % 6,
+    }
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(random: &mut Gen) -> Self {
+        match u8::arbitrary(random) % 12 {
+            0..4 => Self::Enter(attempt(random)),
+            4..7 => Self::HandOn(attempt(random)),
+            7 => Self::End(attempt(random)),
+            8 => Self::TakeBack(attempt(random)),
+            9..11 => Self::Settle(attempt(random)),
+            _ => Self::Pass(u8::arbitrary(random) % 40),
+        }
+    }
+}
+
+/// Runs `events` on a ledger and on the plain facts of what was handed on and what was called not run.
+fn holds(events: Vec<Event>) -> bool {
+    const CAPACITY: usize = 4;
+    const KEEP: Duration = Duration::from_secs(20);
+    let mut ledger = Ledger::new(CAPACITY);
+    let mut now = Duration::ZERO;
+    let mut handed_on: HashMap<Attempt, u32> = HashMap::new();
+    let mut not_run: HashSet<Attempt> = HashSet::new();
+    for event in events {
+        match event {
+            Event::Enter(id) => drop(ledger.enter(id, now + KEEP, now)),
+            Event::HandOn(id) => {
+                if ledger.hand_on(id) {
+                    *handed_on.entry(id).or_default() += 1;
+                }
+            }
+            Event::End(id) => ledger.end(id),
+            Event::TakeBack(id) => {
+                if ledger.state(id) == Some(State::Running) {
+                    ledger.take_back(id);
+                    // It provably never reached the target.
+                    handed_on.remove(&id);
+                    not_run.insert(id);
+                }
+            }
+            Event::Settle(id) => {
+                if ledger.settle(id, now + KEEP, now) == Some(State::Tombstone) {
+                    not_run.insert(id);
+                }
+            }
+            Event::Pass(seconds) => now += Duration::from_secs(u64::from(seconds)),
+        }
+        let twice = handed_on.values().any(|count| *count > 1);
+        let lied = not_run.iter().any(|id| handed_on.contains_key(id));
+        if twice || lied || ledger.len() > CAPACITY {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn at_most_once() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 1))
+        .tests(50_000)
+        .quickcheck(holds as fn(Vec<Event>) -> bool);
+}
+
+#[test]
+fn full_refuses() {
+    let mut ledger = Ledger::new(1);
+    let first = Attempt { sender: 1, counter: 1 };
+    let second = Attempt { sender: 1, counter: 2 };
+    let minute = Duration::from_mins(1);
+    assert_eq!(ledger.enter(first, minute, Duration::ZERO), Ok(()));
+    assert_eq!(ledger.enter(second, minute, Duration::ZERO), Err(Refusal::Full));
+    assert_eq!(
+        ledger.settle(second, minute, Duration::ZERO),
+        None,
+        "no proof without room for it"
+    );
+}
+
+#[test]
+fn forgotten_refuses() {
+    let mut ledger = Ledger::new(4);
+    let id = Attempt { sender: 1, counter: 5 };
+    let second = Duration::from_secs(1);
+    assert_eq!(ledger.enter(id, second, Duration::ZERO), Ok(()));
+    assert!(ledger.hand_on(id));
+    ledger.end(id);
+    ledger.expire(second * 2);
+    assert!(ledger.is_empty());
+    assert_eq!(ledger.enter(id, second * 9, second * 3), Err(Refusal::Forgotten));
+    assert_eq!(ledger.settle(id, second * 9, second * 3), None);
+}
+
+#[test]
+fn key_binds_once() {
+    let mut ledger = Ledger::new(4);
+    let first = Attempt { sender: 1, counter: 1 };
+    let second = Attempt { sender: 2, counter: 1 };
+    let minute = Duration::from_mins(1);
+    for id in [first, second] {
+        assert_eq!(ledger.enter(id, minute, Duration::ZERO), Ok(()));
+    }
+    assert_eq!(ledger.bind([7; 16], [1; 32], first), Keyed::New);
+    assert_eq!(ledger.bind([7; 16], [1; 32], second), Keyed::Earlier(first));
+    assert_eq!(ledger.bind([7; 16], [2; 32], second), Keyed::OtherBody);
+    assert_eq!(ledger.settle(first, minute, Duration::ZERO), Some(State::Tombstone));
+    assert_eq!(
+        ledger.bind([7; 16], [1; 32], second),
+        Keyed::New,
+        "what did not run frees its key"
+    );
+}
--- /dev/null
+++ b/crates/sparscale_admit/tests/tier_queue.rs
@@ -0,0 +1,221 @@
+//! Tiers, fairness, floor and bounds of the queue.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sparscale_admit::queue::{Job, Limits, Queue, Refusal};
+
+const NEVER: Duration = Duration::from_hours(1);
+
+fn job(key: u32, tier: u8, workspace: &str, weight: u32) -> Job<u32> {
+    Job {
+        key,
+        tier,
+        workspace: workspace.to_owned(),
+        weight,
+        cost: 10.0,
+        deadline: NEVER,
+    }
+}
+
+fn queue(running: usize, waiting: usize, floor_one_in: u32) -> Queue<u32> {
+    Queue::new(Limits {
+        running,
+        waiting,
+        floor_one_in,
+    })
+}
+
+/// Takes the next job and ends it at once.
+fn run_next(queue: &mut Queue<u32>) -> Option<Job<u32>> {
+    let job = queue.next(Duration::ZERO, &mut Vec::new())?;
+    queue.finished(job.cost, Duration::from_millis(10));
+    Some(job)
+}
+
+#[test]
+fn higher_tier_first() {
+    let mut queue = queue(1, 100, 0);
+    for key in 0..10 {
+        assert!(queue.offer(job(key, u8::from(key < 5), "a", 1), Duration::ZERO).is_ok());
+    }
+    let order: Vec<u8> = std::iter::from_fn(|| run_next(&mut queue))
+        .map(|job| job.tier)
+        .collect();
+    assert_eq!(order, [0, 0, 0, 0, 0, 1, 1, 1, 1, 1]);
+}
+
+#[test]
+fn floor_holds() {
+    let mut queue = queue(1, 1_000, 5);
+    for key in 0..200 {
+        assert!(
+            queue
+                .offer(job(key, u8::from(key >= 100), "a", 1), Duration::ZERO)
+                .is_ok()
+        );
+    }
+    let first: Vec<u8> = (0..50)
+        .filter_map(|_| run_next(&mut queue))
+        .map(|job| job.tier)
+        .collect();
+    let low = first.iter().filter(|tier| **tier == 1).count();
+    assert_eq!(low, 10, "one in five goes to the lowest tier");
+}
+
+#[test]
+fn weights_share() {
+    let mut queue = queue(1, 1_000, 0);
+    for key in 0..300 {
+        let (name, weight) = if key % 2 == 0 { ("heavy", 3) } else { ("light", 1) };
+        assert!(queue.offer(job(key, 0, name, weight), Duration::ZERO).is_ok());
+    }
+    let mut served: HashMap<String, u32> = HashMap::new();
+    for _ in 0..100 {
+        let job = run_next(&mut queue).expect("jobs wait");
+        *served.entry(job.workspace).or_default() += 1;
+    }
+    assert!((74..=76).contains(&served["heavy"]), "{served:?}");
+}
+
+#[test]
+fn idle_gains_nothing() {
+    let mut queue = queue(1, 1_000, 0);
+    for key in 0..100 {
+        assert!(queue.offer(job(key, 0, "busy", 1), Duration::ZERO).is_ok());
+    }
+    for _ in 0..50 {
+        run_next(&mut queue);
+    }
+    for key in 100..150 {
+        assert!(queue.offer(job(key, 0, "late", 1), Duration::ZERO).is_ok());
+    }
+    let next: Vec<String> = (0..20)
+        .filter_map(|_| run_next(&mut queue))
+        .map(|job| job.workspace)
+        .collect();
+    let late = next.iter().filter(|name| *name == "late").count();
+    assert!(
+        (9..=11).contains(&late),
+        "a workspace that was idle shares from now on: {next:?}"
+    );
+}
+
+#[test]
+fn early_refusal() {
+    let mut queue = queue(1, 1_000, 0);
+    assert!(queue.offer(job(0, 0, "a", 1), Duration::ZERO).is_ok());
+    let running = queue.next(Duration::ZERO, &mut Vec::new()).expect("a place is free");
+    queue.finished(running.cost, Duration::from_secs(1));
+    assert!(queue.offer(job(1, 0, "a", 1), Duration::ZERO).is_ok());
+    assert!(queue.next(Duration::ZERO, &mut Vec::new()).is_some());
+    let hasty = Job {
+        deadline: Duration::from_millis(500),
+        ..job(2, 0, "a", 1)
+    };
+    let refused = queue.offer(hasty, Duration::ZERO);
+    assert!(matches!(refused, Err(Refusal::TooLate { retry_after }) if retry_after >= Duration::from_millis(900)));
+}
+
+#[test]
+fn lower_tier_yields() {
+    let mut queue = queue(1, 2, 0);
+    let running = job(0, 0, "a", 1);
+    assert!(queue.offer(running, Duration::ZERO).is_ok());
+    assert!(queue.next(Duration::ZERO, &mut Vec::new()).is_some());
+    for key in 1..3 {
+        assert!(queue.offer(job(key, 1, "low", 1), Duration::ZERO).is_ok());
+    }
+    let admission = queue
+        .offer(job(3, 0, "high", 1), Duration::ZERO)
+        .expect("a lower tier yields");
+    assert_eq!(admission.displaced, Some(2));
+    assert!(matches!(
+        queue.offer(job(4, 1, "low", 1), Duration::ZERO),
+        Err(Refusal::Full { .. })
+    ));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Offer { tier: u8, workspace: u8, weight: u8 },
+    Next,
+    Finish,
+    Remove(u8),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(random: &mut Gen) -> Self {
+        match u8::arbitrary(random) % 8 {
+            0..3 => Self::Offer {
+                tier: u8::arbitrary(random) % 3,
+                workspace: u8::arbitrary(random) % 3,
+                weight: u8::arbitrary(random) % 4,
+            },
+            3..5 => Self::Next,
+            5..7 => Self::Finish,
+            _ => Self::Remove(u8::arbitrary(random)),
+        }
+    }
+}
+
+/// Nothing is lost, nothing comes twice, bounds hold, and no job runs while a higher tier waits (without a floor).
+fn accounts(events: Vec<Event>) -> bool {
+    let mut queue = queue(3, 6, 0);
+    let mut waiting: HashMap<u32, u8> = HashMap::new();
+    let mut running = Vec::new();
+    let mut next_key = 0;
+    for event in events {
+        match event {
+            Event::Offer {
+                tier,
+                workspace,
+                weight,
+            } => {
+                next_key += 1;
+                let offered = job(next_key, tier, &workspace.to_string(), u32::from(weight));
+                if let Ok(admission) = queue.offer(offered, Duration::ZERO) {
+                    waiting.insert(next_key, tier);
+                    if let Some(displaced) = admission.displaced
+                        && waiting.remove(&displaced).is_none_or(|lower| lower <= tier)
+                    {
+                        return false;
+                    }
+                }
+            }
+            Event::Next => {
+                if let Some(job) = queue.next(Duration::ZERO, &mut Vec::new()) {
+                    let known = waiting.remove(&job.key) == Some(job.tier);
+                    if !known || waiting.values().any(|tier| *tier < job.tier) {
+                        return false;
+                    }
+                    running.push(job.cost);
+                }
+            }
+            Event::Finish => {
+                if let Some(cost) = running.pop() {
+                    queue.finished(cost, Duration::from_millis(1));
+                }
+            }
+            Event::Remove(which) => {
+                let key = u32::from(which);
+                if queue.remove(&key) != waiting.remove(&key).is_some() {
+                    return false;
+                }
+            }
+        }
+        if queue.waiting() != waiting.len() || queue.running() != running.len() || running.len() > 3 {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn nothing_lost() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(150, 2))
+        .tests(20_000)
+        .quickcheck(accounts as fn(Vec<Event>) -> bool);
+}
--- /dev/null
+++ b/crates/sparscale_entry/tests/answer_assembly.rs
@@ -0,0 +1,106 @@
+//! A caller gets its own whole answer, or an error: never a part, never someone else's.
+
+use bytes::Bytes;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sparscale_entry::assembly::{Assembly, Step};
+use sparscale_wire::{Answer, AttemptId, Chunk, Head, Load, Outcome};
+
+const OWN: AttemptId = AttemptId { entry: 1, counter: 1 };
+const OTHER: AttemptId = AttemptId { entry: 1, counter: 2 };
+
+/// What arrives: own and foreign frames in any order, doubled, with gaps.
+#[derive(Clone, Debug)]
+struct Arrivals {
+    chunks: u64,
+    order: Vec<(bool, u8)>,
+}
+
+impl Arbitrary for Arrivals {
+    fn arbitrary(random: &mut Gen) -> Self {
+        Self {
+            chunks: u64::arbitrary(random) % 6,
+            order: Vec::arbitrary(random),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let chunks = self.chunks;
+        Box::new(self.order.shrink().map(move |order| Self { chunks, order }))
+    }
+}
+
+fn text(attempt: AttemptId, sequence: u64) -> Bytes {
+    Bytes::from(format!("{}:{sequence} ", attempt.counter))
+}
+
+fn part(attempt: AttemptId, chunks: u64, which: u8) -> Outcome {
+    let load = Load::default();
+    let index = u64::from(which) % (chunks + 2);
+    if index == chunks {
+        return Outcome::End { chunks, load };
+    }
+    if index > chunks {
+        return Outcome::Head(Head {
+            status: 200,
+            content_type: String::new(),
+            incarnation: 1,
+            load,
+        });
+    }
+    Outcome::Chunk(Chunk {
+        sequence: index,
+        data: text(attempt, index),
+    })
+}
+
+fn assembles(arrivals: Arrivals) -> bool {
+    let whole: Vec<Bytes> = (0..arrivals.chunks).map(|sequence| text(OWN, sequence)).collect();
+    let mut assembly = Assembly::new(OWN);
+    let mut passed_on: Vec<Bytes> = Vec::new();
+    for (own, which) in arrivals.order {
+        let attempt = if own { OWN } else { OTHER };
+        // Someone else's answer has another length, too.
+        let chunks = if own { arrivals.chunks } else { 9 };
+        let part = part(attempt, chunks, which);
+        match assembly.accept(Answer { attempt, part }) {
+            Step::Chunks(chunks) | Step::End { chunks, .. } => passed_on.extend(chunks),
+            Step::Nothing | Step::Head(_) => {}
+            Step::Refused(_) | Step::Failed(_) | Step::Broken(_) => return false,
+        }
+        let is_prefix = whole.starts_with(&passed_on);
+        let whole_at_end = !assembly.has_ended() || passed_on == whole;
+        if !is_prefix || !whole_at_end {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn own_and_whole() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 3))
+        .tests(50_000)
+        .quickcheck(assembles as fn(Arrivals) -> bool);
+}
+
+#[test]
+fn short_end_breaks() {
+    let mut assembly = Assembly::new(OWN);
+    for sequence in 0..2 {
+        let data = text(OWN, sequence);
+        let part = Outcome::Chunk(Chunk { sequence, data });
+        assert!(matches!(
+            assembly.accept(Answer { attempt: OWN, part }),
+            Step::Chunks(_)
+        ));
+    }
+    let part = Outcome::End {
+        chunks: 1,
+        load: Load::default(),
+    };
+    assert!(matches!(
+        assembly.accept(Answer { attempt: OWN, part }),
+        Step::Broken(_)
+    ));
+}
--- /dev/null
+++ b/crates/sparscale_journal/tests/journal/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the log: its fold, and appends whose answers are lost.
+
+mod common;
+mod log_fold;
+mod lost_answers;
--- a/crates/sparscale_place/src/switch/conductor.rs
+++ b/crates/sparscale_place/src/switch/conductor.rs
@@ -165,7 +165,10 @@
     fn act(&self, progress: Progress, report: &Report) -> Act {
         let wanted = match progress {
             Progress::Releasing => self.release(report),
-            Progress::Disarming => report.armed.filter(|armed| self.attempt != Some(*armed)).map(Act::Disarm),
+            Progress::Disarming => report
+                .armed
+                .filter(|armed| self.attempt != Some(*armed))
+                .map(Act::Disarm),
             Progress::Switching | Progress::Joining => self.join_or_disarm(report),
             Progress::Staging => self.stage(report),
             Progress::Arming => self.arm(report),
--- a/crates/sparscale_place/tests/map_switch.rs
+++ b/crates/sparscale_place/tests/map_switch.rs
@@ -5,7 +5,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use sparscale_place::switch::{Conductor, Order, Progress, Rank, Report};
+use sparscale_place::switch::{Act, Change, Conductor, Order, Plan, Progress, Rank, Report};
 
 const RANKS: usize = 3;
 const LEAD: u64 = 1;
@@ -176,6 +176,46 @@
     found
 }
 
+fn enlist() -> Order {
+    Order {
+        fence: 1,
+        act: Act::Enlist,
+    }
+}
+
+#[test]
+fn late_join() {
+    let plan = Plan { number: 0, next: None };
+    let join = |incarnation| Order {
+        fence: 1,
+        act: Act::Join { plan, incarnation },
+    };
+    let mut rank = Rank::joining(5);
+    assert_eq!(
+        rank.order(&join(4), false).plan,
+        None,
+        "the order was for the rank's predecessor"
+    );
+    assert_eq!(rank.order(&join(5), false).plan, Some(plan));
+}
+
+#[test]
+fn overtaken_arm() {
+    let arm = |at| Order {
+        fence: 1,
+        act: Act::Arm(Change { number: GOAL, at }),
+    };
+    let stage = Order {
+        fence: 1,
+        act: Act::Stage { number: GOAL },
+    };
+    let mut rank = Rank::cold(1);
+    rank.order(&stage, true);
+    assert!(rank.order(&arm(20), false).done);
+    assert!(!rank.order(&arm(10), false).done);
+    assert_eq!(rank.order(&enlist(), false).armed.map(|change| change.at), Some(20));
+}
+
 /// Worlds that are reached from a switch in the middle, where all the danger is.
 fn armed_world() -> World {
     let mut world = World::new();
--- /dev/null
+++ b/crates/sparscale_settings/tests/settings_errors.rs
@@ -0,0 +1,68 @@
+//! Every problem of a settings file is named with file, line and mend.
+
+use std::path::Path;
+
+use serde::Deserialize;
+use sparscale_settings::{Check, Problem, parse};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    name: String,
+    limit: u32,
+}
+
+impl Check for Raw {
+    type Checked = String;
+
+    fn check(self) -> Result<String, Vec<Problem>> {
+        let mut problems = Vec::new();
+        if self.name.is_empty() {
+            problems.push(Problem::new("name", "is empty", "write a name"));
+        }
+        if self.limit == 0 {
+            problems.push(Problem::new("limit", "is 0", "use 1 or more"));
+        }
+        if problems.is_empty() {
+            Ok(self.name)
+        } else {
+            Err(problems)
+        }
+    }
+}
+
+fn message(text: &str) -> String {
+    let parsed = parse::<Raw>(Path::new("box.json"), text);
+    parsed.expect_err("the text is wrong").to_string()
+}
+
+#[test]
+fn comments_allowed() {
+    let text = "// who this is\n{ name: 'a', limit: 3, }";
+    assert_eq!(parse::<Raw>(Path::new("box.json"), text).ok(), Some("a".to_owned()));
+}
+
+#[test]
+fn all_problems_at_once() {
+    let text = "{\n  // the limit comes later\n  name: '',\n  limit: 0,\n}";
+    assert_eq!(
+        message(text),
+        "box.json:3: name: is empty; write a name\nbox.json:4: limit: is 0; use 1 or more"
+    );
+}
+
+#[test]
+fn unknown_key() {
+    let text = "{\n  name: 'a',\n  limit: 1,\n  limitt: 2,\n}";
+    let message = message(text);
+    assert!(
+        message.contains("limitt") && message.starts_with("box.json:"),
+        "{message}"
+    );
+}
+
+#[test]
+fn syntax_line() {
+    let message = message("{\n  name: 'a',\n  limit: ,\n}");
+    assert!(message.starts_with("box.json:3:"), "{message}");
+}
