--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -131,8 +131,13 @@
                 Began::Live(live) => return Ok(*live),
                 Began::Refused(refusal) => self.refused(job, &sent, &refusal)?,
                 Began::NotRun => unreachable_target(),
-                // A repeatable request whose answer has not begun may start again elsewhere.
-                Began::Failed(failure) if job.repeatable => failed(job, &failure).request_id(request_id),
+                // A repeatable request whose answer has not begun may start again, on the same target if need be.
+                Began::Failed(failure) if job.repeatable => {
+                    if self.has_tried_all(job, &tried) {
+                        tried.clear();
+                    }
+                    failed(job, &failure).request_id(request_id)
+                }
                 Began::Failed(failure) => return Err(failed(job, &failure).request_id(request_id)),
                 Began::Unknown if job.repeatable => {
                     self.cancel_in_background(&sent);
@@ -180,6 +185,17 @@
         Ok(sent)
     }
 
+    fn has_tried_all(&self, job: &Job, tried: &[TargetKey]) -> bool {
+        let now = self.board.now();
+        let board = self.board.lock();
+        let candidates = self.candidates(&board, job).unwrap_or_default();
+        let usable = |key: &TargetKey| board.target(*key).is_some_and(|target| target.takes_work(now));
+        candidates
+            .iter()
+            .filter(|key| usable(key))
+            .all(|key| tried.contains(key))
+    }
+
     fn candidates(&self, board: &sparscale_board::Board, job: &Job) -> Result<Vec<TargetKey>, Problem> {
         let limit = job.limits.candidates as usize;
         let (pool, all) = match &job.pool {
--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -114,6 +114,12 @@
         for index in 0..self.plan.services {
             self.start_service(index)?;
         }
+        for name in ["log", "weights"] {
+            eventually(&format!("{name} answers"), || async {
+                self.ask_standin(name, "/admin/counts").await.ok()
+            })
+            .await?;
+        }
         self.put_boxes(&self.box_list()).await
     }
 
@@ -190,6 +196,7 @@
     pub async fn wait_until_entry_ready(&self, name: &str) -> Result<(), Error> {
         eventually(&format!("{name} answers"), || async {
             let reply = self.send_chat(name, "teal", "are you there", 1).await.ok()?;
+            // A call that has an effect must not be sent while a test counts effects.
             if self.plan.services > 0 {
                 let rates = self.call_service(name, "rates", "{}", &[]).await.ok()?;
                 rates.status.is_success().then_some(())?;
