Routing: interpret late reports instead of believing them

All ranks below the largest cost the same, so the nearest took everything until the next report; and entries that were told the same all rushed to the same rank, then to the same group. Also: an abandoned answer counted as read with each new token, so a killed entry's request was never cancelled (found when the test's deadline stopped standing in for the mechanism).

--- a/crates/sparscale_agent/src/answer.rs
+++ b/crates/sparscale_agent/src/answer.rs
@@ -39,8 +39,10 @@
         if inner.parts.last().is_some_and(is_last) {
             return;
         }
+        if is_last(&part) {
+            inner.idle_since = Instant::now();
+        }
         inner.parts.push(part);
-        inner.idle_since = Instant::now();
         drop(inner);
         self.grown.notify_waiters();
     }
--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -45,6 +45,8 @@
     queue: Queue<AttemptId>,
     attempts: HashMap<AttemptId, Held>,
     seen: HashMap<u64, u64>,
+    /// Requests that wait or run, by the incarnation of the entry that sent them.
+    in_progress: HashMap<u64, u32>,
     draining: bool,
     ready: bool,
     engine_load: EngineLoad,
@@ -81,6 +83,7 @@
                 queue: Queue::new(limits),
                 attempts: HashMap::new(),
                 seen: HashMap::new(),
+                in_progress: HashMap::new(),
                 draining: false,
                 ready: false,
                 engine_load: EngineLoad::default(),
@@ -178,6 +181,7 @@
                     keep_until: Instant::now() + keep,
                 };
                 state.attempts.insert(id, held);
+                *state.in_progress.entry(id.entry).or_default() += 1;
                 Begun::Answer(answer)
             }
             Err(queue::Refusal::Full { retry_after }) => {
@@ -246,6 +250,7 @@
     fn refuse_waiting(&self, state: &mut State, id: AttemptId, reason: RefusalReason, retry_after_ms: u64) {
         let now = self.now();
         state.ledger.settle(ledger_id(id), now + KEEP_AFTER_DEADLINE, now);
+        state.leave(id);
         let refusal = self.refusal(state, id, reason, retry_after_ms);
         if let Some(held) = state.attempts.get(&id) {
             held.answer.push(Outcome::Refused(refusal));
@@ -318,6 +323,7 @@
     fn finish(&self, attempt: &Attempt, answer: &Answer, result: Result<u64, CallError>, cost: f64, held: Duration) {
         let mut state = self.lock();
         state.queue.finished(cost, held);
+        state.leave(attempt.id);
         self.metrics.time("attempt.held", held);
         let part = match result {
             Ok(chunks) => {
@@ -403,6 +409,7 @@
             seen: state.seen.get(&entry).copied().unwrap_or(0),
             running: state.queue.running() as u32,
             queued: state.queue.waiting() as u32,
+            own: state.in_progress.get(&entry).copied().unwrap_or(0),
             prefill_tokens: state.engine_load.prefill_tokens,
             step_micros: state.engine_load.step_micros,
             map: state.engine_load.map,
@@ -419,6 +426,18 @@
     }
 }
 
+impl State {
+    /// Counts a request no longer as in progress.
+    fn leave(&mut self, id: AttemptId) {
+        if let Some(count) = self.in_progress.get_mut(&id.entry) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_progress.remove(&id.entry);
+            }
+        }
+    }
+}
+
 /// What a re-send under a key meets.
 enum Earlier {
     Attempt(AttemptId),
--- a/crates/sparscale_board/src/board.rs
+++ b/crates/sparscale_board/src/board.rs
@@ -8,7 +8,7 @@
 use sparscale_bundle::{Bundle, Call, Fleet};
 
 use crate::hints::Hints;
-use crate::model::StepModel;
+use crate::model::{Holding, StepModel};
 
 new_key_type! {
     /// Names a target on the board.
@@ -17,10 +17,10 @@
     pub struct GroupKey;
 }
 
-/// Dispatches that are remembered for one target until a load report covers them.
-const MAX_UNSEEN: usize = 1_024;
-/// A dispatch that no report covers after this long is taken as lost.
-const UNSEEN_AGE: Duration = Duration::from_secs(5);
+/// Requests in progress that are remembered for one target; more change no decision.
+const MAX_SENT: usize = 1_024;
+/// Time that a report is taken to have been on its way.
+const REPORT_LAG: Duration = Duration::from_millis(100);
 
 /// Whether a target takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -68,6 +68,8 @@
     pub running: u32,
     /// Requests that wait at the agent.
     pub queued: u32,
+    /// Those of both that this entry has sent.
+    pub own: u32,
     /// Prompt tokens that wait for prefill.
     pub prefill_tokens: u32,
     /// Time of the latest step, in milliseconds.
@@ -79,7 +81,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Unseen {
+struct Sent {
     counter: u64,
     prefill_tokens: u32,
     at: Duration,
@@ -102,9 +104,13 @@
     pub load: Load,
     /// Prompt prefixes that it probably has.
     pub hints: Hints,
+    /// Counter of this entry's last request there.
+    pub last_sent: u64,
     /// Not to be used before this time, after a failure.
     pub avoid_until: Duration,
-    unseen: VecDeque<Unseen>,
+    reported_at: Option<Duration>,
+    /// Requests of this entry that have not ended.
+    sent: VecDeque<Sent>,
     failures: u32,
 }
 
@@ -119,6 +125,31 @@
     pub ranks: Vec<TargetKey>,
     /// What its step time depends on.
     pub step: StepModel,
+    sends: Sends,
+}
+
+/// This entry's requests to a group, fading with age.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sends {
+    count: f64,
+    at: Duration,
+}
+
+impl Sends {
+    /// Time in which a request's weight falls by a factor of e.
+    const FADE: Duration = Duration::from_secs(2);
+
+    fn faded(self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.count * (-age / Self::FADE.as_secs_f64()).exp()
+    }
+}
+
+impl Group {
+    /// This entry's requests to the group in the last few seconds, late ones counting less.
+    pub fn recent_sends(&self, now: Duration) -> f64 {
+        self.sends.faded(now)
+    }
 }
 
 /// A plain service.
@@ -142,6 +173,8 @@
     pub version: u64,
     /// Requests that one target runs at once.
     pub places: u32,
+    /// How long requests last.
+    pub holding: Holding,
 }
 
 impl Board {
@@ -252,6 +285,7 @@
                 model: group.model.clone(),
                 ranks: ranks.clone(),
                 step: known.get(&group.name).copied().unwrap_or_default(),
+                sends: Sends::default(),
             });
             for (index, rank) in ranks.into_iter().enumerate() {
                 if let Some(target) = self.targets.get_mut(rank) {
@@ -292,12 +326,11 @@
         }
         if load.incarnation > target.load.incarnation {
             target.hints.clear();
-            target.unseen.clear();
         }
         target.load = load;
+        target.reported_at = Some(now);
         target.failures = 0;
         target.avoid_until = Duration::ZERO;
-        target.forget_seen(now);
         self.observe_step(key);
     }
 
@@ -307,13 +340,34 @@
             return;
         };
         target.hints.note(blocks, now);
-        target.unseen.push_back(Unseen {
+        target.last_sent = counter;
+        let group = target.rank.map(|(group, _)| group);
+        target.sent.push_back(Sent {
             counter,
             prefill_tokens,
             at: now,
         });
-        if target.unseen.len() > MAX_UNSEEN {
-            target.unseen.pop_front();
+        if target.sent.len() > MAX_SENT {
+            target.sent.pop_front();
+        }
+        if let Some(group) = group.and_then(|key| self.groups.get_mut(key)) {
+            group.sends = Sends {
+                count: group.sends.faded(now) + 1.0,
+                at: now,
+            };
+        }
+    }
+
+    /// Notes that request `counter` at the target under `key` is over.
+    pub fn note_ended(&mut self, key: TargetKey, counter: u64, now: Duration) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let Some(index) = target.sent.iter().position(|sent| sent.counter == counter) else {
+            return;
+        };
+        if let Some(sent) = target.sent.remove(index) {
+            self.holding.observe(now.saturating_sub(sent.at));
         }
     }
 
@@ -345,14 +399,33 @@
 }
 
 impl Target {
-    /// Requests at the target or on their way there: the report, plus what this entry sent since.
+    /// Requests of this entry that have not ended. This is known without a lag.
+    pub fn own_requests(&self) -> f64 {
+        self.sent.len() as f64
+    }
+
+    /// Requests of other entries, as last reported; none if nothing was reported yet.
+    pub fn reported_others(&self) -> Option<f64> {
+        self.reported_at?;
+        let all = self.load.running + self.load.queued;
+        Some(f64::from(all.saturating_sub(self.load.own)))
+    }
+
+    /// Age of the last report, the way included.
+    pub fn report_age(&self, now: Duration) -> Duration {
+        let reported = self.reported_at.unwrap_or_default();
+        now.saturating_sub(reported) + REPORT_LAG
+    }
+
+    /// Requests at the target or on their way there, for a target that is not part of a group.
     pub fn expected_requests(&self) -> f64 {
-        f64::from(self.load.running + self.load.queued) + self.unseen.len() as f64
+        self.own_requests() + self.reported_others().unwrap_or(0.0)
     }
 
     /// Prompt tokens that wait for prefill there, with what this entry sent since the report.
     pub fn expected_prefill(&self) -> f64 {
-        let unseen: u32 = self.unseen.iter().map(|unseen| unseen.prefill_tokens).sum();
+        let unseen = self.sent.iter().filter(|sent| sent.counter > self.load.seen);
+        let unseen: u32 = unseen.map(|sent| sent.prefill_tokens).sum();
         f64::from(self.load.prefill_tokens + unseen)
     }
 
@@ -360,12 +433,6 @@
     pub fn takes_work(&self, now: Duration) -> bool {
         self.standing == Standing::Live && !self.load.draining && self.address.is_some() && now >= self.avoid_until
     }
-
-    fn forget_seen(&mut self, now: Duration) {
-        let seen = self.load.seen;
-        self.unseen
-            .retain(|unseen| unseen.counter > seen && now.saturating_sub(unseen.at) < UNSEEN_AGE);
-    }
 }
 
 fn distance(fleet: &Fleet, own: &str, other: &str) -> HallDistance {
--- a/crates/sparscale_board/src/lib.rs
+++ b/crates/sparscale_board/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use board::{Board, Group, GroupKey, HallDistance, Load, Service, Standing, Target, TargetKey};
 pub use hints::{BLOCK_BYTES, Hints, prefix_blocks};
-pub use model::StepModel;
+pub use model::{Holding, StepModel};
--- a/crates/sparscale_board/src/model.rs
+++ b/crates/sparscale_board/src/model.rs
@@ -1,4 +1,6 @@
-//! What a group's step time depends on, learnt from load reports.
+//! What is learnt from load reports and finished requests: step times and how long requests last.
+
+use std::time::Duration;
 
 /// Weight that an earlier observation keeps with each new one.
 const FORGET: f64 = 0.98;
@@ -65,3 +67,33 @@
         (mean_time + self.slope_ms() * (load - mean_load)).max(0.0)
     }
 }
+
+/// Time that a request in progress is taken to last before any was observed, in seconds.
+const INITIAL_RESIDUAL: f64 = 0.5;
+
+/// How long requests last, with forgetting.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Holding {
+    weight: f64,
+    seconds: f64,
+    seconds_squared: f64,
+}
+
+impl Holding {
+    /// Takes in a request that lasted `held`.
+    pub fn observe(&mut self, held: Duration) {
+        let seconds = held.as_secs_f64();
+        self.weight = self.weight * FORGET + 1.0;
+        self.seconds = self.seconds * FORGET + seconds;
+        self.seconds_squared = self.seconds_squared * FORGET + seconds * seconds;
+    }
+
+    /// Mean time that a request found in progress still lasts, in seconds. Long requests are found more often, so
+    /// this is the second moment over twice the first.
+    pub fn residual_seconds(&self) -> f64 {
+        if self.weight < 2.0 || self.seconds <= 0.0 {
+            return INITIAL_RESIDUAL;
+        }
+        self.seconds_squared / (2.0 * self.seconds)
+    }
+}
--- a/crates/sparscale_entry/src/board_control.rs
+++ b/crates/sparscale_entry/src/board_control.rs
@@ -174,6 +174,7 @@
         seen: load.seen,
         running: load.running,
         queued: load.queued,
+        own: load.own,
         prefill_tokens: load.prefill_tokens,
         step_ms: f64::from(load.step_micros) / 1_000.0,
         map: load.map,
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use serde::Serialize;
 use sparscale_board::TargetKey;
 use sparscale_bundle::{Limits, Workspace};
 use sparscale_journal::BindingKey;
@@ -127,7 +128,11 @@
             };
             tried.push(sent.target);
             let request_id = self.request_id(job, &sent);
-            let problem = match self.send(job, &sent).await {
+            let began = self.send(job, &sent).await;
+            if !matches!(began, Began::Live(_)) {
+                self.note_ended(&sent);
+            }
+            let problem = match began {
                 Began::Live(live) => return Ok(*live),
                 Began::Refused(refusal) => self.refused(job, &sent, &refusal)?,
                 Began::NotRun => unreachable_target(),
@@ -180,8 +185,9 @@
             attempt,
         };
         let map = target.load.map;
+        let candidates = candidate_lines(&board, &decision);
         drop(board);
-        log_route(job, &sent, &decision, version, map);
+        log_route(job, &sent, &decision, &candidates, version, map);
         Ok(sent)
     }
 
@@ -371,6 +377,12 @@
         self.board.lock().apply_load(sent.target, board_load(load), now);
     }
 
+    /// Notes that a dispatch is over, however it ended.
+    pub(crate) fn note_ended(&self, sent: &Sent) {
+        let now = self.board.now();
+        self.board.lock().note_ended(sent.target, sent.attempt.counter, now);
+    }
+
     /// Avoids the target of a broken answer for a while.
     pub(crate) fn avoid(&self, live: &Live) {
         let now = self.board.now();
@@ -488,9 +500,35 @@
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "No target takes the request", detail).retry_after(retry_after)
 }
 
-fn log_route(job: &Job, sent: &Sent, decision: &Decision, version: u64, map: u64) {
-    // The log holds flat values, so the candidates stand in one as JSON.
-    let candidates = serde_json::to_string(&decision.scored).unwrap_or_default();
+/// A candidate as a decision line shows it; costs in milliseconds.
+#[derive(Serialize)]
+struct Candidate<'a> {
+    name: &'a str,
+    cost: f64,
+    wait: f64,
+    prefill: f64,
+    steps: f64,
+    others: f64,
+    distance: f64,
+}
+
+/// The candidates as JSON: the log holds flat values, so they stand in one.
+fn candidate_lines(board: &sparscale_board::Board, decision: &Decision) -> String {
+    let candidates = decision.scored.iter().filter_map(|scored| {
+        Some(Candidate {
+            name: &board.target(scored.key)?.name,
+            cost: scored.cost,
+            wait: scored.wait,
+            prefill: scored.prefill,
+            steps: scored.steps,
+            others: scored.others,
+            distance: scored.distance,
+        })
+    });
+    serde_json::to_string(&candidates.collect::<Vec<_>>()).unwrap_or_default()
+}
+
+fn log_route(job: &Job, sent: &Sent, decision: &Decision, candidates: &str, version: u64, map: u64) {
     log::info!(
         target: DECISION,
         decision = "route",
@@ -499,7 +537,7 @@
         tier = job.tier,
         agent = sent.name.as_str(),
         reason:? = decision.reason,
-        candidates = candidates.as_str(),
+        candidates,
         bundle = version,
         map;
         "routed"
--- a/crates/sparscale_entry/src/live.rs
+++ b/crates/sparscale_entry/src/live.rs
@@ -136,6 +136,7 @@
 
 impl Drop for Live {
     fn drop(&mut self) {
+        self.dispatcher.note_ended(&self.sent);
         if !self.assembly.has_ended() {
             self.dispatcher.cancel_in_background(&self.sent);
         }
--- a/crates/sparscale_route/src/lib.rs
+++ b/crates/sparscale_route/src/lib.rs
@@ -1,7 +1,7 @@
 //! Which target takes a request: a pure function of the board.
 //!
 //! Ranks of a group advance together, so a request costs what it adds to the *group's* step. Every candidate gets a
-//! predicted cost in milliseconds; the smallest of a random sample wins.
+//! predicted cost in milliseconds; the smallest wins.
 
 mod candidates;
 mod choice;
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -258,6 +258,8 @@
     pub running: u32,
     /// Requests that wait at the agent.
     pub queued: u32,
+    /// Those of both that came from the entry that gets this report.
+    pub own: u32,
     /// Prompt tokens that the target still has to prefill.
     pub prefill_tokens: u32,
     /// Time of the group's latest step, in microseconds.
