--- a/crates/sparscale_entry/src/main.rs
+++ b/crates/sparscale_entry/src/main.rs
@@ -3,7 +3,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-#[tokio::main]
+// One worker: with more, each token wakes threads on other cores, which costs more than the work on it.
+#[tokio::main(flavor = "multi_thread", worker_threads = 1)]
 async fn main() -> ExitCode {
     let matches = sparscale_entry::command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
