Bound what an entry watches, and close connections that nobody uses

Cause: working out CAPACITY showed that an entry would watch up to 40 targets for each of 33 models, so every agent would report to all 400 entries once a second (about 40 KB/s), and that connections, once made, kept their keep-alive packets for ever. Ruled out: no keep-alive at all (a stream that waits for its next token would break); reports on answers alone (an entry that sends one request a second would know nothing). Before: watched targets unbounded by the fleet's size, connections never closed. Conclusion: about 4 KB/s for an entry with 16 watched, worked out from frame sizes, not yet measured.

--- a/crates/sparscale_agent/src/connection.rs
+++ b/crates/sparscale_agent/src/connection.rs
@@ -13,8 +13,8 @@
 use crate::core::{Begun, Core};
 use crate::order::Orders;
 
-/// Shortest time between two load reports to one entry.
-const LOAD_PAUSE: Duration = Duration::from_secs(1);
+/// Bounds of the time between two load reports to one entry, in milliseconds; the entry chooses.
+const LOAD_PAUSE_MS: std::ops::RangeInclusive<u64> = 100..=10_000;
 
 /// Everything that streams need.
 pub(crate) struct Service {
@@ -73,7 +73,7 @@
             sender.send(&Frame::Settlement(settlement)).await?;
         }
         Ask::Cancel(attempt) => service.core.cancel(attempt).await,
-        Ask::Watch { entry } => return watch(&service.core, entry, &mut sender).await,
+        Ask::Watch { entry, interval_ms } => return watch(&service.core, entry, interval_ms, &mut sender).await,
         Ask::Order { group, order } => {
             let report = service.orders.carry_out(&group, &order).await;
             if let Some(report) = report {
@@ -125,8 +125,9 @@
     sender.send(&Frame::Answer(AnswerFrame { attempt, part })).await
 }
 
-/// Reports load whenever it changes, at most once a second; that the agent drains is said at once.
-async fn watch(core: &Core, entry: u64, sender: &mut Sender) -> Result<(), StreamError> {
+/// Reports load whenever it changes, as often as the entry asked for; that the agent drains is said at once.
+async fn watch(core: &Core, entry: u64, interval_ms: u64, sender: &mut Sender) -> Result<(), StreamError> {
+    let pause = Duration::from_millis(interval_ms.clamp(*LOAD_PAUSE_MS.start(), *LOAD_PAUSE_MS.end()));
     let mut draining = core.draining();
     let mut last = None;
     loop {
@@ -137,7 +138,7 @@
             last = Some(load);
         }
         tokio::select! {
-            () = tokio::time::sleep(LOAD_PAUSE) => {}
+            () = tokio::time::sleep(pause) => {}
             changed = draining.changed() => if changed.is_err() { return Ok(()) },
             () = sender.stopped() => return Ok(()),
         }
--- a/crates/sparscale_entry/src/board_control.rs
+++ b/crates/sparscale_entry/src/board_control.rs
@@ -1,6 +1,6 @@
 //! Controllers that write the board: bundle, box list, load reports.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,8 +12,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Pause before a target that cannot be watched is tried again.
+/// Pause between two looks at which targets to watch.
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
+/// Targets that one entry watches at most.
+const MAX_WATCHED: usize = 16;
+/// Time between two reports of one target, for each target that is watched, and the shortest.
+const INTERVAL_PER_WATCHED: Duration = Duration::from_millis(50);
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The board of this entry, with the time that it is measured in.
 pub(crate) struct SharedBoard {
@@ -97,76 +102,117 @@
     board.lock().apply_listed(&listed);
 }
 
-/// Watches the load of every target that this entry considers.
-pub(crate) async fn watch_loads(board: Arc<SharedBoard>, endpoint: Arc<Endpoint>, incarnation: u64, limit: usize) {
-    let watched: Arc<Mutex<HashSet<(TargetKey, SocketAddr)>>> = Arc::default();
+/// Targets that this entry watches now, with their addresses.
+type Watched = Arc<Mutex<HashMap<TargetKey, SocketAddr>>>;
+
+/// Watches the load of the targets that this entry used last. Of others it hears with each answer.
+pub(crate) async fn watch_loads(board: Arc<SharedBoard>, endpoint: Arc<Endpoint>, incarnation: u64) {
+    let watched: Watched = Arc::default();
     loop {
-        for (key, address) in considered(&board, limit) {
-            let is_new = watched
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .insert((key, address));
-            if is_new {
-                let board = Arc::clone(&board);
-                let endpoint = Arc::clone(&endpoint);
-                let watched = Arc::clone(&watched);
-                tokio::spawn(async move {
-                    watch_one(&board, &endpoint, incarnation, key, address).await;
-                    watched
-                        .lock()
-                        .unwrap_or_else(PoisonError::into_inner)
-                        .remove(&(key, address));
-                });
-            }
+        let wanted = wanted(&board);
+        let new = replace_watched(&watched, &wanted);
+        for (key, address) in new {
+            let watch = Watch {
+                board: Arc::clone(&board),
+                watched: Arc::clone(&watched),
+                key,
+                address,
+                interval: watch_interval(wanted.len()),
+            };
+            let endpoint = Arc::clone(&endpoint);
+            tokio::spawn(async move { watch.run(&endpoint, incarnation).await });
         }
+        endpoint.close_unused();
         tokio::time::sleep(WATCH_PAUSE).await;
     }
 }
 
-fn considered(board: &SharedBoard, limit: usize) -> Vec<(TargetKey, SocketAddr)> {
+/// The more targets are watched, the less often each reports, so that the bytes stay within a node's budget.
+fn watch_interval(count: usize) -> Duration {
+    (INTERVAL_PER_WATCHED * count as u32).max(MIN_INTERVAL)
+}
+
+/// Shows what is watched from now on; returns what was not before.
+fn replace_watched(watched: &Watched, wanted: &HashMap<TargetKey, SocketAddr>) -> Vec<(TargetKey, SocketAddr)> {
+    let mut watched = watched.lock().unwrap_or_else(PoisonError::into_inner);
+    watched.retain(|key, address| wanted.get(key) == Some(address));
+    let new = wanted.iter().filter(|(key, _)| !watched.contains_key(*key));
+    let new: Vec<(TargetKey, SocketAddr)> = new.map(|(key, address)| (*key, *address)).collect();
+    watched.extend(new.iter().copied());
+    new
+}
+
+/// The targets that were used last, and the nearest of those that never were.
+fn wanted(board: &SharedBoard) -> HashMap<TargetKey, SocketAddr> {
     let locked = board.lock();
-    let models: HashSet<&str> = locked.groups().map(|(_, group)| group.model.as_str()).collect();
-    let mut keys = Vec::new();
-    for model in models {
-        let all = locked.ranks_of(model);
-        keys.extend(board.subset(&locked, &model_pool(model), &all, limit).targets);
-    }
-    let in_service = locked
-        .targets()
-        .filter(|(_, target)| target.rank.is_none())
-        .map(|(key, _)| key);
-    keys.extend(in_service);
-    let addressed = |key: TargetKey| {
-        Some((
-            key,
-            locked
-                .target(key)
-                .filter(|target| target.standing == Standing::Live)?
-                .address?,
-        ))
-    };
-    keys.into_iter().filter_map(addressed).collect()
+    let live = locked.targets().filter(|(_, target)| target.standing == Standing::Live);
+    let mut ranked: Vec<_> = live
+        .filter_map(|(key, target)| {
+            Some((
+                std::cmp::Reverse(target.last_sent),
+                target.distance,
+                key,
+                target.address?,
+            ))
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(last_sent, distance, _, _)| (*last_sent, *distance));
+    ranked
+        .into_iter()
+        .take(MAX_WATCHED)
+        .map(|(_, _, key, address)| (key, address))
+        .collect()
 }
 
-/// Name of the subset of targets that serve `model`.
-pub(crate) fn model_pool(model: &str) -> String {
-    format!("model {model}")
+/// One target that is watched.
+struct Watch {
+    board: Arc<SharedBoard>,
+    watched: Watched,
+    key: TargetKey,
+    address: SocketAddr,
+    interval: Duration,
 }
 
-async fn watch_one(board: &SharedBoard, endpoint: &Endpoint, incarnation: u64, key: TargetKey, address: SocketAddr) {
-    let Ok(mut channel) = endpoint.open(address, Role::Agent).await else {
-        return;
-    };
-    let ask = Frame::Ask(Ask::Watch { entry: incarnation });
-    if channel.sender.send(&ask).await.is_err() {
-        return;
+impl Watch {
+    /// Takes in reports until the target is wanted no more or cannot be reached.
+    async fn run(self, endpoint: &Endpoint, incarnation: u64) {
+        // Whatever ends the stream, the next look at the wanted targets starts it again.
+        let _ended = self.follow(endpoint, incarnation).await;
+        self.watched
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&self.key);
+    }
+
+    async fn follow(&self, endpoint: &Endpoint, incarnation: u64) -> Option<()> {
+        let mut channel = endpoint.open(self.address, Role::Agent).await.ok()?;
+        let interval_ms = self.interval.as_millis() as u64;
+        let ask = Ask::Watch {
+            entry: incarnation,
+            interval_ms,
+        };
+        channel.sender.send(&Frame::Ask(ask)).await.ok()?;
+        while self.is_wanted() {
+            let Frame::Load(load) = channel.receiver.receive().await.ok()? else {
+                return None;
+            };
+            let now = self.board.now();
+            self.board.lock().apply_load(self.key, board_load(&load), now);
+        }
+        None
     }
-    while let Ok(Frame::Load(load)) = channel.receiver.receive().await {
-        let now = board.now();
-        board.lock().apply_load(key, board_load(&load), now);
+
+    fn is_wanted(&self) -> bool {
+        let watched = self.watched.lock().unwrap_or_else(PoisonError::into_inner);
+        watched.get(&self.key) == Some(&self.address)
     }
 }
 
+/// Name of the subset of targets that serve `model`.
+pub(crate) fn model_pool(model: &str) -> String {
+    format!("model {model}")
+}
+
 /// A load report in the board's units.
 pub(crate) fn board_load(load: &sparscale_wire::Load) -> Load {
     Load {
--- a/crates/sparscale_entry/src/program.rs
+++ b/crates/sparscale_entry/src/program.rs
@@ -20,8 +20,6 @@
 use crate::settings::{Raw, Settings};
 use crate::ticket::Seal;
 
-/// Targets of one model whose load an entry watches.
-const WATCHED_PER_MODEL: usize = 40;
 /// Time that the last frames get before the socket closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -83,7 +81,6 @@
         Arc::clone(&board),
         Arc::clone(&process.endpoint),
         process.incarnation,
-        WATCHED_PER_MODEL,
     ));
     tokio::spawn(peer::accept(
         Arc::clone(&process.journal),
--- a/crates/sparscale_wire/src/endpoint.rs
+++ b/crates/sparscale_wire/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quinn::{Connection, TransportConfig, VarInt};
 use rustls::pki_types::CertificateDer;
@@ -19,6 +19,8 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 /// Time that a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A connection without a stream is closed when the last one was opened longer ago.
+const UNUSED_TIMEOUT: Duration = Duration::from_secs(10);
 /// Streams that one peer may have open at once.
 const MAX_STREAMS: u32 = 16_384;
 
@@ -86,7 +88,35 @@
     incoming: quinn::Incoming,
 }
 
-type Slot = Arc<OnceCell<Connection>>;
+/// One connection, and who uses it.
+#[derive(Debug)]
+struct Slot {
+    connection: OnceCell<Connection>,
+    /// Cloned into each stream; the count tells whether any is open.
+    lease: Arc<()>,
+    opened: Mutex<Instant>,
+}
+
+impl Default for Slot {
+    fn default() -> Self {
+        Self {
+            connection: OnceCell::new(),
+            lease: Arc::default(),
+            opened: Mutex::new(Instant::now()),
+        }
+    }
+}
+
+impl Slot {
+    fn note_open(&self) {
+        *self.opened.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn is_unused(&self) -> bool {
+        let opened = *self.opened.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::strong_count(&self.lease) == 1 && opened.elapsed() > UNUSED_TIMEOUT
+    }
+}
 
 /// The socket of a process.
 #[derive(Debug)]
@@ -94,7 +124,7 @@
     socket: quinn::Endpoint,
     identity: Identity,
     client: Mutex<quinn::ClientConfig>,
-    connections: Mutex<HashMap<(SocketAddr, Role), Slot>>,
+    connections: Mutex<HashMap<(SocketAddr, Role), Arc<Slot>>>,
 }
 
 impl Endpoint {
@@ -134,17 +164,44 @@
     /// Opens a stream to the process at `address`, over the connection that stands or a new one.
     pub async fn open(&self, address: SocketAddr, role: Role) -> Result<Channel, Error> {
         let slot = self.slot(address, role);
-        let connection = slot.get_or_try_init(|| self.connect(address, role)).await?;
-        match connection.open_bi().await {
-            Ok((send, receive)) => Ok(Channel::new(send, receive)),
-            Err(_broken) => {
-                self.forget(address, role, &slot);
-                let slot = self.slot(address, role);
-                let connection = slot.get_or_try_init(|| self.connect(address, role)).await?;
-                let (send, receive) = connection.open_bi().await.context(ConnectionSnafu { address })?;
-                Ok(Channel::new(send, receive))
-            }
+        if let Ok(channel) = self.open_on(&slot, address, role).await? {
+            return Ok(channel);
         }
+        self.forget(address, role, &slot);
+        let slot = self.slot(address, role);
+        let opened = self.open_on(&slot, address, role).await?;
+        opened.context(ConnectionSnafu { address })
+    }
+
+    /// Opens a stream on the connection in `slot`; the inner error tells that the connection broke meanwhile.
+    async fn open_on(
+        &self,
+        slot: &Slot,
+        address: SocketAddr,
+        role: Role,
+    ) -> Result<Result<Channel, quinn::ConnectionError>, Error> {
+        let lease = Arc::clone(&slot.lease);
+        slot.note_open();
+        let connection = slot.connection.get_or_try_init(|| self.connect(address, role)).await?;
+        let opened = connection.open_bi().await;
+        Ok(opened.map(|(send, receive)| Channel::new(send, receive, Some(lease))))
+    }
+
+    /// Closes connections without any stream that nobody has used for a while; to be called now and then.
+    ///
+    /// An entry talks to a few agents all the time and to any other once in a while. Kept for ever, those connections'
+    /// keep-alive packets alone would use up a node's bytes.
+    pub fn close_unused(&self) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.retain(|_, slot| {
+            if !slot.is_unused() {
+                return true;
+            }
+            if let Some(connection) = slot.connection.get() {
+                connection.close(VarInt::from_u32(0), b"unused");
+            }
+            false
+        });
     }
 
     /// Closes all connections.
@@ -162,12 +219,12 @@
         connected.context(ConnectionSnafu { address })
     }
 
-    fn slot(&self, address: SocketAddr, role: Role) -> Slot {
+    fn slot(&self, address: SocketAddr, role: Role) -> Arc<Slot> {
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(connections.entry((address, role)).or_default())
     }
 
-    fn forget(&self, address: SocketAddr, role: Role, broken: &Slot) {
+    fn forget(&self, address: SocketAddr, role: Role, broken: &Arc<Slot>) {
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
         let same = connections
             .get(&(address, role))
@@ -193,7 +250,7 @@
     pub async fn accept(&self) -> Result<Channel, Error> {
         let address = self.connection.remote_address();
         let (send, receive) = self.connection.accept_bi().await.context(ConnectionSnafu { address })?;
-        Ok(Channel::new(send, receive))
+        Ok(Channel::new(send, receive, None))
     }
 }
 
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -63,6 +63,8 @@
     Watch {
         /// Incarnation of the asking entry.
         entry: u64,
+        /// Shortest time between two reports, in milliseconds.
+        interval_ms: u64,
     },
     /// Relay log records from offset `head` on; with `image`, start with the folded state.
     Follow {
--- a/crates/sparscale_wire/src/stream.rs
+++ b/crates/sparscale_wire/src/stream.rs
@@ -1,5 +1,7 @@
 //! Frames on one quinn stream.
 
+use std::sync::Arc;
+
 use bytes::{BufMut as _, Bytes, BytesMut};
 use futures::{SinkExt as _, StreamExt as _};
 use quinn::{RecvStream, SendStream, VarInt};
@@ -68,16 +70,19 @@
 /// Receives frames.
 #[derive(Debug)]
 pub struct Receiver {
+    /// Shows the endpoint that the connection is in use.
+    _lease: Option<Arc<()>>,
     frames: FramedRead<RecvStream, LengthDelimitedCodec>,
 }
 
 impl Channel {
-    pub(crate) fn new(send: SendStream, receive: RecvStream) -> Self {
+    pub(crate) fn new(send: SendStream, receive: RecvStream, lease: Option<Arc<()>>) -> Self {
         Self {
             sender: Sender {
                 frames: FramedWrite::new(send, codec()),
             },
             receiver: Receiver {
+                _lease: lease,
                 frames: FramedRead::new(receive, codec()),
             },
         }
