--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -217,6 +217,11 @@
         }
     }
 
+    /// Reads what follows the end marker: only a body that was read to its end leaves its connection for the next call.
+    async fn read_to_end(&mut self) {
+        while let Some(Ok(_)) = self.body.frame().await {}
+    }
+
     async fn read_more(&mut self) -> Option<Result<(), CallError>> {
         match self.body.frame().await {
             Some(Ok(frame)) => {
@@ -243,6 +248,7 @@
                 return Some(Ok(event));
             }
             if self.done {
+                self.read_to_end().await;
                 return None;
             }
             if let Err(error) = self.read_more().await? {
--- a/crates/sparscale_agent/src/order.rs
+++ b/crates/sparscale_agent/src/order.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use sparscale_bundle::Group;
 use sparscale_control::Journal;
-use sparscale_journal::Duty;
+use sparscale_journal::{Duty, shape};
+use sparscale_place::Map;
 use sparscale_place::switch::{Act, Order, Report};
-use sparscale_place::{Map, Shape};
 use sparscale_telemetry::DECISION;
 use tokio::sync::Mutex;
 
@@ -66,7 +65,7 @@
         let certificate = self.journal.in_force();
         let found = certificate
             .as_ref()
-            .and_then(|certificate| find(certificate.bundle.fleet().groups.iter(), group));
+            .and_then(|certificate| certificate.bundle.fleet().group(group));
         found.is_some_and(|group| group.ranks.contains(&self.target))
     }
 
@@ -90,7 +89,7 @@
     /// The map with this number: the initial one, the latest one in the log, or the one before it.
     fn map(&self, group: &str, number: u64) -> Option<Numbered> {
         let certificate = self.journal.in_force()?;
-        let shape = shape(find(certificate.bundle.fleet().groups.iter(), group)?);
+        let shape = shape(certificate.bundle.fleet().group(group)?);
         let map = self.journal.with_state(|state| {
             let placed = state.map(group);
             match placed {
@@ -104,19 +103,6 @@
     }
 }
 
-fn find<'a>(mut groups: impl Iterator<Item = &'a Group>, name: &str) -> Option<&'a Group> {
-    groups.find(|group| group.name == name)
-}
-
-fn shape(group: &Group) -> Shape {
-    Shape {
-        ranks: group.ranks.len(),
-        layers: group.layers as usize,
-        experts: group.experts as usize,
-        slots: group.slots as usize,
-    }
-}
-
 /// The report that tells a placer of a higher fence.
 fn refused(fence: u64) -> Report {
     Report {
--- a/crates/sparscale_bench/src/main.rs
+++ b/crates/sparscale_bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 mod fold;
+mod keys;
 mod operators;
 mod path;
 mod place;
@@ -24,6 +25,7 @@
         .subcommand(Command::new("fold").about("The log: fold, deltas, memory"))
         .subcommand(Command::new("path").about("The request path: added time and processor time"))
         .subcommand(Command::new("rollout").about("Rollouts: time to in force, bytes and processor time per follower"))
+        .subcommand(Command::new("keys").about("At most once: added time, appends, share refused in an outage"))
         .get_matches();
     let result = match matches.subcommand_name() {
         Some("route") => route::run(),
@@ -34,6 +36,7 @@
         Some("queue") => queue::run(),
         Some("fold") => fold::run(),
         Some("path") => path::run().await,
+        Some("keys") => keys::run().await,
         _ => rollout::run().await,
     };
     if let Err(error) = result {
--- a/crates/sparscale_board/src/board.rs
+++ b/crates/sparscale_board/src/board.rs
@@ -1,6 +1,6 @@
 //! Targets and groups, and how controllers change them.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -246,26 +246,20 @@
     }
 
     fn replace_targets(&mut self, fleet: &Fleet) {
-        let listed: HashMap<&str, &str> = fleet
-            .targets
-            .iter()
-            .map(|target| (target.name.as_str(), target.hall.as_str()))
-            .collect();
-        self.targets
-            .retain(|_, target| listed.contains_key(target.name.as_str()));
+        let listed: HashSet<&str> = fleet.targets.iter().map(|target| target.name.as_str()).collect();
+        self.targets.retain(|_, target| listed.contains(target.name.as_str()));
         let targets = &self.targets;
         self.by_name.retain(|_, key| targets.contains_key(*key));
-        for (name, hall) in listed {
-            let distance = distance(fleet, &self.hall, hall);
-            let key = self.by_name.get(name).copied().unwrap_or_else(|| {
+        for described in &fleet.targets {
+            let key = self.by_name.get(&described.name).copied().unwrap_or_else(|| {
                 self.targets.insert(Target {
-                    name: name.to_owned(),
+                    name: described.name.clone(),
                     ..Target::default()
                 })
             });
-            self.by_name.insert(name.to_owned(), key);
+            self.by_name.insert(described.name.clone(), key);
             if let Some(target) = self.targets.get_mut(key) {
-                target.distance = distance;
+                target.distance = distance(fleet, &self.hall, &described.hall);
                 target.rank = None;
             }
         }
--- a/crates/sparscale_board/src/hints.rs
+++ b/crates/sparscale_board/src/hints.rs
@@ -58,6 +58,9 @@
 
     /// Number of leading blocks that the target probably has.
     pub fn expected_hit(&self, blocks: &[u64], now: Duration) -> usize {
+        if self.seen.is_empty() {
+            return 0;
+        }
         let fresh = |block: &&u64| {
             self.seen
                 .get(block)
--- a/crates/sparscale_board/src/model.rs
+++ b/crates/sparscale_board/src/model.rs
@@ -64,7 +64,7 @@
         }
         let mean_load = self.load / self.weight;
         let mean_time = self.time / self.weight;
-        (mean_time + self.slope_ms() * (load - mean_load)).max(0.0)
+        mean_time + self.slope_ms() * (load - mean_load)
     }
 }
 
--- a/crates/sparscale_bundle/src/document.rs
+++ b/crates/sparscale_bundle/src/document.rs
@@ -41,6 +41,13 @@
     pub limits: Limits,
 }
 
+impl Fleet {
+    /// The group called `name`.
+    pub fn group(&self, name: &str) -> Option<&Group> {
+        self.groups.iter().find(|group| group.name == name)
+    }
+}
+
 /// An operator who signs records.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/sparscale_entry/src/binding.rs
@@ -0,0 +1,108 @@
+//! Binds requests that may not be repeated to one agent incarnation: by ticket, or by a record in the log.
+
+use std::time::{Duration, SystemTime};
+
+use sparscale_control::SubmitError;
+use sparscale_journal::{Binding, BindingKey, Body as RecordBody, Verdict};
+
+use http::StatusCode;
+
+use crate::caller::{Api, bad_request};
+use crate::dispatch::{Job, Pool};
+use crate::problem::Problem;
+use crate::ticket::{self, TICKET_PREFIX};
+
+/// Time for which the outcome under a plain key is kept by its agent.
+const KEEP_PLAIN_KEY: Duration = Duration::from_mins(50);
+/// Time by which an agent keeps an outcome beyond the ticket's end, for clocks that differ.
+const KEEP_AFTER_TICKET: Duration = Duration::from_mins(5);
+/// Time that binding a key through the log may take.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+/// When to come back while the log is down or has no room.
+const LOG_RETRY: Duration = Duration::from_secs(2);
+
+impl Api {
+    /// Binds a request to one agent incarnation, through the ticket that it carries or through the log.
+    pub(crate) async fn bind(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
+        job.key = Some(BindingKey::new(&job.workspace.name, key));
+        if key.starts_with(TICKET_PREFIX) {
+            return self.bind_by_ticket(job, service, key);
+        }
+        self.bind_by_log(job).await
+    }
+
+    fn bind_by_ticket(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
+        let opened = self.dispatcher.seal.open_ticket(key, SystemTime::now());
+        let ticket = match opened {
+            Ok(ticket) => ticket,
+            Err(ticket::Error::Expired) => {
+                return Err(Problem::unknown(
+                    "the ticket has expired: it may have been used before, and nothing can run under it any more",
+                ));
+            }
+            Err(error) => return Err(bad_request(&error.to_string())),
+        };
+        if ticket.workspace != job.workspace.name || ticket.service != service {
+            return Err(bad_request("the ticket was issued for another workspace or service"));
+        }
+        let left = ticket.expires.saturating_sub(ticket::seconds(SystemTime::now()));
+        job.keep = Duration::from_secs(left) + KEEP_AFTER_TICKET;
+        job.pool = Pool::Bound {
+            target: ticket.target,
+            incarnation: ticket.incarnation,
+        };
+        Ok(())
+    }
+
+    async fn bind_by_log(&self, job: &mut Job) -> Result<(), Problem> {
+        let Some(key) = job.key else { return Ok(()) };
+        job.keep = KEEP_PLAIN_KEY;
+        let known = self.journal.with_state(|state| state.binding(&key).cloned());
+        let binding = match known {
+            Some(binding) => binding,
+            None => self.append_binding(job, key).await?,
+        };
+        job.pool = Pool::Bound {
+            target: binding.target,
+            incarnation: binding.incarnation,
+        };
+        Ok(())
+    }
+
+    /// Appends a binding and reads back which one won.
+    async fn append_binding(&self, job: &Job, key: BindingKey) -> Result<Binding, Problem> {
+        let (target, incarnation) = self.dispatcher.choose_home(job)?;
+        let binding = Binding {
+            key,
+            target,
+            incarnation,
+            body: [0; 32],
+        };
+        let submitted = self
+            .journal
+            .submit(RecordBody::Bind(binding.clone()), BIND_TIMEOUT)
+            .await;
+        match submitted {
+            Ok(receipt) if receipt.verdict == Verdict::Accepted => Ok(binding),
+            Ok(_) => {
+                let winner = self.journal.with_state(|state| state.binding(&key).cloned());
+                winner.ok_or_else(|| Problem::unknown("the log refused the key").retry_after(LOG_RETRY))
+            }
+            Err(error) => Err(binding_unknown(&error)),
+        }
+    }
+}
+
+/// This sending was not run, but an earlier one under the same key may have been: only the log could tell.
+fn binding_unknown(error: &SubmitError) -> Problem {
+    let retry = match error {
+        SubmitError::Budget { retry_after } => *retry_after,
+        SubmitError::NotAppended { .. } | SubmitError::Unknown => LOG_RETRY,
+    };
+    let detail = format!(
+        "this sending was not run; whether an earlier one under the key was cannot be told now ({error}); send it again with the same key, or use a ticket"
+    );
+    let mut problem = Problem::unknown(detail).retry_after(retry);
+    problem.status = StatusCode::SERVICE_UNAVAILABLE;
+    problem
+}
--- a/crates/sparscale_entry/src/board_control.rs
+++ b/crates/sparscale_entry/src/board_control.rs
@@ -17,7 +17,7 @@
 /// Targets that one entry watches at most.
 const MAX_WATCHED: usize = 16;
 /// Time between two reports of one target, for each target that is watched, and the shortest.
-const INTERVAL_PER_WATCHED: Duration = Duration::from_millis(50);
+const INTERVAL_PER_WATCHED: Duration = Duration::from_millis(60);
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The board of this entry, with the time that it is measured in.
--- a/crates/sparscale_entry/src/caller.rs
+++ b/crates/sparscale_entry/src/caller.rs
@@ -1,6 +1,5 @@
 //! The HTTP face towards callers.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
@@ -9,17 +8,13 @@
 use dropshot::{ApiDescription, Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
 use futures::StreamExt as _;
 use http::{HeaderMap, Response, StatusCode, header};
-use http_body_util::StreamBody;
-use hyper::body::Frame;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use sparscale_board::prefix_blocks;
 use sparscale_bundle::{Bundle, Workspace};
-use sparscale_control::{Journal, SubmitError};
-use sparscale_journal::{Binding, BindingKey, Body as RecordBody, Verdict};
+use sparscale_control::Journal;
 use sparscale_route::Request as RouteRequest;
 use sparscale_wire::{Call, Settlement};
-use sync_wrapper::SyncStream;
 use tokio::time::Instant;
 
 use crate::completion;
@@ -27,7 +22,8 @@
 use crate::limits::{InFlight, Place};
 use crate::live::Live;
 use crate::problem::Problem;
-use crate::ticket::{self, TICKET_PREFIX, Ticket};
+use crate::respond::{answer_text, json_response, service_response, stream_answer};
+use crate::ticket::{self, Ticket};
 
 /// Header in which a caller names its deadline, in milliseconds from now.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -35,14 +31,6 @@
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in characters.
 const MAX_KEY: usize = 255;
-/// Time for which the outcome under a plain key is kept by its agent.
-const KEEP_PLAIN_KEY: Duration = Duration::from_mins(50);
-/// Time by which an agent keeps an outcome beyond the ticket's end, for clocks that differ.
-const KEEP_AFTER_TICKET: Duration = Duration::from_mins(5);
-/// Time that binding a key through the log may take.
-const BIND_TIMEOUT: Duration = Duration::from_secs(2);
-/// When to come back while the log is down or has no room.
-const LOG_RETRY: Duration = Duration::from_secs(2);
 /// When to come back to an entry that has no bundle, and with a workspace that has too much in progress.
 const SHORT_RETRY: Duration = Duration::from_secs(1);
 /// Expected work of a plain service's call, in tokens.
@@ -270,76 +258,6 @@
         service_response(&live, Bytes::from(chunks.concat()))
     }
 
-    /// Binds a request to one agent incarnation, through the ticket that it carries or through the log.
-    async fn bind(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
-        job.key = Some(BindingKey::new(&job.workspace.name, key));
-        if key.starts_with(TICKET_PREFIX) {
-            return self.bind_by_ticket(job, service, key);
-        }
-        self.bind_by_log(job).await
-    }
-
-    fn bind_by_ticket(&self, job: &mut Job, service: &str, key: &str) -> Result<(), Problem> {
-        let opened = self.dispatcher.seal.open_ticket(key, SystemTime::now());
-        let ticket = match opened {
-            Ok(ticket) => ticket,
-            Err(ticket::Error::Expired) => {
-                return Err(Problem::unknown(
-                    "the ticket has expired: it may have been used before, and nothing can run under it any more",
-                ));
-            }
-            Err(error) => return Err(bad_request(&error.to_string())),
-        };
-        if ticket.workspace != job.workspace.name || ticket.service != service {
-            return Err(bad_request("the ticket was issued for another workspace or service"));
-        }
-        let left = ticket.expires.saturating_sub(ticket::seconds(SystemTime::now()));
-        job.keep = Duration::from_secs(left) + KEEP_AFTER_TICKET;
-        job.pool = Pool::Bound {
-            target: ticket.target,
-            incarnation: ticket.incarnation,
-        };
-        Ok(())
-    }
-
-    async fn bind_by_log(&self, job: &mut Job) -> Result<(), Problem> {
-        let Some(key) = job.key else { return Ok(()) };
-        job.keep = KEEP_PLAIN_KEY;
-        let known = self.journal.with_state(|state| state.binding(&key).cloned());
-        let binding = match known {
-            Some(binding) => binding,
-            None => self.append_binding(job, key).await?,
-        };
-        job.pool = Pool::Bound {
-            target: binding.target,
-            incarnation: binding.incarnation,
-        };
-        Ok(())
-    }
-
-    /// Appends a binding and reads back which one won.
-    async fn append_binding(&self, job: &Job, key: BindingKey) -> Result<Binding, Problem> {
-        let (target, incarnation) = self.dispatcher.choose_home(job)?;
-        let binding = Binding {
-            key,
-            target,
-            incarnation,
-            body: [0; 32],
-        };
-        let submitted = self
-            .journal
-            .submit(RecordBody::Bind(binding.clone()), BIND_TIMEOUT)
-            .await;
-        match submitted {
-            Ok(receipt) if receipt.verdict == Verdict::Accepted => Ok(binding),
-            Ok(_) => {
-                let winner = self.journal.with_state(|state| state.binding(&key).cloned());
-                winner.ok_or_else(|| Problem::unknown("the log refused the key").retry_after(LOG_RETRY))
-            }
-            Err(error) => Err(binding_unknown(&error)),
-        }
-    }
-
     fn issue_ticket(&self, headers: &HeaderMap, service: String) -> Result<Response<Body>, Problem> {
         let caller = self.caller(headers)?;
         if !caller.bundle.fleet().services.iter().any(|known| known.name == service) {
@@ -458,63 +376,6 @@
     }
 }
 
-fn stream_answer(live: Live, place: Place) -> Response<Body> {
-    let id = live.request_id();
-    let state = Stream {
-        live,
-        pending: VecDeque::new(),
-        over: false,
-        _place: place,
-    };
-    let events = futures::stream::unfold(state, |mut state| async move {
-        let event = state.next().await?;
-        Some((Ok::<_, std::convert::Infallible>(Frame::data(event)), state))
-    });
-    // A handler's body has to be shareable between threads; polling it from one at a time is all that is needed.
-    let body = Body::wrap(StreamBody::new(SyncStream::new(events)));
-    let mut response = Response::new(body);
-    let headers = response.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        header::HeaderValue::from_static("text/event-stream"),
-    );
-    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
-    if let Ok(id) = header::HeaderValue::from_str(&id) {
-        headers.insert("x-request-id", id);
-    }
-    response
-}
-
-/// A stream of events, with the place that its request takes.
-struct Stream {
-    live: Live,
-    pending: VecDeque<Bytes>,
-    over: bool,
-    _place: Place,
-}
-
-impl Stream {
-    async fn next(&mut self) -> Option<Bytes> {
-        if let Some(event) = self.pending.pop_front() {
-            return Some(event);
-        }
-        if self.over {
-            return None;
-        }
-        match self.live.next().await {
-            Some(Ok(piece)) => Some(completion::event(&piece)),
-            Some(Err(problem)) => {
-                self.over = true;
-                Some(completion::error_event(&problem.to_json()))
-            }
-            None => {
-                self.over = true;
-                Some(completion::done())
-            }
-        }
-    }
-}
-
 async fn collect_chunks(live: &mut Live) -> Result<Vec<Bytes>, Problem> {
     let mut chunks = Vec::new();
     while let Some(chunk) = live.next().await {
@@ -523,33 +384,6 @@
     Ok(chunks)
 }
 
-fn answer_text(pieces: &[Bytes]) -> Result<String, Problem> {
-    let texts: Result<Vec<String>, _> = pieces.iter().map(|piece| completion::piece_text(piece)).collect();
-    let texts = texts.map_err(|error| Problem::failed(format!("the engine's answer: {error}")))?;
-    Ok(texts.concat())
-}
-
-fn service_response(live: &Live, body: Bytes) -> Result<Response<Body>, Problem> {
-    let mut response = Response::new(Body::from(body));
-    *response.status_mut() = StatusCode::from_u16(live.head.status)
-        .map_err(|_range| Problem::failed("the target's status is no HTTP status"))?;
-    let headers = response.headers_mut();
-    if let Ok(content_type) = header::HeaderValue::from_str(&live.head.content_type) {
-        headers.insert(header::CONTENT_TYPE, content_type);
-    }
-    if let Ok(id) = header::HeaderValue::from_str(&live.request_id()) {
-        headers.insert("x-request-id", id);
-    }
-    Ok(response)
-}
-
-fn json_response(json: String) -> Response<Body> {
-    let mut response = Response::new(Body::from(json));
-    let json = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
-}
-
 fn repeatable(bundle: &Bundle, path: &ServicePath) -> Result<bool, Problem> {
     let service = bundle
         .fleet()
@@ -588,21 +422,7 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-/// This sending was not run, but an earlier one under the same key may have been: only the log could tell.
-fn binding_unknown(error: &SubmitError) -> Problem {
-    let retry = match error {
-        SubmitError::Budget { retry_after } => *retry_after,
-        SubmitError::NotAppended { .. } | SubmitError::Unknown => LOG_RETRY,
-    };
-    let detail = format!(
-        "this sending was not run; whether an earlier one under the key was cannot be told now ({error}); send it again with the same key, or use a ticket"
-    );
-    let mut problem = Problem::unknown(detail).retry_after(retry);
-    problem.status = StatusCode::SERVICE_UNAVAILABLE;
-    problem
-}
-
-fn bad_request(detail: &str) -> Problem {
+pub(crate) fn bad_request(detail: &str) -> Problem {
     Problem::not_run(StatusCode::BAD_REQUEST, "The request is not valid", detail)
 }
 
--- a/crates/sparscale_entry/src/lib.rs
+++ b/crates/sparscale_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! No entry is special. Each follows the log, keeps a board of targets, and may hold a placer's duty.
 
 pub mod assembly;
+mod binding;
 mod board_control;
 mod caller;
 mod completion;
@@ -15,6 +16,7 @@
 mod placer_group;
 mod problem;
 mod program;
+mod respond;
 mod settings;
 mod ticket;
 
--- a/crates/sparscale_entry/src/placer_group.rs
+++ b/crates/sparscale_entry/src/placer_group.rs
@@ -6,8 +6,8 @@
 
 use futures::future::join_all;
 use sparscale_bundle::{Group, Placement};
-use sparscale_journal::{Body, Duty, MapChange};
-use sparscale_place::switch::{Conductor, Order, Progress, Report};
+use sparscale_journal::{Body, Duty, MapChange, shape};
+use sparscale_place::switch::{Act, Conductor, Order, Progress, Report};
 use sparscale_place::{Costs, Counts, Decision, Map, Shape, decide};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Ask, Frame, Role};
@@ -17,16 +17,15 @@
 
 /// Pause between two rounds of orders while a switch goes on.
 const BUSY_PAUSE: Duration = Duration::from_millis(20);
-/// Pause between two rounds for each rank while nothing goes on; it bounds the bytes that a placer spends.
-const IDLE_PAUSE_PER_RANK: Duration = Duration::from_millis(40);
-/// Shortest pause between two rounds while nothing goes on.
-const MIN_IDLE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks while nothing goes on.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
 /// Time that a rank has to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an attempt to arm all ranks is given up, so that those that are armed go on.
 const ARM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Ranks that are asked for expert counts in one round; all ranks see much the same tokens.
-const COUNTED_RANKS: usize = 8;
+/// Ranks that are asked for expert counts in one round. Counts are cumulative, so a rank that is asked later has lost
+/// nothing, and two of 64 ranks at a time keep a placer within its bytes.
+const COUNTED_RANKS: usize = 2;
 /// Time that the append of a map may take.
 const MAP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Decisions in one half-life of the counts.
@@ -53,6 +52,13 @@
     next_rank: usize,
 }
 
+/// Which rank was asked last whether the group goes on, and the step that it told.
+#[derive(Default)]
+struct Probe {
+    rank: usize,
+    step: u64,
+}
+
 /// The group as the bundle in force describes it.
 struct Facts {
     group: Group,
@@ -99,13 +105,8 @@
     fn facts(&self) -> Option<Facts> {
         let certificate = self.context.journal.in_force()?;
         let fleet = certificate.bundle.fleet();
-        let group = fleet.groups.iter().find(|group| group.name == self.group)?.clone();
-        let shape = Shape {
-            ranks: group.ranks.len(),
-            layers: group.layers as usize,
-            experts: group.experts as usize,
-            slots: group.slots as usize,
-        };
+        let group = fleet.group(&self.group)?.clone();
+        let shape = shape(&group);
         let placed = self.context.journal.with_state(|state| state.map(&self.group).cloned());
         Some(Facts {
             placement: fleet.placement.clone(),
@@ -123,11 +124,13 @@
         let mut conductor = Conductor::new(self.fence, facts.group.ranks.len(), facts.number);
         let decide_after = facts.placement.half_life_seconds / DECISIONS_PER_HALF_LIFE;
         let decide_at = Instant::now() + Duration::from_secs_f64(decide_after);
-        let idle = (IDLE_PAUSE_PER_RANK * facts.group.ranks.len() as u32).max(MIN_IDLE_PAUSE);
+        let mut probe = Probe::default();
         let mut arming_since = None;
         let mut last = Progress::Enlisting;
         loop {
-            self.round(&mut conductor, facts).await;
+            if last != Progress::Done || !self.still_advances(&mut probe, facts).await {
+                self.round(&mut conductor, facts).await;
+            }
             let progress = conductor.progress();
             if progress != last {
                 log::info!(target: DECISION, decision = "switch", group = self.group.as_str(), fence = self.fence, goal = facts.number, progress:? = progress; "switch");
@@ -136,7 +139,7 @@
             match progress {
                 Progress::Overtaken | Progress::Stuck => return progress,
                 Progress::Done if Instant::now() >= decide_at => return progress,
-                Progress::Done => tokio::time::sleep(idle).await,
+                Progress::Done => tokio::time::sleep(IDLE_PAUSE).await,
                 Progress::Arming | Progress::Enlisting => {
                     let since = *arming_since.get_or_insert_with(Instant::now);
                     if since.elapsed() > ARM_TIMEOUT {
@@ -156,6 +159,31 @@
         }
     }
 
+    /// Asks one rank, another each time, whether its group goes on.
+    ///
+    /// Ranks advance together: one that was replaced, or is held, stops them all. So one answer tells of all ranks, at
+    /// a 64th of the bytes of asking each.
+    async fn still_advances(&self, probe: &mut Probe, facts: &Facts) -> bool {
+        let ranks = &facts.group.ranks;
+        probe.rank = (probe.rank + 1) % ranks.len().max(1);
+        let Some(rank) = ranks.get(probe.rank) else {
+            return false;
+        };
+        let order = Order {
+            fence: self.fence,
+            act: Act::Enlist,
+        };
+        let Some(report) = self.send(rank, order).await else {
+            return false;
+        };
+        let advanced = report.step > probe.step;
+        probe.step = report.step;
+        let on_goal = report
+            .plan
+            .is_some_and(|plan| plan.number == facts.number && plan.next.is_none());
+        advanced && on_goal && report.fence == self.fence
+    }
+
     /// Sends each rank its next order and takes in the answers.
     async fn round(&self, conductor: &mut Conductor, facts: &Facts) {
         conductor.drop_missed_attempt();
--- /dev/null
+++ b/crates/sparscale_entry/src/respond.rs
@@ -0,0 +1,99 @@
+//! Answers as callers get them: streams of events, whole completions, a plain service's answer.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::{Response, StatusCode, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use sync_wrapper::SyncStream;
+
+use crate::completion;
+use crate::limits::Place;
+use crate::live::Live;
+use crate::problem::Problem;
+
+pub(crate) fn stream_answer(live: Live, place: Place) -> Response<Body> {
+    let id = live.request_id();
+    let state = Stream {
+        live,
+        pending: VecDeque::new(),
+        over: false,
+        _place: place,
+    };
+    let events = futures::stream::unfold(state, |mut state| async move {
+        let event = state.next().await?;
+        Some((Ok::<_, std::convert::Infallible>(Frame::data(event)), state))
+    });
+    // A handler's body has to be shareable between threads; polling it from one at a time is all that is needed.
+    let body = Body::wrap(StreamBody::new(SyncStream::new(events)));
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
+    if let Ok(id) = header::HeaderValue::from_str(&id) {
+        headers.insert("x-request-id", id);
+    }
+    response
+}
+
+/// A stream of events, with the place that its request takes.
+struct Stream {
+    live: Live,
+    pending: VecDeque<Bytes>,
+    over: bool,
+    _place: Place,
+}
+
+impl Stream {
+    async fn next(&mut self) -> Option<Bytes> {
+        if let Some(event) = self.pending.pop_front() {
+            return Some(event);
+        }
+        if self.over {
+            return None;
+        }
+        match self.live.next().await {
+            Some(Ok(piece)) => Some(completion::event(&piece)),
+            Some(Err(problem)) => {
+                self.over = true;
+                Some(completion::error_event(&problem.to_json()))
+            }
+            None => {
+                self.over = true;
+                Some(completion::done())
+            }
+        }
+    }
+}
+
+pub(crate) fn answer_text(pieces: &[Bytes]) -> Result<String, Problem> {
+    let texts: Result<Vec<String>, _> = pieces.iter().map(|piece| completion::piece_text(piece)).collect();
+    let texts = texts.map_err(|error| Problem::failed(format!("the engine's answer: {error}")))?;
+    Ok(texts.concat())
+}
+
+pub(crate) fn service_response(live: &Live, body: Bytes) -> Result<Response<Body>, Problem> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = StatusCode::from_u16(live.head.status)
+        .map_err(|_range| Problem::failed("the target's status is no HTTP status"))?;
+    let headers = response.headers_mut();
+    if let Ok(content_type) = header::HeaderValue::from_str(&live.head.content_type) {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    if let Ok(id) = header::HeaderValue::from_str(&live.request_id()) {
+        headers.insert("x-request-id", id);
+    }
+    Ok(response)
+}
+
+pub(crate) fn json_response(json: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(json));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -12,7 +12,7 @@
 use nix::sys::signal::Signal;
 use serde::Serialize;
 use serde_json::json;
-use sparscale_bundle::{Document, Operator, sign};
+use sparscale_bundle::{Document, Operator};
 use sparscale_standin::boxes::{List, Listed, Role, Standing};
 use sparscale_standin::{Fault, keys};
 
@@ -32,17 +32,17 @@
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 /// Operators of every fleet.
-const OPERATORS: [&str; 3] = ["alice", "bob", "carol"];
+pub(crate) const OPERATORS: [&str; 3] = ["alice", "bob", "carol"];
 
 /// Ports on the fleet's own address.
-const LOG_PORT: u16 = 7_000;
-const BOXES_PORT: u16 = 7_001;
+pub(crate) const LOG_PORT: u16 = 7_000;
+pub(crate) const BOXES_PORT: u16 = 7_001;
 const WEIGHTS_PORT: u16 = 7_002;
 const RANK_PORT: u16 = 7_100;
-const SERVICE_PORT: u16 = 7_200;
-const AGENT_PORT: u16 = 7_300;
-const ENTRY_PORT: u16 = 7_400;
-const CALLERS_PORT: u16 = 7_500;
+pub(crate) const SERVICE_PORT: u16 = 7_200;
+pub(crate) const AGENT_PORT: u16 = 7_300;
+pub(crate) const ENTRY_PORT: u16 = 7_400;
+pub(crate) const CALLERS_PORT: u16 = 7_500;
 
 /// What went wrong with a fleet, as text for a test's message.
 pub type Error = String;
@@ -50,10 +50,10 @@
 /// A whole system on loopback.
 #[derive(Debug)]
 pub struct Fleet {
-    plan: Plan,
-    folder: PathBuf,
+    pub(crate) plan: Plan,
+    pub(crate) folder: PathBuf,
     address: IpAddr,
-    operators: Vec<Operator>,
+    pub(crate) operators: Vec<Operator>,
     processes: BTreeMap<String, Process>,
     client: Client,
 }
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Ends a process at once while requests to it go on; [`Fleet::kill`] cleans up after it.
+    pub fn crash(&self, name: &str) -> Result<(), Error> {
+        self.signal(name, Signal::SIGKILL)
+    }
+
     /// Stops a process without ending it, as a long pause would.
     pub fn freeze(&self, name: &str) -> Result<(), Error> {
         self.signal(name, Signal::SIGSTOP)
@@ -453,81 +458,6 @@
         Ok(())
     }
 
-    fn write_operators(&mut self) -> Result<(), Error> {
-        for name in OPERATORS {
-            let key = sign::new_key();
-            let path = self.folder.join(format!("{name}.key"));
-            fs::write(path, hex::encode(key.to_bytes())).map_err(text)?;
-            self.operators.push(Operator {
-                name: name.to_owned(),
-                key: sign::public_text(&key),
-            });
-        }
-        for name in OPERATORS {
-            let settings = json!({
-                "log": self.url(LOG_PORT),
-                "operator": name,
-                "key_file": self.folder.join(format!("{name}.key")),
-                "operators": self.operators,
-                "patience_seconds": 5,
-            });
-            self.write_json(&format!("operator-{name}"), &settings)?;
-        }
-        Ok(())
-    }
-
-    fn write_settings(&self) -> Result<(), Error> {
-        for (index, name) in self.agent_names().into_iter().enumerate() {
-            let is_rank = index < self.plan.ranks;
-            let target = if is_rank {
-                format!("http://{}", self.rank_socket(index))
-            } else {
-                self.url(SERVICE_PORT + (index - self.plan.ranks) as u16)
-            };
-            let settings = json!({
-                "process": self.process_settings(&name, "agent", index, AGENT_PORT),
-                "kind": if is_rank { "model" } else { "service" },
-                "target": target,
-                "ledger_entries": 100_000,
-            });
-            self.write_json(&name, &settings)?;
-        }
-        for (index, name) in self.plan.entry_names().into_iter().enumerate() {
-            let settings = json!({
-                "process": self.process_settings(&name, "entry", index, ENTRY_PORT),
-                "callers": self.socket(CALLERS_PORT + index as u16),
-                "max_body_bytes": 262_144,
-                "secret": "a secret of the demo and of tests only",
-                "ticket_seconds": 600,
-                "stop_lag_ms": self.plan.stop_lag_ms,
-            });
-            self.write_json(&name, &settings)?;
-        }
-        Ok(())
-    }
-
-    fn process_settings(&self, name: &str, role: &str, index: usize, port: u16) -> serde_json::Value {
-        json!({
-            "name": name,
-            "hall": Plan::hall(index),
-            "listen": self.socket(port + index as u16),
-            "certificate": self.folder.join(format!("{role}.pem")),
-            "key": self.folder.join(format!("{role}.key")),
-            "authority": self.folder.join("authority.pem"),
-            "log": self.url(LOG_PORT),
-            "boxes": self.url(BOXES_PORT),
-            "boxes_interval_ms": 100,
-            "operators": self.operators,
-            "snapshot_every": self.plan.snapshot_every,
-            "metrics": null,
-        })
-    }
-
-    fn write_json(&self, name: &str, value: &serde_json::Value) -> Result<(), Error> {
-        let content = serde_json::to_string_pretty(value).map_err(text)?;
-        fs::write(self.settings_path(name), content).map_err(text)
-    }
-
     /// Base URL of the entry called `name`, for callers.
     pub fn callers_url(&self, name: &str) -> String {
         let index = index_of(name);
@@ -546,15 +476,15 @@
         }
     }
 
-    fn rank_socket(&self, index: usize) -> SocketAddr {
+    pub(crate) fn rank_socket(&self, index: usize) -> SocketAddr {
         self.socket(RANK_PORT + index as u16)
     }
 
-    fn socket(&self, port: u16) -> SocketAddr {
+    pub(crate) fn socket(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.address, port)
     }
 
-    fn url(&self, port: u16) -> String {
+    pub(crate) fn url(&self, port: u16) -> String {
         format!("http://{}", self.socket(port))
     }
 }
@@ -596,6 +526,6 @@
     IpAddr::V4(Ipv4Addr::new(127, 10 + (high & 0x7f), low, fleet as u8))
 }
 
-fn text(error: impl std::fmt::Display) -> Error {
+pub(crate) fn text(error: impl std::fmt::Display) -> Error {
     error.to_string()
 }
--- a/crates/sparscale_fleet/src/lib.rs
+++ b/crates/sparscale_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! are ended by their ids when the fleet is dropped.
 
 mod client;
+mod files;
 mod fleet;
 mod plan;
 mod process;
--- a/crates/sparscale_fleet/tests/process/broken_answers.rs
+++ b/crates/sparscale_fleet/tests/process/broken_answers.rs
@@ -43,11 +43,7 @@
             running = running => running?,
             _ = &mut request => return Err("the request ended before it could be cut".to_owned()),
         }
-        nix::sys::signal::kill(
-            nix::unistd::Pid::from_raw(fleet.process_id("rank-0").ok_or("it runs")?.cast_signed()),
-            nix::sys::signal::Signal::SIGKILL,
-        )
-        .map_err(|error| error.to_string())?;
+        fleet.crash("rank-0")?;
         request.await?
     };
     fleet.kill("rank-0");
@@ -187,11 +183,7 @@
             ran = ran => ran?,
             _ = &mut call => return Err("the call ended before it could be cut".to_owned()),
         }
-        nix::sys::signal::kill(
-            nix::unistd::Pid::from_raw(fleet.process_id("calc-0").ok_or("it runs")?.cast_signed()),
-            nix::sys::signal::Signal::SIGKILL,
-        )
-        .map_err(|error| error.to_string())?;
+        fleet.crash("calc-0")?;
         call.await?
     };
     fleet.kill("calc-0");
--- a/crates/sparscale_journal/src/fold.rs
+++ b/crates/sparscale_journal/src/fold.rs
@@ -333,8 +333,8 @@
             .map(|certificate| Arc::clone(certificate.bundle.fleet()));
         let Some(before) = before else { return };
         self.maps.retain(|name, placed| {
-            let same_ranks = group(&before, name).map(|old| &old.ranks) == group(fleet, name).map(|new| &new.ranks);
-            same_ranks && group(fleet, name).is_some_and(|new| placed.map.fits(shape(new)))
+            let same_ranks = before.group(name).map(|old| &old.ranks) == fleet.group(name).map(|new| &new.ranks);
+            same_ranks && fleet.group(name).is_some_and(|new| placed.map.fits(shape(new)))
         });
     }
 
@@ -378,7 +378,7 @@
         );
         let fleet = self.in_force.as_ref().map(|certificate| certificate.bundle.fleet());
         let fits = fleet
-            .and_then(|fleet| group(fleet, &change.group))
+            .and_then(|fleet| fleet.group(&change.group))
             .is_some_and(|group| change.map.fits(shape(group)));
         ensure!(fits, MapShapeSnafu { group: &change.group });
         let placed = PlacedMap {
@@ -478,11 +478,8 @@
     Refusal::Content { message }
 }
 
-fn group<'a>(fleet: &'a Fleet, name: &str) -> Option<&'a Group> {
-    fleet.groups.iter().find(|group| group.name == name)
-}
-
-fn shape(group: &Group) -> Shape {
+/// Dimensions of `group` as its expert map needs them.
+pub fn shape(group: &Group) -> Shape {
     Shape {
         ranks: group.ranks.len(),
         layers: group.layers as usize,
--- a/crates/sparscale_journal/src/lib.rs
+++ b/crates/sparscale_journal/src/lib.rs
@@ -13,7 +13,7 @@
 mod writer;
 
 pub use budget::{Budget, Kind};
-pub use fold::{Outcome, Refusal, Verdict};
+pub use fold::{Outcome, Refusal, Verdict, shape};
 pub use http::HttpLog;
 pub use log::{Batch, Entry, Error as LogError, Log};
 pub use reader::{Alarm, Error as ReaderError, Reader, without_image};
--- a/crates/sparscale_route/src/choice.rs
+++ b/crates/sparscale_route/src/choice.rs
@@ -111,6 +111,9 @@
     powers: f64,
     root: f64,
     total: f64,
+    /// Step time without load and for each sequence on the most loaded rank, in milliseconds.
+    base_ms: f64,
+    slope_ms: f64,
 }
 
 /// Chooses a target for `request` among `candidates`.
@@ -246,13 +249,12 @@
 
     /// Requests at the rank, the step time with one more there, and what each of its steps then costs all others.
     fn rank_costs(&self, group: GroupKey, rank: usize) -> Option<(f64, f64, f64)> {
-        let model = self.board.group(group)?.step;
         let load = self.group_load(group)?;
         let requests = *load.ranks.get(rank)?;
         let powers = load.powers - requests.powi(NORM) + (requests + 1.0).powi(NORM);
         let after = root(powers);
-        let longer = model.slope_ms() * (after - load.root);
-        Some((requests, model.step_ms(after), longer * load.total))
+        let longer = load.slope_ms * (after - load.root);
+        Some((requests, load.base_ms + load.slope_ms * after, longer * load.total))
     }
 
     fn group_load(&self, key: GroupKey) -> Option<&GroupLoad> {
@@ -340,6 +342,8 @@
         powers,
         root: root(powers),
         total: ranks.iter().sum(),
+        base_ms: group.step.step_ms(0.0),
+        slope_ms: group.step.slope_ms(),
         ranks,
     })
 }
