Streams: headers wait for the first token, so a broken answer can start again elsewhere

Cause: a streamed request whose agent died between the target's headers and the first token ended in an error, although the caller had seen nothing; and 5 % of first bytes came 46 ms late (headers and first token in two small writes). Before: stream_starts_elsewhere cannot pass (the headers are out). After: green; 30 process tests green.

--- a/crates/sparscale_entry/src/caller.rs
+++ b/crates/sparscale_entry/src/caller.rs
@@ -46,6 +46,15 @@
     pub(crate) stopping: AtomicBool,
 }
 
+/// How much of an answer is read before the caller sees any of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Extent {
+    /// Its first chunk.
+    FirstChunk,
+    /// All of it.
+    Whole,
+}
+
 /// A request whose caller is known.
 struct Caller {
     bundle: Arc<Bundle>,
@@ -185,10 +194,11 @@
             limits: caller.bundle.fleet().limits.clone(),
         });
         if request.stream {
-            let live = self.dispatcher.begin(&job).await?;
-            return Ok(stream_answer(live, caller.place));
+            // Headers wait for the first token: until then a broken answer can start again elsewhere.
+            let (live, first) = self.read(&job, Extent::FirstChunk).await?;
+            return Ok(stream_answer(live, &first, caller.place));
         }
-        let (live, pieces) = self.collect(&job).await?;
+        let (live, pieces) = self.read(&job, Extent::Whole).await?;
         let text = answer_text(&pieces)?;
         Ok(json_response(completion::whole(
             &live.request_id(),
@@ -197,8 +207,9 @@
         )))
     }
 
-    /// Reads a whole answer. While the caller has seen no byte, a broken one that may be repeated starts again.
-    async fn collect(&self, job: &Arc<Job>) -> Result<(Live, Vec<Bytes>), Problem> {
+    /// Reads an answer up to its first chunk, or whole. While the caller has seen no byte, a broken one that may be
+    /// repeated starts again.
+    async fn read(&self, job: &Arc<Job>, extent: Extent) -> Result<(Live, Vec<Bytes>), Problem> {
         const STARTS: usize = 3;
         let mut last = None;
         for _ in 0..STARTS {
@@ -207,7 +218,7 @@
                 Ok(live) => live,
                 Err(problem) => return Err(last.unwrap_or(problem)),
             };
-            let problem = match collect_chunks(&mut live).await {
+            let problem = match read_chunks(&mut live, extent).await {
                 Ok(chunks) => return Ok((live, chunks)),
                 Err(problem) => problem,
             };
@@ -254,7 +265,7 @@
         {
             self.bind(&mut job, &path.service, key).await?;
         }
-        let (live, chunks) = self.collect(&Arc::new(job)).await?;
+        let (live, chunks) = self.read(&Arc::new(job), Extent::Whole).await?;
         service_response(&live, Bytes::from(chunks.concat()))
     }
 
@@ -376,10 +387,13 @@
     }
 }
 
-async fn collect_chunks(live: &mut Live) -> Result<Vec<Bytes>, Problem> {
+async fn read_chunks(live: &mut Live, extent: Extent) -> Result<Vec<Bytes>, Problem> {
     let mut chunks = Vec::new();
     while let Some(chunk) = live.next().await {
         chunks.push(chunk?);
+        if extent == Extent::FirstChunk {
+            return Ok(chunks);
+        }
     }
     Ok(chunks)
 }
--- a/crates/sparscale_entry/src/respond.rs
+++ b/crates/sparscale_entry/src/respond.rs
@@ -14,11 +14,12 @@
 use crate::live::Live;
 use crate::problem::Problem;
 
-pub(crate) fn stream_answer(live: Live, place: Place) -> Response<Body> {
+/// A stream of events that starts with the chunks in `first`.
+pub(crate) fn stream_answer(live: Live, first: &[Bytes], place: Place) -> Response<Body> {
     let id = live.request_id();
     let state = Stream {
         live,
-        pending: VecDeque::new(),
+        pending: first.iter().map(|chunk| completion::event(chunk)).collect(),
         over: false,
         _place: place,
     };
--- a/crates/sparscale_fleet/tests/process/broken_answers.rs
+++ b/crates/sparscale_fleet/tests/process/broken_answers.rs
@@ -227,3 +227,29 @@
     }
     Ok(())
 }
+
+/// A streamed answer that breaks before its first token starts again elsewhere: the caller has seen no byte.
+#[tokio::test]
+async fn stream_starts_elsewhere() -> Result<(), Error> {
+    let fleet = Fleet::start("stream-starts-elsewhere", Plan::default()).await?;
+    let handed_on = || fleet.log_of("rank-0").matches("\"handed on\"").count();
+    let before = handed_on();
+    // The engine takes the request and answers with headers, but the group stands still: no token comes.
+    let frozen = |frozen: bool| serde_json::json!({ "frozen": frozen });
+    fleet.change_standin("rank-0", "/admin/rank", &frozen(true)).await?;
+    let request = fleet.stream_chat("entry-0", "teal", "patience", 20);
+    let crash = async {
+        eventually("the request is handed on", || async {
+            (handed_on() > before).then_some(())
+        })
+        .await?;
+        fleet.crash("rank-0")?;
+        fleet.change_standin("rank-0", "/admin/rank", &frozen(false)).await
+    };
+    let (stream, crashed) = tokio::join!(request, crash);
+    crashed?;
+    let events = stream?.rest().await?;
+    assert!(says_whole(&events), "{events}");
+    assert_eq!(streamed_text(&events), whole_answer("patience", 20));
+    Ok(())
+}
