--- a/crates/sparscale_settings/src/problem.rs
+++ b/crates/sparscale_settings/src/problem.rs
@@ -77,8 +77,16 @@
     line + 1
 }
 
+/// The line up to its comment. The slashes of a URL start none: no space stands before them.
+fn without_comment(line: &str) -> &str {
+    if line.trim_start().starts_with("//") {
+        return "";
+    }
+    line.split(" //").next().unwrap_or(line)
+}
+
 fn mentions(line: &str, word: &str) -> bool {
-    let code = line.split("//").next().unwrap_or(line);
+    let code = without_comment(line);
     let is_word = |character: char| character.is_alphanumeric() || character == '_' || character == '-';
     code.match_indices(word).any(|(start, _)| {
         let before = code[..start].chars().next_back();
--- a/crates/sparscale_settings/tests/settings_errors.rs
+++ b/crates/sparscale_settings/tests/settings_errors.rs
@@ -66,3 +66,9 @@
     let message = message("{\n  name: 'a',\n  limit: ,\n}");
     assert!(message.starts_with("box.json:3:"), "{message}");
 }
+
+#[test]
+fn line_behind_url() {
+    let text = "{\n  // name and limit\n  name: 'http://x', limit: 0, // the limit\n}";
+    assert_eq!(message(text), "box.json:3: limit: is 0; use 1 or more");
+}
