--- a/crates/sparscale_agent/src/answer.rs
+++ b/crates/sparscale_agent/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use sparscale_wire::Outcome;
+use sparscale_wire::Part;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -15,7 +15,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    parts: Vec<Outcome>,
+    parts: Vec<Part>,
     readers: usize,
     /// When the last reader left, or the answer ended; from then on it may be dropped.
     idle_since: Instant,
@@ -34,7 +34,7 @@
     }
 
     /// Adds a part, unless the answer has ended already.
-    pub(crate) fn push(&self, part: Outcome) {
+    pub(crate) fn push(&self, part: Part) {
         let mut inner = self.lock();
         if inner.parts.last().is_some_and(is_last) {
             return;
@@ -52,7 +52,7 @@
     }
 
     /// The part at `index`, as soon as it is there; none after the last.
-    pub(crate) async fn part(&self, index: usize) -> Option<Outcome> {
+    pub(crate) async fn part(&self, index: usize) -> Option<Part> {
         loop {
             let grown = self.grown.notified();
             {
@@ -98,9 +98,9 @@
     }
 }
 
-fn is_last(part: &Outcome) -> bool {
+fn is_last(part: &Part) -> bool {
     match part {
-        Outcome::Head(_) | Outcome::Chunk(_) => false,
-        Outcome::End { .. } | Outcome::Refused(_) | Outcome::Failed(_) => true,
+        Part::Head(_) | Part::Chunk(_) => false,
+        Part::End { .. } | Part::Refused(_) | Part::Failed(_) => true,
     }
 }
--- a/crates/sparscale_agent/src/connection.rs
+++ b/crates/sparscale_agent/src/connection.rs
@@ -5,8 +5,8 @@
 
 use sparscale_control::{Journal, serve_follower};
 use sparscale_wire::{
-    Answer as AnswerFrame, Ask, AttemptId, Channel, Endpoint, EndpointError, Failure, Frame, Outcome, Peer, Role,
-    Sender, StreamError,
+    Answer as AnswerFrame, Ask, AttemptId, Channel, Endpoint, EndpointError, Failure, Frame, Part, Peer, Role, Sender,
+    StreamError,
 };
 
 use crate::answer::Answer;
@@ -94,8 +94,8 @@
 async fn send_begun(begun: Begun, id: AttemptId, sender: &mut Sender) -> Result<(), StreamError> {
     match begun {
         Begun::Answer(answer) => send_answer(&answer, id, 0, sender).await,
-        Begun::Refused(refusal) => send_part(id, Outcome::Refused(refusal), sender).await,
-        Begun::Unknown(message) => send_part(id, Outcome::Failed(Failure::Unknown { message }), sender).await,
+        Begun::Refused(refusal) => send_part(id, Part::Refused(refusal), sender).await,
+        Begun::Unknown(message) => send_part(id, Part::Failed(Failure::Unknown { message }), sender).await,
     }
 }
 
@@ -104,7 +104,7 @@
         return send_answer(&answer, id, from, sender).await;
     }
     let message = "the answer is not kept here".to_owned();
-    send_part(id, Outcome::Failed(Failure::Unknown { message }), sender).await
+    send_part(id, Part::Failed(Failure::Unknown { message }), sender).await
 }
 
 /// Sends an answer from chunk `from` on, under the id that the receiver waits for.
@@ -113,7 +113,7 @@
     let mut index = 0;
     while let Some(part) = answer.part(index).await {
         index += 1;
-        if matches!(&part, Outcome::Chunk(chunk) if chunk.sequence < from) {
+        if matches!(&part, Part::Chunk(chunk) if chunk.sequence < from) {
             continue;
         }
         send_part(id, part, sender).await?;
@@ -121,7 +121,7 @@
     Ok(())
 }
 
-async fn send_part(attempt: AttemptId, part: Outcome, sender: &mut Sender) -> Result<(), StreamError> {
+async fn send_part(attempt: AttemptId, part: Part, sender: &mut Sender) -> Result<(), StreamError> {
     sender.send(&Frame::Answer(AnswerFrame { attempt, part })).await
 }
 
--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -8,9 +8,7 @@
 use sparscale_admit::ledger::{self, Keyed, Ledger};
 use sparscale_admit::queue::{self, Queue};
 use sparscale_telemetry::{DECISION, Metrics};
-use sparscale_wire::{
-    Attempt, AttemptId, Call, Chunk, Failure, Head, Load, Outcome, Refusal, RefusalReason, Settlement,
-};
+use sparscale_wire::{Attempt, AttemptId, Call, Chunk, Failure, Head, Load, Part, Refusal, RefusalReason, Settlement};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -253,7 +251,7 @@
         state.leave(id);
         let refusal = self.refusal(state, id, reason, retry_after_ms);
         if let Some(held) = state.attempts.get(&id) {
-            held.answer.push(Outcome::Refused(refusal));
+            held.answer.push(Part::Refused(refusal));
         }
     }
 
@@ -301,7 +299,7 @@
 
     async fn call(&self, attempt: &Attempt, answer: &Answer) -> Result<u64, CallError> {
         let mut started = self.engine.call(attempt).await?;
-        answer.push(Outcome::Head(Head {
+        answer.push(Part::Head(Head {
             status: started.status,
             content_type: started.content_type,
             incarnation: self.incarnation,
@@ -310,7 +308,7 @@
         let mut sequence = 0;
         while let Some(data) = started.chunks.next().await {
             let data = data?;
-            answer.push(Outcome::Chunk(Chunk { sequence, data }));
+            answer.push(Part::Chunk(Chunk { sequence, data }));
             sequence += 1;
             if answer.has_ended() {
                 // Cancelled meanwhile.
@@ -329,17 +327,17 @@
             Ok(chunks) => {
                 state.ledger.end(ledger_id(attempt.id));
                 let load = self.load_of(&state, attempt.id.entry);
-                Outcome::End { chunks, load }
+                Part::End { chunks, load }
             }
             Err(CallError::NotSent { message }) => {
                 state.ledger.take_back(ledger_id(attempt.id));
                 log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "the target cannot be reached");
-                Outcome::Refused(self.refusal(&state, attempt.id, RefusalReason::TargetDown, DOWN_RETRY_MS))
+                Part::Refused(self.refusal(&state, attempt.id, RefusalReason::TargetDown, DOWN_RETRY_MS))
             }
             Err(CallError::Lost { message }) => {
                 state.ledger.end(ledger_id(attempt.id));
                 log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "no whole answer from the target");
-                Outcome::Failed(Failure::Unknown { message })
+                Part::Failed(Failure::Unknown { message })
             }
         };
         answer.push(part);
@@ -382,7 +380,7 @@
             return;
         }
         let message = "the caller went away".to_owned();
-        answer.push(Outcome::Failed(Failure::Unknown { message }));
+        answer.push(Part::Failed(Failure::Unknown { message }));
         // The target may be unreachable; then it ends by itself.
         let _cancelled = self.engine.cancel(&id.to_string()).await;
     }
--- a/crates/sparscale_entry/src/assembly.rs
+++ b/crates/sparscale_entry/src/assembly.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use sparscale_wire::{Answer, AttemptId, Failure, Head, Load, Outcome, Refusal};
+use sparscale_wire::{Answer, AttemptId, Failure, Head, Load, Part, Refusal};
 
 /// Chunks that may wait for an earlier one; more means that the stream is broken.
 const MAX_AHEAD: usize = 1_024;
@@ -75,16 +75,16 @@
             return Step::Nothing;
         }
         match answer.part {
-            Outcome::Head(_) if self.head_seen => Step::Nothing,
-            Outcome::Head(head) => {
+            Part::Head(_) if self.head_seen => Step::Nothing,
+            Part::Head(head) => {
                 self.head_seen = true;
                 Step::Head(head)
             }
-            Outcome::Chunk(chunk) => self.accept_chunk(chunk.sequence, chunk.data),
-            Outcome::End { chunks, load } => self.accept_end(chunks, load),
-            Outcome::Refused(_) if self.head_seen => Step::Broken("refused after the answer began"),
-            Outcome::Refused(refusal) => Step::Refused(refusal),
-            Outcome::Failed(failure) => Step::Failed(failure),
+            Part::Chunk(chunk) => self.accept_chunk(chunk.sequence, chunk.data),
+            Part::End { chunks, load } => self.accept_end(chunks, load),
+            Part::Refused(_) if self.head_seen => Step::Broken("refused after the answer began"),
+            Part::Refused(refusal) => Step::Refused(refusal),
+            Part::Failed(failure) => Step::Failed(failure),
         }
     }
 
--- a/crates/sparscale_entry/tests/answer_assembly.rs
+++ b/crates/sparscale_entry/tests/answer_assembly.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sparscale_entry::assembly::{Assembly, Step};
-use sparscale_wire::{Answer, AttemptId, Chunk, Head, Load, Outcome};
+use sparscale_wire::{Answer, AttemptId, Chunk, Head, Load, Part};
 
 const OWN: AttemptId = AttemptId { entry: 1, counter: 1 };
 const OTHER: AttemptId = AttemptId { entry: 1, counter: 2 };
@@ -33,21 +33,21 @@
     Bytes::from(format!("{}:{sequence} ", attempt.counter))
 }
 
-fn part(attempt: AttemptId, chunks: u64, which: u8) -> Outcome {
+fn part(attempt: AttemptId, chunks: u64, which: u8) -> Part {
     let load = Load::default();
     let index = u64::from(which) % (chunks + 2);
     if index == chunks {
-        return Outcome::End { chunks, load };
+        return Part::End { chunks, load };
     }
     if index > chunks {
-        return Outcome::Head(Head {
+        return Part::Head(Head {
             status: 200,
             content_type: String::new(),
             incarnation: 1,
             load,
         });
     }
-    Outcome::Chunk(Chunk {
+    Part::Chunk(Chunk {
         sequence: index,
         data: text(attempt, index),
     })
@@ -89,13 +89,13 @@
     let mut assembly = Assembly::new(OWN);
     for sequence in 0..2 {
         let data = text(OWN, sequence);
-        let part = Outcome::Chunk(Chunk { sequence, data });
+        let part = Part::Chunk(Chunk { sequence, data });
         assert!(matches!(
             assembly.accept(Answer { attempt: OWN, part }),
             Step::Chunks(_)
         ));
     }
-    let part = Outcome::End {
+    let part = Part::End {
         chunks: 1,
         load: Load::default(),
     };
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -140,12 +140,12 @@
     /// Attempt that it belongs to; a receiver drops any other.
     pub attempt: AttemptId,
     /// What it says.
-    pub part: Outcome,
+    pub part: Part,
 }
 
 /// Parts of an answer, in the order in which they come.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Outcome {
+pub enum Part {
     /// The target answers; chunks follow.
     Head(Head),
     /// A piece of the answer.
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use endpoint::{Endpoint, Error as EndpointError, Incoming, Peer};
 pub use frame::{
-    Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Outcome, Refusal, RefusalReason, Relayed,
+    Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Part, Refusal, RefusalReason, Relayed,
     Settlement,
 };
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
