--- a/crates/sparscale_bench/src/route.rs
+++ b/crates/sparscale_bench/src/route.rs
@@ -9,7 +9,7 @@
 use sparscale_bundle::{
     Bundle, Document, Fleet, Group, Hall, KeyHash, Limits, Model, Operator, Placement, Target, Tier, Workspace, sign,
 };
-use sparscale_route::{Request, Rule, choose};
+use sparscale_route::{Request, Rule, choose, subset};
 
 /// Step time without load, and for each sequence on the most loaded rank, in milliseconds.
 const BASE_MS: f64 = 4.5;
@@ -138,6 +138,8 @@
 struct Simulation<const N: usize> {
     boards: Vec<Board>,
     keys: Vec<TargetKey>,
+    /// Candidates of each entry, in its own order.
+    candidates: Vec<Vec<TargetKey>>,
     ranks: Vec<Vec<Running>>,
     seen: Vec<[u64; N]>,
     counters: [u64; N],
@@ -154,10 +156,14 @@
         let boards = boards?;
         let names = bundle.fleet().targets.iter().map(|target| target.name.clone());
         let keys: Option<Vec<TargetKey>> = names.map(|name| boards[0].find(&name)).collect();
+        let keys = keys.ok_or("every target is on the board")?;
+        let own = |(entry, board): (usize, &Board)| subset(board, &format!("entry-{entry}"), &keys, keys.len()).targets;
+        let candidates = boards.iter().enumerate().map(own).collect();
         let count = groups * ranks;
         Ok(Self {
             boards,
-            keys: keys.ok_or("every target is on the board")?,
+            candidates,
+            keys,
             ranks: (0..count).map(|_| Vec::new()).collect(),
             seen: vec![[0; N]; count],
             counters: [0; N],
@@ -185,7 +191,8 @@
             other => other,
         };
         let board = &mut self.boards[entry];
-        let decision = choose(board, &self.keys, &request, rule, now, &mut self.random);
+        let candidates = &self.candidates[entry];
+        let decision = choose(board, candidates, &request, rule, now, &mut self.random);
         let target = decision.map_err(|_none| "no candidate")?.target;
         self.counters[entry] += 1;
         board.note_sent(target, self.counters[entry], 0, &[], now);
