--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -406,14 +406,7 @@
                 let detail = "the agent that the key was bound to is gone; nothing can run under this key any more";
                 Err(Problem::unknown(detail).request_id(self.request_id(job, sent)))
             }
-            RefusalReason::KeyReused => {
-                let detail = "the key was used for a request with another body; use a new key";
-                Err(Problem::not_run(
-                    StatusCode::UNPROCESSABLE_ENTITY,
-                    "The key was used before",
-                    detail,
-                ))
-            }
+            RefusalReason::KeyReused => Err(key_reused()),
             RefusalReason::QueueFull | RefusalReason::TooLate => Ok(busy(
                 "Too much waits",
                 "the targets of this request have no room before its deadline",
@@ -489,6 +482,12 @@
     }
 }
 
+/// A key that came with another body before: this request did not run.
+pub(crate) fn key_reused() -> Problem {
+    let detail = "the key was used for a request with another body; use a new key";
+    Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "The key was used before", detail)
+}
+
 fn unreachable_target() -> Problem {
     const RETRY_AFTER: Duration = Duration::from_secs(1);
     let detail = "no target of this request can be reached; nothing was run";
