A new agent must not call "not run" what its predecessor may have run

Cause: reading the change again, a request's name carried incarnation 0 always, and Settle named none. An agent that took a dead one's place before the entry noticed left a tombstone for an attempt it had never seen and answered "not run", although the first incarnation had run it; the entry then sent it to another target, or told the caller so. Ruled out: refusing by the age of the agent (clocks, pauses); the connection's identity (a resumed address looks the same). Before: agent_replaced_in_call red: outcome not_run with one effect at the service. After: an attempt carries the incarnation known when it was sent, and any other one answers unknown; green. Where no report named the incarnation, the outcome is unknown, too. Conclusion: two promises were broken by this, and the earlier test missed it because it did not start the agent again.

--- a/crates/sparscale_agent/src/connection.rs
+++ b/crates/sparscale_agent/src/connection.rs
@@ -68,8 +68,8 @@
             send_begun(begun, id, &mut sender).await?;
         }
         Ask::Resume { attempt, from } => resume(&service.core, attempt, from, &mut sender).await?,
-        Ask::Settle(attempt) => {
-            let settlement = service.core.settle(attempt);
+        Ask::Settle { attempt, incarnation } => {
+            let settlement = service.core.settle_for(attempt, incarnation);
             sender.send(&Frame::Settlement(settlement)).await?;
         }
         Ask::Cancel(attempt) => service.core.cancel(attempt).await,
--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -349,6 +349,16 @@
         state.attempts.get(&id).map(|held| Arc::clone(&held.answer))
     }
 
+    /// What became of an attempt that was sent to agent incarnation `incarnation`.
+    ///
+    /// What an earlier incarnation did is not known here, so nothing may be called not run.
+    pub(crate) fn settle_for(&self, id: AttemptId, incarnation: u64) -> Settlement {
+        if incarnation != self.incarnation {
+            return Settlement::Unknown;
+        }
+        self.settle(id)
+    }
+
     /// What became of an attempt; if it was not handed on, it never will be.
     pub(crate) fn settle(&self, id: AttemptId) -> Settlement {
         let now = self.now();
--- a/crates/sparscale_entry/src/caller.rs
+++ b/crates/sparscale_entry/src/caller.rs
@@ -320,7 +320,7 @@
             target.and_then(|target| target.address)
         };
         let settlement = match address {
-            Some(address) => self.dispatcher.settle(address, name.attempt).await,
+            Some(address) => self.dispatcher.settle(address, name.attempt, name.incarnation).await,
             None => Settlement::Unknown,
         };
         let outcome = match settlement {
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -70,6 +70,8 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     pub(crate) attempt: AttemptId,
+    /// Incarnation of the agent as last reported before the dispatch; 0 if none was.
+    pub(crate) incarnation: u64,
 }
 
 /// How one dispatch began.
@@ -183,6 +185,7 @@
             name: target.name.clone(),
             address: target.address.ok_or_else(unreachable_target)?,
             attempt,
+            incarnation: target.load.incarnation,
         };
         let map = target.load.map;
         let candidates = candidate_lines(&board, &decision);
@@ -297,7 +300,7 @@
 
     /// Finds out what became of an attempt whose stream broke before the answer began.
     async fn settle_begin(self: &Arc<Self>, job: &Arc<Job>, sent: &Sent) -> Began {
-        let settlement = self.settle(sent.address, sent.attempt).await;
+        let settlement = self.settle(sent.address, sent.attempt, sent.incarnation).await;
         log::info!(target: DECISION, decision = "settle", attempt = sent.attempt.to_string().as_str(), agent = sent.name.as_str(), settlement:? = settlement; "settled a broken attempt");
         match settlement {
             Settlement::NotRun => Began::NotRun,
@@ -326,15 +329,19 @@
         Ok(channel)
     }
 
-    /// Asks the agent at `address` what became of `attempt`.
-    pub(crate) async fn settle(&self, address: SocketAddr, attempt: AttemptId) -> Settlement {
-        let asked = tokio::time::timeout(SETTLE_TIMEOUT, self.ask_settlement(address, attempt)).await;
+    /// Asks the agent at `address` what became of `attempt`, which was sent to its incarnation `incarnation`.
+    pub(crate) async fn settle(&self, address: SocketAddr, attempt: AttemptId, incarnation: u64) -> Settlement {
+        let asked = tokio::time::timeout(
+            SETTLE_TIMEOUT,
+            self.ask_settlement(address, Ask::Settle { attempt, incarnation }),
+        )
+        .await;
         asked.ok().flatten().unwrap_or(Settlement::Unknown)
     }
 
-    async fn ask_settlement(&self, address: SocketAddr, attempt: AttemptId) -> Option<Settlement> {
+    async fn ask_settlement(&self, address: SocketAddr, ask: Ask) -> Option<Settlement> {
         let mut channel = self.endpoint.open(address, Role::Agent).await.ok()?;
-        channel.sender.send(&Frame::Ask(Ask::Settle(attempt))).await.ok()?;
+        channel.sender.send(&Frame::Ask(ask)).await.ok()?;
         match channel.receiver.receive().await.ok()? {
             Frame::Settlement(settlement) => Some(settlement),
             _ => None,
@@ -368,7 +375,7 @@
             workspace: job.workspace.name.clone(),
             target: sent.name.clone(),
             attempt: sent.attempt,
-            incarnation: 0,
+            incarnation: sent.incarnation,
         })
     }
 
--- a/crates/sparscale_fleet/tests/process/broken_answers.rs
+++ b/crates/sparscale_fleet/tests/process/broken_answers.rs
@@ -253,3 +253,48 @@
     assert_eq!(streamed_text(&events), whole_answer("patience", 20));
     Ok(())
 }
+
+/// The agent dies while a call that may not be repeated runs, and a new one takes its place before the entry notices:
+/// the new one cannot tell what became of the call, and must not say that it did not run.
+#[tokio::test]
+async fn agent_replaced_in_call() -> Result<(), Error> {
+    let plan = Plan {
+        service_work_ms: 600_000,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::prepare("agent-replaced-in-call", plan)?;
+    fleet.start_platform().await?;
+    fleet.roll_bundle(&fleet.document(1)).await?;
+    fleet.start_all()?;
+    eventually("entries know their targets", || async {
+        let ticket = fleet
+            .ask_entry("entry-0", http::Method::POST, "/v1/tickets/calculator")
+            .await
+            .ok()?;
+        ticket.status.is_success().then_some(())
+    })
+    .await?;
+    let client = fleet.client().clone();
+    let url = format!("{}/v1/services/calculator/illustration", fleet.callers_url("entry-0"));
+    let call = tokio::spawn(async move {
+        let key = format!("Bearer {}", sparscale_fleet::caller_key("teal"));
+        client
+            .send(http::Method::POST, &url, &[("authorization", &key)], "{}")
+            .await
+    });
+    eventually("the effect is there", || async {
+        (fleet.effects(0).await.ok()?.len() == 1).then_some(())
+    })
+    .await?;
+    fleet.kill("calc-0");
+    fleet.start_agent("calc-0")?;
+    let reply = call.await.map_err(|error| error.to_string())??;
+    assert_eq!(reply.member("outcome").as_deref(), Some("unknown"), "{}", reply.text());
+    let id = reply.member("request_id").ok_or("an id to ask about")?;
+    let asked = fleet
+        .ask_entry("entry-1", http::Method::GET, &format!("/v1/requests/{id}"))
+        .await?;
+    assert_eq!(asked.member("outcome").as_deref(), Some("unknown"), "{}", asked.text());
+    assert_eq!(fleet.effects(0).await?.len(), 1);
+    Ok(())
+}
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -56,7 +56,12 @@
         from: u64,
     },
     /// Say what became of an attempt; if it was not handed on, see that it never will be.
-    Settle(AttemptId),
+    Settle {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Incarnation of the agent that it was sent to; any other cannot tell what became of it.
+        incarnation: u64,
+    },
     /// Stop an attempt whose caller went away.
     Cancel(AttemptId),
     /// Report load whenever it changes.
