One digest of a call; what nothing used goes

Cause: entry and agent each had the digest of a call's body; a refusal reason and two accessors were used by nobody. Before: two functions alike to the letter. Conclusion: no behaviour changed.

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -4,11 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sha2::{Digest as _, Sha256};
 use sparscale_admit::ledger::{self, Keyed, Ledger};
 use sparscale_admit::queue::{self, Queue};
 use sparscale_telemetry::{DECISION, Metrics};
-use sparscale_wire::{Attempt, AttemptId, Call, Chunk, Failure, Head, Load, Part, Refusal, RefusalReason, Settlement};
+use sparscale_wire::{Attempt, AttemptId, Chunk, Failure, Head, Load, Part, Refusal, RefusalReason, Settlement};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -463,7 +462,7 @@
     let key = attempt.key?;
     match state
         .ledger
-        .bind(*key.as_bytes(), body_digest(&attempt.call), ledger_id(attempt.id))
+        .bind(*key.as_bytes(), attempt.call.digest(), ledger_id(attempt.id))
     {
         Keyed::New => None,
         Keyed::Earlier(earlier) => Some(Earlier::Attempt(AttemptId {
@@ -474,19 +473,6 @@
     }
 }
 
-fn body_digest(call: &Call) -> [u8; 32] {
-    match call {
-        Call::Model { body } => Sha256::digest(body).into(),
-        Call::Service { name, body, .. } => {
-            let mut digest = Sha256::new();
-            digest.update(name.as_bytes());
-            digest.update([0]);
-            digest.update(body);
-            digest.finalize().into()
-        }
-    }
-}
-
 fn ledger_id(id: AttemptId) -> ledger::Attempt {
     ledger::Attempt {
         sender: id.entry,
--- a/crates/sparscale_entry/src/binding.rs
+++ b/crates/sparscale_entry/src/binding.rs
@@ -3,10 +3,8 @@
 use std::time::{Duration, SystemTime};
 
 use http::StatusCode;
-use sha2::{Digest as _, Sha256};
 use sparscale_control::SubmitError;
 use sparscale_journal::{Binding, BindingKey, Body as RecordBody, Verdict};
-use sparscale_wire::Call;
 
 use crate::caller::{Api, bad_request};
 use crate::dispatch::{Job, Pool, key_reused};
@@ -63,7 +61,7 @@
             Some(binding) => binding,
             None => self.append_binding(job, key).await?,
         };
-        if binding.body != body_digest(&job.call) {
+        if binding.body != job.call.digest() {
             return Err(key_reused());
         }
         job.pool = Pool::Bound {
@@ -80,7 +78,7 @@
             key,
             target,
             incarnation,
-            body: body_digest(&job.call),
+            body: job.call.digest(),
         };
         let submitted = self
             .journal
@@ -110,17 +108,3 @@
     problem.status = StatusCode::SERVICE_UNAVAILABLE;
     problem
 }
-
-/// Digest of what is asked for, so that one key is not used for two requests.
-fn body_digest(call: &Call) -> [u8; 32] {
-    let mut digest = Sha256::new();
-    match call {
-        Call::Model { body } => digest.update(body),
-        Call::Service { name, body, .. } => {
-            digest.update(name.as_bytes());
-            digest.update([0]);
-            digest.update(body);
-        }
-    }
-    digest.finalize().into()
-}
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -421,7 +421,6 @@
             RefusalReason::Draining
             | RefusalReason::LedgerFull
             | RefusalReason::Tombstone
-            | RefusalReason::Cancelled
             | RefusalReason::TargetDown
             | RefusalReason::NotReady => Ok(busy("No target takes the request", "it was not handed on")),
         }
--- a/crates/sparscale_place/src/switch/conductor.rs
+++ b/crates/sparscale_place/src/switch/conductor.rs
@@ -71,16 +71,6 @@
         }
     }
 
-    /// Number of the map that the ranks are driven to.
-    pub fn goal(&self) -> u64 {
-        self.goal
-    }
-
-    /// Fence under which orders are given.
-    pub fn fence(&self) -> u64 {
-        self.fence
-    }
-
     /// Takes in a rank's answer.
     pub fn reported(&mut self, rank: usize, report: Report) {
         if report.fence > self.fence {
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use sparscale_journal::BindingKey;
 use sparscale_place::switch;
 
@@ -139,6 +140,22 @@
     },
 }
 
+impl Call {
+    /// Digest of what is asked for, so that one idempotency key is not used for two requests.
+    pub fn digest(&self) -> [u8; 32] {
+        let mut digest = Sha256::new();
+        match self {
+            Self::Model { body } => digest.update(body),
+            Self::Service { name, body, .. } => {
+                digest.update(name.as_bytes());
+                digest.update([0]);
+                digest.update(body);
+            }
+        }
+        digest.finalize().into()
+    }
+}
+
 /// Part of an answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
@@ -216,8 +233,6 @@
     OtherIncarnation,
     /// The attempt was refused before; a tombstone stands.
     Tombstone,
-    /// The caller went away.
-    Cancelled,
     /// The target cannot be reached.
     TargetDown,
     /// The agent has no bundle yet.
