--- /dev/null
+++ b/crates/sparscale_belief/src/lib.rs
@@ -0,0 +1,14 @@
+//! What a process believes about the world outside, and how old that belief is.
+//!
+//! A belief is only as good as its age, and the age counts from *before* the question was asked: whatever was
+//! acknowledged earlier than that is part of the answer. Beliefs never go back to an older position, whoever tells.
+
+mod belief;
+mod board;
+mod reader;
+mod source;
+
+pub use belief::{Belief, Change};
+pub use board::Board;
+pub use reader::{Pace, read_catalog, read_roster};
+pub use source::{Error, Reading, Source};
--- /dev/null
+++ b/crates/sparscale_belief/src/reader.rs
@@ -0,0 +1,125 @@
+//! Reads a source whenever nobody else has told its state for a while.
+//!
+//! Calls of the platform's store are priced and limited, so few processes read and the others hear it from them. There
+//! is no election: each process waits until its belief has reached an age of its own, which rises with its place in the
+//! line of live readers. The first in line reads, everyone else hears of it in time; if the first is gone, refused or
+//! cut off, the second reads a moment later.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use sparscale_telemetry::DECISION;
+use tokio::time::Instant;
+
+use crate::board::Board;
+use crate::source::{Error, Reading, Source};
+use sparscale_catalog::{Catalog, Roster};
+
+/// Time that one reading may take before it is given up.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a failed reading; the next one may meet a store that is back.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// How old a belief gets before this process reads the source itself.
+#[derive(Debug)]
+pub struct Pace {
+    /// Age at which the first in line reads.
+    pub interval: Duration,
+    /// What each place in line adds to it.
+    pub step: Duration,
+    place: AtomicUsize,
+}
+
+impl Pace {
+    /// The pace of a process that knows of no others: it is first in line.
+    pub fn new(interval: Duration, step: Duration) -> Self {
+        Self {
+            interval,
+            step,
+            place: AtomicUsize::new(0),
+        }
+    }
+
+    /// Sets the place in line, 0 for the first.
+    pub fn set_place(&self, place: usize) {
+        self.place.store(place, Ordering::Relaxed);
+    }
+
+    /// Place in line.
+    pub fn place(&self) -> usize {
+        self.place.load(Ordering::Relaxed)
+    }
+
+    fn patience(&self) -> Duration {
+        let steps = u32::try_from(self.place()).unwrap_or(u32::MAX);
+        self.interval + self.step.saturating_mul(steps)
+    }
+}
+
+/// Keeps the catalog on `board` young; never ends.
+pub async fn read_catalog(board: Arc<Board>, source: Box<dyn Source<Catalog>>, pace: Arc<Pace>) {
+    let age = {
+        let board = Arc::clone(&board);
+        move || board.catalog_age()
+    };
+    let offer = move |reading: Reading<Catalog>, asked| {
+        board.offer_catalog(reading.value, asked, "store");
+    };
+    keep_young("catalog", source, &pace, age, offer).await;
+}
+
+/// Keeps the roster on `board` young; never ends.
+pub async fn read_roster(board: Arc<Board>, source: Box<dyn Source<Roster>>, pace: Arc<Pace>) {
+    let age = {
+        let board = Arc::clone(&board);
+        move || board.roster_age()
+    };
+    let offer = move |reading: Reading<Roster>, asked| {
+        board.offer_roster(reading.value, reading.position, asked, "store");
+    };
+    keep_young("roster", source, &pace, age, offer).await;
+}
+
+async fn keep_young<T: Send + Sync + 'static>(
+    what: &'static str,
+    mut source: Box<dyn Source<T>>,
+    pace: &Pace,
+    age: impl Fn() -> Option<Duration>,
+    offer: impl Fn(Reading<T>, Instant),
+) {
+    let mut reachable = true;
+    loop {
+        let wait = age().and_then(|age| pace.patience().checked_sub(age));
+        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
+            tokio::time::sleep(wait).await;
+            continue;
+        }
+        let asked = Instant::now();
+        let answer = tokio::time::timeout(READ_TIMEOUT, source.read()).await;
+        let answer = answer.unwrap_or_else(|_elapsed| {
+            let message = format!("nothing within {} ms", READ_TIMEOUT.as_millis());
+            Err(Error::Unavailable { message })
+        });
+        note_reachable(what, &mut reachable, &answer);
+        match answer {
+            Ok(reading) => offer(reading, asked),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Logs when a source is lost and when it is regained, not each failure.
+fn note_reachable<T>(what: &str, reachable: &mut bool, answer: &Result<Reading<T>, Error>) {
+    match answer {
+        Ok(_) if !*reachable => {
+            log::info!(target: DECISION, decision = "regained", source = what; "the store answers again");
+            *reachable = true;
+        }
+        Err(error) if *reachable => {
+            log::warn!(target: DECISION, decision = "lost", source = what, error = error.to_string().as_str(); "the store does not answer");
+            *reachable = false;
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -0,0 +1,139 @@
+//! Whether a request may be served, as far as this entry's beliefs can tell.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use sparscale_belief::Belief;
+use sparscale_catalog::{Access, Catalog, Limits};
+use sparscale_telemetry::DECISION;
+use tokio::time::Instant;
+
+use crate::attempt::Outbound;
+use crate::exchange::{Gateway, Job, header_of};
+use crate::head::Head;
+use crate::refusal::{Reason, Refusal};
+use crate::server::{Body, read_body};
+
+/// When a caller is told to come back to an entry that knows too little.
+const UNSURE_RETRY: Duration = Duration::from_millis(400);
+
+/// How old the catalog may be.
+#[derive(Debug, Clone, Copy)]
+pub struct Freshness {
+    /// For a request with a key: the key may have been taken away since.
+    pub keyed: Duration,
+    /// For saying that a route or key does not exist: it may have been added since.
+    pub denial: Duration,
+}
+
+/// Admits requests.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) freshness: Freshness,
+}
+
+impl Admission {
+    /// Bounds of what callers may send now.
+    pub(crate) fn limits(&self) -> Limits {
+        let catalog = self.gateway.board.catalog();
+        catalog.map(|belief| *belief.value.limits()).unwrap_or_default()
+    }
+
+    /// Answers one request.
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let began = Instant::now();
+        let (parts, incoming) = request.into_parts();
+        let head = Head::new(parts, &self.gateway.caller.dialect);
+        let refused = match read_body(incoming, &self.limits()).await {
+            Ok(body) => match self.admit(&head, began) {
+                Ok(admitted) => {
+                    let job = admitted.into_job(head, body, began);
+                    return self.gateway.serve(job).await;
+                }
+                Err(refusal) => refusal,
+            },
+            Err(refusal) => refusal,
+        };
+        log_refusal(&head, refused, self.gateway.board.catalog().as_ref());
+        refused.response(&self.gateway.caller.dialect.request_id, head.id.as_ref())
+    }
+
+    fn admit(&self, head: &Head, began: Instant) -> Result<Admitted, Refusal> {
+        let unsure = |reason| Refusal::retry(reason, UNSURE_RETRY);
+        let belief = self.gateway.board.catalog().ok_or_else(|| unsure(Reason::NoCatalog))?;
+        let age = belief.age(Instant::now());
+        // What is not there may have been added since the catalog was read.
+        let deny = |reason| {
+            if age > self.freshness.denial {
+                unsure(Reason::StaleCatalog)
+            } else {
+                Refusal::new(reason)
+            }
+        };
+        let catalog = belief.value;
+        let route = catalog.route_of(&head.host, head.path.path());
+        let route = route.ok_or_else(|| deny(Reason::NoRoute))?;
+        let (workspace, tier) = match catalog.access(route, head.bearer.as_deref()) {
+            Access::Denied => return Err(deny(Reason::NoKey)),
+            Access::Open => (None, None),
+            Access::Workspace(_) if age > self.freshness.keyed => return Err(unsure(Reason::StaleCatalog)),
+            Access::Workspace(workspace) => (Some(workspace.name.clone()), workspace.tier),
+        };
+        let described = catalog.route(route);
+        let allowed = head
+            .deadline
+            .map_or(described.timeout, |deadline| deadline.min(described.timeout));
+        Ok(Admitted {
+            workspace,
+            until: began + allowed,
+            tier: tier.unwrap_or(described.tier),
+            may_repeat: described.kind.may_repeat(),
+            route,
+            catalog,
+        })
+    }
+}
+
+/// What was found out about an admitted request.
+struct Admitted {
+    catalog: Arc<Catalog>,
+    route: sparscale_catalog::RouteKey,
+    workspace: Option<String>,
+    tier: u8,
+    until: Instant,
+    may_repeat: bool,
+}
+
+impl Admitted {
+    fn into_job(self, head: Head, body: bytes::Bytes, began: Instant) -> Job {
+        Job {
+            outbound: Outbound {
+                head,
+                body,
+                workspace: self.workspace.as_deref().and_then(header_of),
+                until: self.until,
+                may_repeat: self.may_repeat,
+                last_event: None,
+                urgency: Some(self.tier.min(9)),
+            },
+            catalog: self.catalog,
+            route: self.route,
+            began,
+        }
+    }
+}
+
+fn log_refusal(head: &Head, refusal: Refusal, catalog: Option<&Belief<Catalog>>) {
+    log::info!(
+        target: DECISION,
+        decision = "refuse",
+        request = head.id_text(),
+        reason = refusal.reason.name(),
+        version = catalog.map(|belief| belief.position),
+        age_ms = catalog.map(|belief| belief.age(Instant::now()).as_millis() as u64);
+        "refused"
+    );
+}
--- /dev/null
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The gateway: takes HTTP requests from callers and sends them straight to targets, by a catalog of routes.
+//!
+//! It decides by its beliefs (see [`sparscale_belief`]) and keeps nothing else. Every request gets one final answer:
+//! a target's own, whole and unchanged, or a refusal that says whether it has run and when to come back.
+
+mod admission;
+mod attempt;
+mod budget;
+mod dialect;
+mod events;
+mod exchange;
+mod head;
+mod loads;
+mod pool;
+mod program;
+mod ready;
+mod refusal;
+mod relay;
+mod server;
+mod split;
+
+pub use admission::Freshness;
+pub use budget::Allowance;
+pub use dialect::Dialect;
+pub use program::{Error, Parts, Settings, run};
+pub use refusal::{Reason, Refusal};
+pub use server::{Body, Phase};
--- /dev/null
+++ b/crates/sparscale_gateway/src/split.rs
@@ -0,0 +1,46 @@
+//! Splits a route's requests among its services, in proportion to their weights.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use sparscale_catalog::Share;
+
+/// Credit of each service of each route: what it is owed of the requests so far.
+#[derive(Debug, Default)]
+pub(crate) struct Splits {
+    credits: Mutex<HashMap<String, HashMap<String, i64>>>,
+}
+
+impl Splits {
+    /// The service whose turn it is; services that are not `there` are passed over while another one is.
+    ///
+    /// Each turn gives each service its weight in credit and takes the sum from the one that is chosen, so that any
+    /// run of requests is split as the weights say.
+    pub(crate) fn next(&self, route: &str, shares: &[Share], there: impl Fn(&str) -> bool) -> Option<String> {
+        if let [only] = shares {
+            return Some(only.service.clone());
+        }
+        let weighted: Vec<&Share> = shares.iter().filter(|share| share.weight > 0).collect();
+        let mut open: Vec<&Share> = weighted.iter().copied().filter(|share| there(&share.service)).collect();
+        if open.is_empty() {
+            open = weighted;
+        }
+        let mut credits = self.credits.lock().unwrap_or_else(PoisonError::into_inner);
+        let credits = credits.entry(route.to_owned()).or_default();
+        let sum: i64 = open.iter().map(|share| i64::from(share.weight)).sum();
+        for share in &open {
+            *credits.entry(share.service.clone()).or_default() += i64::from(share.weight);
+        }
+        let chosen = open
+            .into_iter()
+            .max_by_key(|share| credits.get(&share.service).copied())?;
+        *credits.entry(chosen.service.clone()).or_default() -= sum;
+        Some(chosen.service.clone())
+    }
+
+    /// Forgets routes that are gone.
+    pub(crate) fn retain(&self, known: impl Fn(&str) -> bool) {
+        let mut credits = self.credits.lock().unwrap_or_else(PoisonError::into_inner);
+        credits.retain(|route, _| known(route));
+    }
+}
