Map switch for engines that can hold their group at a step

Cause: the users' engines are not asked by an agent before each step; they take hold, arm, disarm and go, may carry an order out seconds after newer ones, and let a hold stand when its conductor dies. The product's own switch does not fit them. Change: sparscale_place::barrier, a state machine without clock or socket: stage, hold one step, arm all, read back, let go; else disarm all under a higher fence, read back, let go; a successor guards each step with a hold of its own first. Ruled out: arming ahead without a hold (an unanswered order leaves no time to take the others back); resuming a predecessor's try (taking it back is the same path as a failed try and is rare).

--- a/crates/sparscale_place/src/lib.rs
+++ b/crates/sparscale_place/src/lib.rs
@@ -1,6 +1,7 @@
 //! Expert placement: which rank holds which experts, when that changes, and how the change reaches all ranks in
 //! one step. Pure functions and state machines; nothing here reads a clock or a socket.
 
+pub mod barrier;
 pub mod baseline;
 mod counts;
 mod decide;
