Agents tell nobody their catalog

Test: belief_exchange::agent_keeps_catalog, red before. It also showed that a link did not tell loads that were known before it stood. Change: agents tell neither catalog nor roster; loads known at a link's start are told.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -151,7 +151,7 @@
                     self.check_times();
                 }
             }
-            self.step().await;
+            self.step();
         }
         log::info!(target: DECISION, decision = "step_down", group = self.charge.group.as_str(), claim = self.charge.claim; "another conductor leads the group");
     }
@@ -207,7 +207,7 @@
     }
 
     /// Does everything that can be done now.
-    async fn step(&mut self) {
+    fn step(&mut self) {
         self.prepare_decider();
         if let Some(decider) = &mut self.decider {
             decider.sample(Instant::now());
@@ -216,7 +216,7 @@
         if self.conductor.progress() == Progress::Idle {
             self.decide();
         }
-        self.send_orders().await;
+        self.send_orders();
         self.tell_loads();
         self.overtaken |= self.conductor.progress() == Progress::Overtaken;
     }
@@ -323,7 +323,7 @@
         }
     }
 
-    async fn send_orders(&mut self) {
+    fn send_orders(&mut self) {
         if self.conductor.progress() == Progress::Surveying {
             if self.surveyed.elapsed() < SURVEY_PAUSE {
                 return;
--- a/crates/sparscale_mesh/src/clock.rs
+++ b/crates/sparscale_mesh/src/clock.rs
@@ -7,31 +7,31 @@
 
 /// One side's clock, and the latest stamp of the other side.
 #[derive(Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     started: Instant,
     theirs: Option<(u64, Instant)>,
 }
 
 impl Clock {
     /// A clock that counts from `started`.
-    pub(crate) fn new(started: Instant) -> Self {
+    pub fn new(started: Instant) -> Self {
         Self { started, theirs: None }
     }
 
     /// The stamp of now.
-    pub(crate) fn stamp(&self, now: Instant) -> u64 {
+    pub fn stamp(&self, now: Instant) -> u64 {
         millis(now.saturating_duration_since(self.started))
     }
 
     /// Notes a stamp of the other side.
-    pub(crate) fn heard(&mut self, stamp_ms: u64, now: Instant) {
+    pub fn heard(&mut self, stamp_ms: u64, now: Instant) {
         if self.theirs.is_none_or(|(latest, _)| stamp_ms > latest) {
             self.theirs = Some((stamp_ms, now));
         }
     }
 
     /// The other side's latest stamp, to be sent back now.
-    pub(crate) fn echo(&self, now: Instant) -> Option<Echo> {
+    pub fn echo(&self, now: Instant) -> Option<Echo> {
         self.theirs.map(|(stamp_ms, heard)| Echo {
             stamp_ms,
             held_ms: millis(now.saturating_duration_since(heard)),
@@ -40,12 +40,12 @@
 
     /// The earliest time at which a message with this echo can have been sent. The stamp left here before it arrived
     /// there, and the message left there when it had been held for as long as it says.
-    pub(crate) fn sent(&self, echo: Echo) -> Instant {
+    pub fn sent(&self, echo: Echo) -> Instant {
         self.started + Duration::from_millis(echo.stamp_ms) + Duration::from_millis(echo.held_ms)
     }
 
     /// The time as of which something was known that was `age_ms` old when the message with this echo was sent.
-    pub(crate) fn as_of(&self, echo: Echo, age_ms: u64) -> Option<Instant> {
+    pub fn as_of(&self, echo: Echo, age_ms: u64) -> Option<Instant> {
         self.sent(echo).checked_sub(Duration::from_millis(age_ms))
     }
 }
--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -8,4 +8,5 @@
 mod link;
 mod mesh;
 
+pub use clock::Clock;
 pub use mesh::{Line, Mesh, Settings};
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -66,6 +66,8 @@
         let mut catalogs = mesh.board.catalogs();
         let mut rosters = mesh.board.rosters();
         let mut groups = mesh.groups.subscribe();
+        // What was told before the link stood is told on it, too.
+        groups.mark_changed();
         let interval = mesh.settings.interval;
         let mut next = Instant::now();
         let mut heard = Instant::now();
@@ -79,7 +81,7 @@
                 Ok(()) = catalogs.changed() => self.tell(sender).await,
                 Ok(()) = rosters.changed() => self.tell(sender).await,
                 Ok(()) = groups.changed() => self.tell_groups(sender).await,
-                received = receiver.receive() => match received {
+                frame = receiver.receive() => match frame {
                     Ok(frame) => {
                         heard = Instant::now();
                         let first = self.peer.is_none();
@@ -100,8 +102,10 @@
     /// Sends what this process believes; none if the other side is gone.
     async fn tell(&mut self, sender: &mut Sender) -> Option<()> {
         let now = Instant::now();
-        let catalog = self.mesh.board.catalog();
-        let roster = self.mesh.board.roster();
+        // An agent's catalog has no routes: it is for the agent alone.
+        let tells = self.mesh.settings.role == Role::Entry;
+        let catalog = self.mesh.board.catalog().filter(|_| tells);
+        let roster = self.mesh.board.roster().filter(|_| tells);
         if self.peer.is_some() {
             self.send_catalog(sender, catalog.as_ref()).await?;
             self.send_roster(sender, roster.as_ref()).await?;
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -23,7 +23,7 @@
 /// Time that opening a link may take.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// An entry that was not heard for this long is forgotten, unless the settings name it.
-const FORGET: Duration = Duration::from_secs(60);
+const FORGET: Duration = Duration::from_mins(1);
 /// An entry that was heard this long ago may still spend from what all share.
 const MAY_SPEND: Duration = Duration::from_secs(12);
 
@@ -56,7 +56,7 @@
     heard: Option<Instant>,
     dial_at: Instant,
     failures: u32,
-    first_known: Instant,
+    met: Instant,
 }
 
 /// This process among the others.
@@ -189,7 +189,7 @@
                     heard: None,
                     dial_at: now,
                     failures: 0,
-                    first_known: now,
+                    met: now,
                 });
             }
         }
@@ -247,7 +247,7 @@
         let now = Instant::now();
         let mut due = Vec::new();
         for (address, known) in self.lock().iter_mut() {
-            let polite = *address < self.settings.address && now < known.first_known + POLITENESS;
+            let polite = *address < self.settings.address && now < known.met + POLITENESS;
             if known.links == 0 && known.dial_at <= now && !polite {
                 // The next try waits for this one to fail.
                 known.dial_at = now + OPEN_TIMEOUT + FIRST_REDIAL;
@@ -272,7 +272,7 @@
         let now = Instant::now();
         let seeds = &self.settings.seeds;
         self.lock().retain(|address, known| {
-            let last = known.heard.unwrap_or(known.first_known);
+            let last = known.heard.unwrap_or(known.met);
             known.links > 0 || now.saturating_duration_since(last) < FORGET || seeds.contains(address)
         });
     }
--- /dev/null
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -0,0 +1,137 @@
+//! Processes hear of the world outside from each other, and never take a belief for younger than it is.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quickcheck::{Gen, QuickCheck};
+use sparscale_belief::Board;
+use sparscale_catalog::{Catalog, Document};
+use sparscale_mesh::{Clock, Mesh, Settings};
+use sparscale_samples as samples;
+use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
+use tokio::time::Instant;
+
+struct Process {
+    board: Arc<Board>,
+    mesh: Arc<Mesh>,
+    address: SocketAddr,
+}
+
+fn process(role: Role, seeds: &[SocketAddr]) -> Process {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let endpoint = Endpoint::bind(any, Identity::Made(role)).expect("a free port");
+    let address = endpoint.local_address().expect("an address");
+    let board = Arc::new(Board::default());
+    let settings = Settings {
+        address,
+        role,
+        seeds: seeds.to_vec(),
+        interval: Duration::from_millis(20),
+    };
+    let mesh = Mesh::new(settings, Arc::clone(&board), Arc::new(endpoint));
+    match role {
+        Role::Entry => drop(tokio::spawn(Arc::clone(&mesh).link_entries())),
+        Role::Agent => drop(tokio::spawn(Arc::clone(&mesh).follow_one())),
+    }
+    tokio::spawn(Arc::clone(&mesh).accept());
+    Process { board, mesh, address }
+}
+
+fn catalog(document: Document) -> Arc<Catalog> {
+    Arc::new(Catalog::try_from(document).expect("a sound catalog"))
+}
+
+fn group(message: u64) -> GroupLoad {
+    GroupLoad {
+        group: "g".to_owned(),
+        order: (1, message),
+        open: true,
+        skew: 1.0,
+        pass_micros: 0,
+        ranks: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn entries_share() {
+    let first = process(Role::Entry, &[]);
+    let second = process(Role::Entry, &[first.address]);
+    let third = process(Role::Entry, &[second.address]);
+    let asked = Instant::now();
+    first.board.offer_catalog(catalog(samples::document(4)), asked, "test");
+    first.board.offer_roster(Arc::new(samples::roster()), 9, asked, "test");
+    let mut catalogs = third.board.catalogs();
+    let mut rosters = third.board.rosters();
+    let heard = catalogs.wait_for(Option::is_some).await.expect("a board").clone();
+    let belief = heard.expect("a catalog");
+    assert_eq!(belief.value.version(), 4);
+    assert!(belief.as_of <= asked + Duration::from_millis(2), "younger than it is");
+    let heard = rosters.wait_for(Option::is_some).await.expect("a board").clone();
+    assert_eq!(
+        heard.map(|belief| (belief.position, belief.value)),
+        Some((9, Arc::new(samples::roster())))
+    );
+}
+
+/// An agent's catalog has no routes. An entry that took it over would answer 404 to everyone.
+#[tokio::test]
+async fn agent_keeps_catalog() {
+    let entry = process(Role::Entry, &[]);
+    let agent = process(Role::Agent, &[entry.address]);
+    let short = Document {
+        routes: Vec::new(),
+        ..samples::document(4)
+    };
+    agent.board.offer_catalog(catalog(short), Instant::now(), "test");
+    // Loads come over the same stream, behind whatever the agent tells first; a few rounds pass between them.
+    let mut news = entry.mesh.group_news();
+    for message in 1..=5 {
+        agent.mesh.offer_group(group(message), true);
+        while entry.mesh.group("g").is_none_or(|load| load.order.1 < message) {
+            assert!(news.next().await);
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert!(entry.board.catalog().is_none());
+}
+
+#[tokio::test]
+async fn agent_hears_services() {
+    let entry = process(Role::Entry, &[]);
+    let agent = process(Role::Agent, &[entry.address]);
+    entry
+        .board
+        .offer_catalog(catalog(samples::document(4)), Instant::now(), "test");
+    let mut catalogs = agent.board.catalogs();
+    let heard = catalogs.wait_for(Option::is_some).await.expect("a board").clone();
+    let heard = heard.expect("a catalog").value;
+    assert!(heard.find_service(samples::MODEL).is_some());
+    assert!(!heard.has_workspaces(), "keys stay at the entries");
+}
+
+/// Whatever is delayed on the way or held at either side, the time worked out is not later than the true one.
+#[test]
+fn ages_never_shrink() {
+    fn holds(to: u16, held: u16, known_before: u16, back: u16) -> bool {
+        let start = Instant::now();
+        let at = |millis: u64| start + Duration::from_millis(millis);
+        let (to, held, back) = (u64::from(to), u64::from(held), u64::from(back));
+        let mut mine = Clock::new(start);
+        let mut theirs = Clock::new(at(0));
+        let stamp = mine.stamp(at(100));
+        theirs.heard(stamp, at(100 + to));
+        let sent = 100 + to + held;
+        let Some(echo) = theirs.echo(at(sent)) else {
+            return false;
+        };
+        mine.heard(1, at(sent + back));
+        let age = u64::from(known_before).min(sent);
+        let true_as_of = at(sent - age);
+        mine.as_of(echo, age).is_none_or(|as_of| as_of <= true_as_of)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(10_000, 71))
+        .tests(2_000)
+        .quickcheck(holds as fn(u16, u16, u16, u16) -> bool);
+}
--- a/crates/sparscale_place/tests/map_refinement.rs
+++ b/crates/sparscale_place/tests/map_refinement.rs
@@ -52,7 +52,7 @@
             per_set: 3,
         };
         let mut map = Map::initial(SHAPE);
-        for round in 0..u64::from(rounds % 5) + 1 {
+        for round in 0..=u64::from(rounds % 5) {
             let popularity = popularity(seed.wrapping_add(round));
             let refined = refine(&popularity, &map, SHAPE, bounds);
             let loads = map.loads_of(&refined.map);
--- /dev/null
+++ b/crates/sparscale_samples/src/lib.rs
@@ -0,0 +1,123 @@
+//! Sample catalogs and rosters for tests.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use sparscale_bundle::KeyHash;
+use sparscale_catalog::{
+    Document, Engine, Experts, Kind, Limits, Roster, Route, Service, Share, Standing, Target, Workspace,
+};
+
+/// Key of the sample workspace.
+pub const KEY: &str = "sample-key";
+/// Host of every sample route.
+pub const HOST: &str = "sample.example";
+/// The plain service.
+pub const CALC: &str = "calc";
+/// The model service.
+pub const MODEL: &str = "model";
+
+/// A catalog with a repeatable route (`/any/`), one whose requests run once (`/once/`), a stream that can be resumed
+/// (`/stream/`), one that cannot (`/cut/`) and an open one (`/open/`).
+pub fn document(version: u64) -> Document {
+    let stream = |resumable| Kind::Stream {
+        resumable,
+        longest_pause: Some(Duration::from_millis(120)),
+    };
+    Document {
+        version,
+        routes: vec![
+            route("any", Kind::Repeatable, CALC, 2),
+            route("once", Kind::Once, CALC, 1),
+            route("stream", stream(true), MODEL, 2),
+            route("cut", stream(false), MODEL, 2),
+            Route {
+                public: true,
+                ..route("open", Kind::Repeatable, CALC, 2)
+            },
+        ],
+        services: vec![
+            Service {
+                name: CALC.to_owned(),
+                max_connections: 100,
+                engine: None,
+            },
+            Service {
+                name: MODEL.to_owned(),
+                max_connections: 300,
+                engine: Some(engine()),
+            },
+        ],
+        workspaces: vec![Workspace {
+            name: "teal".to_owned(),
+            tier: Some(1),
+            key_hashes: vec![KeyHash::of(KEY)],
+        }],
+        limits: Limits::default(),
+    }
+}
+
+/// A route called `name` with the prefix `/name/`.
+pub fn route(name: &str, kind: Kind, service: &str, attempts: u32) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(300),
+        tier: 1,
+        shares: vec![Share {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        attempts,
+        public: false,
+    }
+}
+
+/// An engine with a small group of experts.
+pub fn engine() -> Engine {
+    Engine {
+        slots: 12,
+        memory_tokens: 280_000,
+        steps_per_pass: 4,
+        step_ms: 4.55,
+        step_ms_per_request: 0.9,
+        step_ms_per_thousand: 0.018,
+        prefill_per_ms: 61.4,
+        prefill_ms_per_million_pairs: 0.5,
+        prefill_chunk: 512,
+        report_lag_ms: 200.0,
+        usual_prompt: 800,
+        usual_answer: 97,
+        experts: Some(Experts {
+            sets: 2,
+            count: 24,
+            places: 9,
+            spare: 3,
+            megabytes: 2_200.0,
+            load_mbps: 180_000.0,
+            work_share: 0.85,
+            form_ms: 600.0,
+        }),
+    }
+}
+
+/// A target that takes work, on loopback.
+pub fn target(id: &str, service: &str, port: u16) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
+        hall: "derby".to_owned(),
+        slots: 6,
+        standing: Standing::Ready,
+        membership: None,
+    }
+}
+
+/// A roster of one calculator and one model target.
+pub fn roster() -> Roster {
+    Roster::new(vec![target("c-1", CALC, 9_001), target("m-1", MODEL, 9_002)])
+}
