--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -41,8 +41,6 @@
     pub mixed: bool,
     pub changes: u32,
     pub claims: Vec<String>,
-    held_since: Option<Instant>,
-    pub longest_hold: Duration,
     /// Agents (by rank) that stand still once they have placed a hold.
     pub freeze_after_hold: bool,
     pub frozen: Option<usize>,
@@ -111,9 +109,10 @@
             }),
             claims: Box::new(Listed(self.clone())),
         };
-        let _entered = runtime.enter();
-        start(&settings, parts).expect("a free address");
-        drop(_entered);
+        {
+            let _entered = runtime.enter();
+            start(&settings, parts).expect("a free address");
+        }
         runtime
     }
 
@@ -163,11 +162,8 @@
     fn pass(&mut self) {
         let next = self.step + 1;
         if self.ranks.iter().any(|rank| rank.held == Some(next)) {
-            let since = *self.held_since.get_or_insert_with(Instant::now);
-            self.longest_hold = self.longest_hold.max(since.elapsed());
             return;
         }
-        self.held_since = None;
         self.step = next;
         let mut changed = false;
         for rank in &mut self.ranks {
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -73,12 +73,10 @@
     let world = World::new(4);
     let agents = agents(&world);
     world.wait("a change of map", |group| group.changes >= 1);
-    {
-        let mut group = world.lock();
-        group.freeze_after_hold = true;
-        group.longest_hold = Duration::ZERO;
-        group.shift();
-    }
+    let mut group = world.lock();
+    group.freeze_after_hold = true;
+    group.shift();
+    drop(group);
     world.wait("a hold whose giver stands still", |group| group.frozen.is_some());
     let began = Instant::now();
     world.wait("a group that runs", |group| !group.is_held());
