--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -109,10 +109,8 @@
             }),
             claims: Box::new(Listed(self.clone())),
         };
-        {
-            let _entered = runtime.enter();
-            start(&settings, parts).expect("a free address");
-        }
+        let started = runtime.block_on(async { start(&settings, parts) });
+        started.expect("a free address");
         runtime
     }
 
