Slow ranks get less; the placer of a hold proves that it goes on

The engine tells its pace. Change 1: placement weighs each rank's load by its pace; entries choose by pace, and by the load that conductors tell. Ruled out: holds by entries (a frozen entry costs a quarter of the callers), arming ahead without a hold (a killed conductor would leave it half armed). Tests: map_refinement::slow_rank_relieved, group::leading::holder_frozen (red before).

--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -29,6 +29,7 @@
     popularity: Popularity,
     gathered: Vec<f64>,
     since: Instant,
+    paces: Vec<f64>,
 }
 
 impl Decider {
@@ -46,9 +47,15 @@
             popularity: Popularity::new(experts.sets, experts.count, HALF_LIFE),
             gathered: vec![0.0; experts.sets * experts.count],
             since: Instant::now(),
+            paces: vec![1.0; ranks],
         }
     }
 
+    /// Notes how many times as long as usual each rank's work takes.
+    pub(crate) fn pace(&mut self, paces: Vec<f64>) {
+        self.paces = paces;
+    }
+
     /// Dimensions of the group.
     pub(crate) fn shape(&self) -> Shape {
         self.shape
@@ -80,7 +87,7 @@
 
     /// Mean over the sets of the largest rank load over the mean, under `map`.
     pub(crate) fn skew(&self, map: &Map) -> f64 {
-        skew_now(&self.popularity, map, self.shape)
+        skew_now(&self.popularity, map, self.shape, &self.paces)
     }
 
     /// Whether the demand is known.
@@ -99,7 +106,7 @@
                 per_rank,
                 per_set: self.experts.spare,
             };
-            let refined = refine(&self.popularity, map, self.shape, bounds);
+            let refined = refine(&self.popularity, map, self.shape, bounds, &self.paces);
             (self.cost(&refined), refined)
         });
         let (_, best) = candidates.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -39,6 +39,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time that a helper may take to place a hold: two hops between halls and a call, four times over.
 const ERRAND_LIMIT: Duration = Duration::from_millis(50);
+/// Time after a hold at which the helper has to show that it goes on.
+const PROOF_PAUSE: Duration = Duration::from_millis(6);
 /// An agent that was not heard for this long is no helper.
 const HELPER_AGE: Duration = Duration::from_millis(250);
 /// Time for which an agent that failed as a helper is passed over.
@@ -84,6 +86,18 @@
     helper: usize,
     sent: Instant,
     answer: Option<Answer>,
+    proof: Proof,
+}
+
+/// Whether a helper is known to have gone on after it placed a hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Proof {
+    /// It is asked at this time.
+    Due(Instant),
+    /// It was asked.
+    Asked,
+    /// It has answered.
+    Given,
 }
 
 /// A map that is being put in force.
@@ -169,11 +183,18 @@
                 () = tokio::time::sleep_until(tick) => {
                     let busy = self.conductor.progress() != Progress::Idle;
                     tick = Instant::now() + if busy { BUSY_TICK } else { CALM_TICK };
+                    self.ask_for_proof();
                     self.check_errand();
                     self.check_times();
                 }
             }
             self.step();
+            if let Some(Errand {
+                proof: Proof::Due(at), ..
+            }) = &self.errand
+            {
+                tick = tick.min(*at);
+            }
         }
         log::info!(target: DECISION, decision = "step_down", group = self.charge.group.as_str(), claim = self.charge.claim; "another conductor leads the group");
     }
@@ -194,7 +215,8 @@
             RankNews::Errand { serial, answer } => self.errand_answered(serial, answer),
             RankNews::Report { mut report, load } => {
                 let errand = self.errand.take_if(|errand| {
-                    rank == self.charge.own && errand.answer.is_some() && errand.order.serial == report.serial
+                    let over = errand.answer.is_some() && errand.proof == Proof::Given;
+                    rank == self.charge.own && over && errand.order.serial == report.serial
                 });
                 if let Some(errand) = errand {
                     report.answer = errand.answer;
@@ -336,9 +358,15 @@
         if self.present().is_none() {
             return;
         }
-        let (Some(decider), Some((_, _, map))) = (&self.decider, &self.map) else {
+        let paces = self
+            .members
+            .iter()
+            .map(|member| member.load.map_or(1.0, |(load, _)| load.pace()));
+        let paces = paces.collect();
+        let (Some(decider), Some((_, _, map))) = (&mut self.decider, &self.map) else {
             return;
         };
+        decider.pace(paces);
         let Some(refined) = decider.next(map) else { return };
         self.changes += 1;
         let number = (self.charge.claim + 1) * FENCES_PER_CLAIM + self.changes;
@@ -400,6 +428,7 @@
                 helper,
                 sent: Instant::now(),
                 answer: None,
+                proof: Proof::Given,
             });
         }
         sent.is_ok()
@@ -416,12 +445,25 @@
         })
     }
 
-    /// The other agent's word on the hold; the state of the own rank is read now to go with it.
+    /// The other agent's word on the hold, then its word that it has gone on since. A box may stand still right after
+    /// it has placed a hold; no rank is armed before it is known that this one does not.
     fn errand_answered(&mut self, serial: u64, answer: Answer) {
         let Some(errand) = self.errand.as_mut().filter(|errand| errand.order.serial == serial) else {
             return;
         };
-        errand.answer = Some(answer);
+        match (errand.answer, errand.proof) {
+            (None, _) => {
+                errand.answer = Some(answer);
+                errand.sent = Instant::now();
+                if answer == Answer::Done {
+                    errand.proof = Proof::Due(Instant::now() + PROOF_PAUSE);
+                    return;
+                }
+            }
+            (Some(_), Proof::Asked) => errand.proof = Proof::Given,
+            _ => return,
+        }
+        // The state of the own rank is read now to go with the answer.
         let look = Order {
             act: Act::Look,
             ..errand.order
@@ -429,10 +471,34 @@
         self.send_own(self.charge.own, look);
     }
 
+    /// Asks the helper for the proof when it is due.
+    fn ask_for_proof(&mut self) {
+        let Some(errand) = &mut self.errand else { return };
+        let Proof::Due(at) = errand.proof else { return };
+        if Instant::now() < at {
+            return;
+        }
+        errand.proof = Proof::Asked;
+        let order = Order {
+            act: Act::Look,
+            ..errand.order
+        };
+        let engine = (*self.members[self.charge.own].place.borrow()).map(|place| place.engine);
+        if let Some(engine) = engine {
+            // A full queue shows as a helper that does not answer.
+            let _full = self.members[errand.helper]
+                .orders
+                .try_send(RankOrder::Errand { order, engine });
+        }
+    }
+
     /// A helper that does not answer may stand still, and its rank cannot be armed. Nothing was armed yet: the change
     /// is dropped, and the hold goes as soon as the own rank shows it.
     fn check_errand(&mut self) {
-        let silent = |errand: &mut Errand| errand.answer.is_none() && errand.sent.elapsed() > ERRAND_LIMIT;
+        let silent = |errand: &mut Errand| {
+            let waits = errand.answer.is_none() || errand.proof != Proof::Given;
+            waits && errand.sent.elapsed() > ERRAND_LIMIT
+        };
         let Some(errand) = self.errand.take_if(silent) else {
             return;
         };
@@ -441,12 +507,6 @@
         self.members[self.charge.own].ordered = None;
         self.conductor.abandon();
         self.conductor.lost(self.charge.own);
-        let look = Order {
-            serial: 0,
-            act: Act::Look,
-            ..errand.order
-        };
-        self.send_own(self.charge.own, look);
     }
 
     /// Agents take a silent conductor for dead.
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -19,6 +19,8 @@
 
 pub const RANKS: usize = 4;
 const PASS: Duration = Duration::from_millis(8);
+/// Time after which a call of an engine on another box that stands still is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(40);
 const LOAD: Duration = Duration::from_millis(10);
 
 #[derive(Debug, Clone, Default)]
@@ -305,24 +307,38 @@
 }
 
 impl MemoryEngine {
-    /// A caller that stands still gets nothing done, nor does anyone with the engine on its box.
-    async fn stand_still(&self) {
-        let frozen = self.world.lock().frozen;
-        if frozen == Some(self.caller) || frozen == Some(self.rank) {
-            std::future::pending::<()>().await;
+    /// Whether the engine is reached now. A box that stands still runs nothing: its one thread waits here. Nobody else
+    /// reaches an engine on it.
+    async fn is_reached(&self) -> bool {
+        while self.world.lock().frozen == Some(self.caller) {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        if self.world.lock().frozen == Some(self.rank) {
+            tokio::time::sleep(CALL_TIMEOUT).await;
+            return false;
         }
+        true
+    }
+
+    async fn reach(&self) -> Result<(), EngineError> {
+        if self.is_reached().await {
+            return Ok(());
+        }
+        Err(EngineError {
+            message: "the box stands still".to_owned(),
+        })
     }
 }
 
 #[async_trait]
 impl Engine for MemoryEngine {
     async fn state(&mut self) -> Result<EngineState, EngineError> {
-        self.stand_still().await;
+        self.reach().await?;
         Ok(self.world.lock().state(self.rank))
     }
 
     async fn counts(&mut self) -> Result<Counts, EngineError> {
-        self.stand_still().await;
+        self.reach().await?;
         Ok(Counts {
             epoch: 1,
             picks: self.world.lock().counts.clone(),
@@ -348,7 +364,9 @@
     }
 
     async fn order(&mut self, order: &Order, map: Option<&Map>) -> Answer {
-        self.stand_still().await;
+        if !self.is_reached().await {
+            return Answer::Silent;
+        }
         let answer = {
             let mut group = self.world.lock();
             let answer = group.order(self.rank, order, map);
@@ -358,7 +376,7 @@
             }
             answer
         };
-        self.stand_still().await;
+        self.is_reached().await;
         answer
     }
 }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -13,7 +13,9 @@
 use hyper::body::Frame;
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Kind, Roster, Route, RouteKey, Target};
+use sparscale_mesh::Mesh;
 use sparscale_telemetry::DECISION;
+use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rest, Turned, Whole};
@@ -36,6 +38,7 @@
 #[derive(Debug)]
 pub(crate) struct Gateway {
     pub(crate) board: Arc<Board>,
+    pub(crate) mesh: Arc<Mesh>,
     pub(crate) caller: Caller,
     pub(crate) loads: Arc<Loads>,
     pub(crate) hall: String,
@@ -162,12 +165,18 @@
             tries.service = self.service(job, &roster);
         }
         let service = tries.service.clone()?;
-        let mut target = self.loads.choose(&roster, &service, &tries.tried, &self.hall);
-        if target.is_none() && job.outbound.may_repeat {
-            // All were tried: what may run more than once may go to one of them again.
-            target = self.loads.choose(&roster, &service, &[], &self.hall);
-        }
-        target
+        let reported = |target: &Target| self.reported(target);
+        let choose = |tried: &[String]| self.loads.choose(&roster, &service, tried, &self.hall, reported);
+        let untried = choose(&tries.tried);
+        // All were tried: what may run more than once may go to one of them again.
+        untried.or_else(|| job.outbound.may_repeat.then(|| choose(&[])).flatten())
+    }
+
+    /// Load of a rank as its group's conductor told it.
+    fn reported(&self, target: &Target) -> Option<RankLoad> {
+        let place = target.membership.as_ref()?;
+        let group = self.mesh.group(&place.group)?;
+        group.ranks.get(place.rank).copied().flatten()
     }
 
     /// The service whose turn it is on the route; one without targets is passed over.
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sparscale_catalog::{Roster, Standing, Target};
+use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
 /// First time for which a target that failed is passed over; doubled with each failure in a row.
@@ -38,9 +39,16 @@
 impl Loads {
     /// The target for a request of `service`, other than those tried, for an entry in `hall`.
     ///
-    /// The least loaded in proportion to its slots; of equals one in the same hall, then any. A target that failed a
-    /// moment ago is taken only if there is no other.
-    pub(crate) fn choose(&self, roster: &Roster, service: &str, tried: &[String], hall: &str) -> Option<Target> {
+    /// The one that would be least loaded with it, in proportion to its slots and pace; of equals one in the same hall,
+    /// then any. A target that failed a moment ago is taken only if there is no other.
+    pub(crate) fn choose(
+        &self,
+        roster: &Roster,
+        service: &str,
+        tried: &[String],
+        hall: &str,
+        reported: impl Fn(&Target) -> Option<RankLoad>,
+    ) -> Option<Target> {
         let now = Instant::now();
         let targets = self.lock();
         let ready = roster
@@ -48,10 +56,14 @@
             .filter(|target| target.standing == Standing::Ready && !tried.contains(&target.id));
         let cost = |target: &Target| {
             let state = targets.get(&target.id);
-            let running = state.map_or(0, |state| state.running);
+            let own = state.map_or(0, |state| state.running);
+            let report = reported(target);
+            // What is reported holds this entry's own requests, too, as they were then.
+            let running = report.map_or(own, |load| own.max(load.running + load.queued));
+            let pace = report.map_or(1.0, |load| load.pace());
             Cost {
                 avoided: state.is_some_and(|state| state.avoid_until.is_some_and(|until| now < until)),
-                load: f64::from(running) / f64::from(target.slots.max(1)),
+                load: f64::from(running + 1) * pace / f64::from(target.slots.max(1)),
                 other_hall: target.hall != hall,
                 lot: rand::random(),
             }
--- a/crates/sparscale_gateway/src/program.rs
+++ b/crates/sparscale_gateway/src/program.rs
@@ -123,6 +123,7 @@
     tokio::spawn(read_roster(Arc::clone(&board), parts.roster, Arc::clone(&pace)));
     let gateway = Arc::new(Gateway {
         board: Arc::clone(&board),
+        mesh: Arc::clone(&mesh),
         caller: Caller {
             pool: Arc::new(Pool::default()),
             dialect: Arc::new(parts.dialect),
--- a/crates/sparscale_place/src/barrier/conductor.rs
+++ b/crates/sparscale_place/src/barrier/conductor.rs
@@ -51,6 +51,10 @@
     },
     /// All holds are being released.
     Open,
+    /// A hold that may stand is being released; nothing was armed for it.
+    Lift {
+        looked: bool,
+    },
     Idle,
     /// Ranks that have not `begun` to load are told to.
     Stage {
@@ -126,7 +130,7 @@
         match &self.phase {
             Phase::Survey { .. } => Progress::Surveying,
             Phase::Guard { .. } => Progress::Recovering,
-            Phase::Undo { .. } | Phase::Open => Progress::Undoing,
+            Phase::Undo { .. } | Phase::Open | Phase::Lift { .. } => Progress::Undoing,
             Phase::Idle => Progress::Idle,
             Phase::Stage { .. } => Progress::Staging,
             Phase::Hold { .. } => Progress::Holding,
@@ -195,7 +199,7 @@
             Phase::Hold { step, .. } => {
                 // No rank was told to arm yet: there is nothing to take back but the hold, whenever it stands.
                 self.strays.push(*step);
-                self.fail(Phase::Idle);
+                self.fail(Phase::Lift { looked: false });
             }
             Phase::Arm { .. } => self.undo(),
             _ => {}
@@ -265,25 +269,35 @@
                     .map_or(self.fence, |armed| armed.number),
             }),
             Phase::Open => view?.held.map(|step| Act::Release { step }),
-            Phase::Idle | Phase::Settle { .. } => {
-                // A hold of an earlier try that was placed late.
-                let held = view?.held.filter(|step| self.strays.contains(step))?;
-                Some(Act::Release { step: held })
+            Phase::Lift { looked } if rank == self.own => {
+                if *looked {
+                    self.lift(view)
+                } else {
+                    Some(Act::Look)
+                }
             }
+            Phase::Idle | Phase::Settle { .. } => self.lift(view),
             Phase::Stage { number, begun } => {
                 let wanted = !begun[rank] && view?.staged != Some(*number);
-                wanted.then_some(Act::Stage { number: *number })
+                let stage = wanted.then_some(Act::Stage { number: *number });
+                self.lift(view).or(stage)
             }
             Phase::Hold { step, .. } if rank == self.own => match view?.held {
                 Some(held) if held != *step => Some(Act::Release { step: held }),
                 _ => Some(Act::Hold { step: *step }),
             },
-            Phase::Hold { .. } => None,
+            Phase::Hold { .. } | Phase::Lift { .. } => None,
             Phase::Arm { change } => (view?.armed != Some(*change)).then_some(Act::Arm(*change)),
             Phase::Release { change } => (rank == self.own).then_some(Act::Release { step: change.at }),
         }
     }
 
+    /// Releases a hold of an earlier try, whenever it shows.
+    fn lift(&self, view: Option<View>) -> Option<Act> {
+        let held = view?.held.filter(|step| self.strays.contains(step))?;
+        Some(Act::Release { step: held })
+    }
+
     fn answered(&mut self, rank: usize, order: Order, answer: Answer, view: Option<View>) {
         if answer == Answer::Fenced {
             self.overtaken = true;
@@ -294,6 +308,7 @@
         let armed = view.is_some_and(|view| view.armed.is_some());
         match (&mut self.phase, order.act) {
             (Phase::Survey { looked }, Act::Look) => looked[rank] = view.is_some(),
+            (Phase::Lift { looked }, Act::Look) => *looked = view.is_some(),
             (Phase::Guard { guards }, Act::Hold { step }) => {
                 let guard = guards.iter_mut().find(|guard| guard.rank == rank && guard.step == step);
                 match (guard, answer) {
@@ -369,6 +384,9 @@
             Phase::Guard { guards } if guards.iter().all(|guard| guard.placed) => self.undo(),
             Phase::Undo { fenced } if fenced.iter().all(|fenced| *fenced) => self.phase = Phase::Open,
             Phase::Open if self.all(|view| view.held.is_none()) => self.survey(),
+            Phase::Lift { looked: true } if self.lift(self.members[self.own].view).is_none() => {
+                self.phase = Phase::Idle;
+            }
             Phase::Idle if self.any(|view| self.is_left_over(view)) => self.survey(),
             Phase::Stage { number, .. } => {
                 let number = *number;
--- a/crates/sparscale_place/src/refine.rs
+++ b/crates/sparscale_place/src/refine.rs
@@ -37,10 +37,11 @@
     pub after: f64,
 }
 
-/// Improves `map` within `bounds`.
-pub fn refine(popularity: &Popularity, map: &Map, shape: Shape, bounds: Bounds) -> Refined {
+/// Improves `map` within `bounds`. `paces` tells how many times as long as usual each rank's work takes: a slow rank
+/// is to get as much less.
+pub fn refine(popularity: &Popularity, map: &Map, shape: Shape, bounds: Bounds, paces: &[f64]) -> Refined {
     let mut sets: Vec<Set> = (0..shape.layers)
-        .map(|set| Set::new(&map.layers[set], popularity.set(set), shape.slots))
+        .map(|set| Set::new(&map.layers[set], popularity.set(set), shape.slots, paces))
         .collect();
     let before = mean_skew(&sets);
     let mut loaded = vec![0_usize; shape.ranks];
@@ -72,8 +73,8 @@
 }
 
 /// Mean over the sets of the largest rank load over the mean.
-pub fn skew_now(popularity: &Popularity, map: &Map, shape: Shape) -> f64 {
-    let sets = (0..shape.layers).map(|set| Set::new(&map.layers[set], popularity.set(set), shape.slots));
+pub fn skew_now(popularity: &Popularity, map: &Map, shape: Shape, paces: &[f64]) -> f64 {
+    let sets = (0..shape.layers).map(|set| Set::new(&map.layers[set], popularity.set(set), shape.slots, paces));
     mean_skew(&sets.collect::<Vec<_>>())
 }
 
@@ -90,7 +91,7 @@
     total / sets.len().max(1) as f64
 }
 
-/// One set while it is being improved. Loads are relative to the mean.
+/// One set while it is being improved. Loads are times, relative to the mean of ranks at their usual pace.
 #[derive(Debug, Clone)]
 struct Set<'a> {
     tokens: &'a [f64],
@@ -99,6 +100,7 @@
     slots: usize,
     ranks: Vec<Vec<u16>>,
     holders: Vec<Vec<usize>>,
+    paces: &'a [f64],
     loads: Vec<f64>,
     /// Experts that each rank has loaded of this set.
     loaded: Vec<usize>,
@@ -121,7 +123,7 @@
 }
 
 impl<'a> Set<'a> {
-    fn new(layer: &Layer, tokens: &'a [f64], slots: usize) -> Self {
+    fn new(layer: &Layer, tokens: &'a [f64], slots: usize, paces: &'a [f64]) -> Self {
         let mut holders = vec![Vec::new(); tokens.len()];
         for (rank, held) in layer.ranks.iter().enumerate() {
             for expert in held {
@@ -134,18 +136,24 @@
             tokens,
             scale,
             slots,
+            paces,
             loads: vec![0.0; layer.ranks.len()],
             loaded: vec![0; layer.ranks.len()],
             ranks: layer.ranks.clone(),
             holders,
         };
         for rank in 0..set.ranks.len() {
-            set.loads[rank] = set.ranks[rank].iter().map(|expert| set.share(*expert)).sum();
+            let tokens: f64 = set.ranks[rank].iter().map(|expert| set.share(*expert)).sum();
+            set.loads[rank] = tokens * set.pace(rank);
         }
         set
     }
 
-    /// Load that an expert puts on each rank that holds it.
+    fn pace(&self, rank: usize) -> f64 {
+        self.paces.get(rank).copied().unwrap_or(1.0)
+    }
+
+    /// Load that an expert puts on each rank that holds it, at its usual pace.
     fn share(&self, expert: u16) -> f64 {
         let expert = usize::from(expert);
         self.tokens[expert] * self.scale / self.holders[expert].len().max(1) as f64
@@ -240,7 +248,7 @@
             let mut holders = self.holders[usize::from(expert)].clone();
             let share = self.share(expert);
             for holder in &holders {
-                loads[*holder] -= share;
+                loads[*holder] -= share * self.pace(*holder);
             }
             for edit in edits.iter().filter(|edit| edit.expert() == expert) {
                 edit.carry_out(&mut holders);
@@ -248,7 +256,7 @@
             let total = self.tokens[usize::from(expert)] * self.scale;
             let share = total / holders.len().max(1) as f64;
             for holder in &holders {
-                loads[*holder] += share;
+                loads[*holder] += share * self.pace(*holder);
             }
         }
         loads
--- a/crates/sparscale_place/tests/map_refinement.rs
+++ b/crates/sparscale_place/tests/map_refinement.rs
@@ -54,7 +54,7 @@
         let mut map = Map::initial(SHAPE);
         for round in 0..=u64::from(rounds % 5) {
             let popularity = popularity(seed.wrapping_add(round));
-            let refined = refine(&popularity, &map, SHAPE, bounds);
+            let refined = refine(&popularity, &map, SHAPE, bounds, &[]);
             let loads = map.loads_of(&refined.map);
             let on_rank = |rank: usize| {
                 let layers = map.layers.iter().zip(&refined.map.layers);
@@ -87,11 +87,11 @@
     let mut map = Map::initial(SHAPE);
     for seed in 0..20 {
         let popularity = popularity(seed);
-        let before = skew_now(&popularity, &map, SHAPE);
+        let before = skew_now(&popularity, &map, SHAPE, &[]);
         for _ in 0..4 {
-            map = refine(&popularity, &map, SHAPE, ONE).map;
+            map = refine(&popularity, &map, SHAPE, ONE, &[]).map;
         }
-        let after = skew_now(&popularity, &map, SHAPE);
+        let after = skew_now(&popularity, &map, SHAPE, &[]);
         assert!(after < 1.35, "seed {seed}: from {before} to {after}");
     }
 }
@@ -113,3 +113,21 @@
     assert_eq!(popularity.observe(&few, Duration::from_millis(100)), Trend::Small);
     assert_eq!(popularity.observe(&[1.0], Duration::from_millis(100)), Trend::Small);
 }
+
+/// A rank that is six times as slow gets little to do; the others share the rest.
+#[test]
+fn slow_rank_relieved() {
+    let popularity = popularity(5);
+    let mut paces = [1.0; SHAPE.ranks];
+    let mut map = Map::initial(SHAPE);
+    for _ in 0..6 {
+        map = refine(&popularity, &map, SHAPE, ONE, &paces).map;
+    }
+    paces[3] = 6.0;
+    let before = skew_now(&popularity, &map, SHAPE, &paces);
+    for _ in 0..6 {
+        map = refine(&popularity, &map, SHAPE, ONE, &paces).map;
+    }
+    let after = skew_now(&popularity, &map, SHAPE, &paces);
+    assert!(before > 4.0 && after < 1.6, "from {before} to {after}");
+}
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -121,6 +121,19 @@
     pub queued: u32,
     /// Tokens of memory in use.
     pub memory_tokens: u64,
+    /// How many times as long as usual its work takes, in thousandths; 0 if it does not tell.
+    pub pace_milli: u32,
+}
+
+impl RankLoad {
+    /// How many times as long as usual the rank's work takes.
+    pub fn pace(&self) -> f64 {
+        if self.pace_milli == 0 {
+            1.0
+        } else {
+            f64::from(self.pace_milli) / 1_000.0
+        }
+    }
 }
 
 /// Loads of a group's ranks, as its conductor knows them.
