Log lines never block and are bounded; figures on the metrics address

Cause: lines were written straight to standard output; no figures were told; most decisions of a conductor left no line.

--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use belief::{Belief, Change};
 pub use board::Board;
-pub use reader::{Pace, read_catalog, read_roster};
+pub use reader::{Pace, ReadFigures, read_catalog, read_roster};
 pub use source::{Error, Reading, Source};
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use sparscale_telemetry::DECISION;
+use sparscale_telemetry::{DECISION, Registry};
 use tokio::time::Instant;
 
 use crate::belief::Change;
@@ -58,31 +58,61 @@
     }
 }
 
+/// Counts readings.
+#[derive(Debug)]
+pub struct ReadFigures {
+    registry: Arc<Registry>,
+}
+
+impl ReadFigures {
+    /// Counts in `registry`.
+    pub fn new(registry: &Arc<Registry>) -> Self {
+        Self {
+            registry: Arc::clone(registry),
+        }
+    }
+
+    fn note<T>(&self, source: &str, answer: &Result<Reading<T>, Error>, took: Duration) {
+        let result = if answer.is_ok() { "answered" } else { "failed" };
+        let help = "Readings of the store, by result.";
+        let labels = [("source", source), ("result", result)];
+        self.registry
+            .counter("sparscale_store_reads_total", help, &labels)
+            .add_one();
+        let help = "Time that a reading of the store took.";
+        let labels = [("source", source)];
+        self.registry
+            .histogram("sparscale_store_read_seconds", help, &labels)
+            .note(took);
+    }
+}
+
 /// Keeps the catalog on `board` young; never ends.
-pub async fn read_catalog(board: Arc<Board>, source: Box<dyn Source<Catalog>>, pace: Arc<Pace>) {
+pub async fn read_catalog(board: Arc<Board>, source: Box<dyn Source<Catalog>>, pace: Arc<Pace>, figures: ReadFigures) {
     let age = {
         let board = Arc::clone(&board);
         move || board.catalog_age()
     };
     let offer = move |reading: Reading<Catalog>, asked| board.offer_catalog(reading.value, asked, "store");
-    keep_young("catalog", source, &pace, age, offer).await;
+    keep_young("catalog", source, &pace, &figures, age, offer).await;
 }
 
 /// Keeps the roster on `board` young; never ends.
-pub async fn read_roster(board: Arc<Board>, source: Box<dyn Source<Roster>>, pace: Arc<Pace>) {
+pub async fn read_roster(board: Arc<Board>, source: Box<dyn Source<Roster>>, pace: Arc<Pace>, figures: ReadFigures) {
     let age = {
         let board = Arc::clone(&board);
         move || board.roster_age()
     };
     let offer =
         move |reading: Reading<Roster>, asked| board.offer_roster(reading.value, reading.position, asked, "store");
-    keep_young("roster", source, &pace, age, offer).await;
+    keep_young("roster", source, &pace, &figures, age, offer).await;
 }
 
 async fn keep_young<T: Send + Sync + 'static>(
     what: &'static str,
     mut source: Box<dyn Source<T>>,
     pace: &Pace,
+    figures: &ReadFigures,
     age: impl Fn() -> Option<Duration>,
     offer: impl Fn(Reading<T>, Instant) -> Change,
 ) {
@@ -99,6 +129,7 @@
             let message = format!("nothing within {} ms", READ_TIMEOUT.as_millis());
             Err(Error::Unavailable { message })
         });
+        figures.note(what, &answer, asked.elapsed());
         note_reachable(what, &mut reachable, &answer);
         let news = answer.map(|reading| offer(reading, asked));
         // A store that answers from the past says nothing about now: asking at once again would only load it.
--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -18,6 +18,8 @@
 const HORIZON_MS: f64 = 900.0;
 /// Most loads on one rank in one change.
 const MAX_DEPTH: usize = 3;
+/// Time between two lines of the log about staying.
+const STAY_PAUSE: Duration = Duration::from_secs(1);
 /// Fall of the skew for which a change is made at all.
 const MIN_FALL: f64 = 0.08;
 
@@ -30,6 +32,7 @@
     gathered: Vec<f64>,
     since: Instant,
     paces: Vec<f64>,
+    told_stay: Option<Instant>,
 }
 
 impl Decider {
@@ -48,6 +51,7 @@
             gathered: vec![0.0; experts.sets * experts.count],
             since: Instant::now(),
             paces: vec![1.0; ranks],
+            told_stay: None,
         }
     }
 
@@ -96,7 +100,7 @@
     }
 
     /// The next map, if one pays: as many loads on a rank as leave the least skew over the horizon, loading included.
-    pub(crate) fn next(&self, map: &Map) -> Option<Refined> {
+    pub(crate) fn next(&mut self, map: &Map) -> Option<Refined> {
         if !self.knows() {
             return None;
         }
@@ -111,6 +115,9 @@
         });
         let (_, best) = candidates.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
         let pays = best.before - best.after >= MIN_FALL;
+        if !pays {
+            self.log_stay(&best);
+        }
         if pays {
             log::info!(
                 target: DECISION,
@@ -126,6 +133,24 @@
         pays.then_some(best)
     }
 
+    /// Most decisions are to stay; one line a second tells of them.
+    fn log_stay(&mut self, best: &Refined) {
+        let now = Instant::now();
+        if self.told_stay.is_some_and(|told| now < told + STAY_PAUSE) {
+            return;
+        }
+        self.told_stay = Some(now);
+        log::info!(
+            target: DECISION,
+            decision = "stay",
+            skew_now = best.before,
+            skew_next = best.after,
+            loads = best.loads,
+            samples = self.popularity.samples();
+            "placement"
+        );
+    }
+
     /// Skew times milliseconds over the horizon, if `refined` is put in force.
     fn cost(&self, refined: &Refined) -> f64 {
         let wait = (f64::from(refined.deepest) * self.experts.load_ms() + CHANGE_MS).min(HORIZON_MS);
--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -45,6 +45,7 @@
         waited_since = Instant::now();
         match claiming {
             Ok(Ok(Claim::Won { offset })) => {
+                context.figures.claimed("won");
                 let charge = Charge {
                     group,
                     service: service.clone(),
@@ -55,11 +56,16 @@
                 Leader::new(context.clone(), charge).run().await;
                 waited_since = Instant::now();
             }
-            Ok(Ok(Claim::Lost { end: claims })) => end = claims,
+            Ok(Ok(Claim::Lost { end: claims })) => {
+                context.figures.claimed("lost");
+                end = claims;
+            }
             Ok(Err(error)) => {
+                context.figures.claimed("unanswered");
                 log::info!(target: DECISION, decision = "claim_failed", group = group.as_str(), error = error.to_string().as_str(); "no answer to a claim");
             }
             Err(_elapsed) => {
+                context.figures.claimed("unanswered");
                 log::info!(target: DECISION, decision = "claim_failed", group = group.as_str(), error = "timeout"; "no answer to a claim");
             }
         }
--- /dev/null
+++ b/crates/sparscale_conduct/src/figures.rs
@@ -0,0 +1,86 @@
+//! The figures of an agent.
+
+use std::sync::Arc;
+
+use sparscale_place::barrier::{Act, Answer};
+use sparscale_telemetry::{Counter, Gauge, Histogram, Registry};
+
+/// Figures that leading a group and ordering a rank change.
+#[derive(Debug, Clone)]
+pub(crate) struct Figures {
+    registry: Arc<Registry>,
+    pub(crate) leading: Arc<Gauge>,
+    pub(crate) skew: Arc<Gauge>,
+    pub(crate) pass_seconds: Arc<Gauge>,
+    pub(crate) switch: Arc<Histogram>,
+    pub(crate) hold: Arc<Histogram>,
+    pub(crate) loads: Arc<Counter>,
+}
+
+impl Figures {
+    pub(crate) fn new(registry: &Arc<Registry>) -> Self {
+        let gauge = |name, help| registry.gauge(name, help, &[]);
+        Self {
+            leading: gauge("sparscale_leading", "1 while this agent leads its group."),
+            skew: gauge(
+                "sparscale_skew",
+                "Mean over the sets of the largest rank load over the mean.",
+            ),
+            pass_seconds: gauge("sparscale_pass_seconds", "Time of the latest passes of the group."),
+            switch: registry.histogram(
+                "sparscale_switch_seconds",
+                "Time from a decision to the new map in force.",
+                &[],
+            ),
+            hold: registry.histogram(
+                "sparscale_hold_seconds",
+                "Time from the hold of a switch to its end.",
+                &[],
+            ),
+            loads: registry.counter(
+                "sparscale_expert_loads_total",
+                "Experts that maps in force loaded.",
+                &[],
+            ),
+            registry: Arc::clone(registry),
+        }
+    }
+
+    /// An order to the own rank was answered.
+    pub(crate) fn ordered(&self, act: &Act, answer: Answer) {
+        let act = match act {
+            Act::Look => "look",
+            Act::Stage { .. } => "stage",
+            Act::Hold { .. } => "hold",
+            Act::Arm(_) => "arm",
+            Act::Disarm { .. } => "disarm",
+            Act::Release { .. } => "release",
+        };
+        let answer = match answer {
+            Answer::Done => "done",
+            Answer::Refused => "refused",
+            Answer::Fenced => "fenced",
+            Answer::Silent => "silent",
+        };
+        let help = "Orders to the own rank, by answer.";
+        let labels = [("act", act), ("answer", answer)];
+        self.registry.counter("sparscale_orders_total", help, &labels).add_one();
+    }
+
+    /// A map switch is over.
+    pub(crate) fn switched(&self, in_force: bool) {
+        let result = if in_force { "in_force" } else { "dropped" };
+        let help = "Map switches, by result.";
+        let labels = [("result", result)];
+        self.registry
+            .counter("sparscale_switches_total", help, &labels)
+            .add_one();
+    }
+
+    /// A claim of the duty was answered, or not.
+    pub(crate) fn claimed(&self, result: &str) {
+        let help = "Claims of the duty to lead, by result.";
+        let labels = [("result", result)];
+        self.registry.counter("sparscale_claims_total", help, &labels).add_one();
+    }
+}
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -15,6 +15,7 @@
 
 use crate::decision::Decider;
 use crate::engine::Engines;
+use crate::figures::Figures;
 use crate::link::{Event, Link, Place, Remote, lead_own};
 use crate::rank::Handle;
 
@@ -58,6 +59,7 @@
     pub(crate) handle: Handle,
     /// Port at which every agent takes connections.
     pub(crate) port: u16,
+    pub(crate) figures: Figures,
 }
 
 /// The group that is led.
@@ -106,6 +108,8 @@
     map: Map,
     began: Instant,
     deepest: u32,
+    /// Experts that it loads, over all ranks.
+    loads: u32,
     held: Option<Instant>,
 }
 
@@ -129,6 +133,8 @@
     pass: Option<(u64, Instant)>,
     pass_micros: f64,
     overtaken: bool,
+    /// Whether something is new since the last decision.
+    undecided: bool,
 }
 
 impl Leader {
@@ -158,11 +164,13 @@
             pass: None,
             pass_micros: 0.0,
             overtaken: false,
+            undecided: false,
         }
     }
 
     /// Leads until another conductor has taken over.
     pub(crate) async fn run(mut self) {
+        self.context.figures.leading.set(1.0);
         log::info!(target: DECISION, decision = "lead", group = self.charge.group.as_str(), claim = self.charge.claim, rank = self.charge.own; "leading a group");
         let mut rosters = self.context.board.rosters();
         self.place_members();
@@ -196,6 +204,7 @@
                 tick = tick.min(*at);
             }
         }
+        self.context.figures.leading.set(0.0);
         log::info!(target: DECISION, decision = "step_down", group = self.charge.group.as_str(), claim = self.charge.claim; "another conductor leads the group");
     }
 
@@ -261,10 +270,11 @@
     fn step(&mut self) {
         self.prepare_decider();
         if let Some(decider) = &mut self.decider {
-            decider.sample(Instant::now());
+            self.undecided |= decider.sample(Instant::now()).is_some();
         }
         self.note_progress();
-        if self.conductor.progress() == Progress::Idle {
+        if self.conductor.progress() == Progress::Idle && self.undecided {
+            self.undecided = false;
             self.decide();
         }
         self.send_orders();
@@ -302,6 +312,7 @@
             change.held.get_or_insert_with(Instant::now);
         }
         if progress == Progress::Idle {
+            self.undecided = true;
             self.settle();
         }
     }
@@ -319,6 +330,7 @@
             let held_ms = change.held.map(|held| held.elapsed().as_millis() as u64);
             let in_force = change.number == number && !failed;
             log::info!(target: DECISION, decision = "map", group = self.charge.group.as_str(), epoch, number, in_force, took_ms, held_ms; "map switch over");
+            self.note_switch(&change, in_force);
             if change.number == number {
                 self.map = Some((epoch, number, change.map));
                 return;
@@ -333,6 +345,19 @@
         }
     }
 
+    fn note_switch(&self, change: &Change, in_force: bool) {
+        let figures = &self.context.figures;
+        figures.switched(in_force);
+        if !in_force {
+            return;
+        }
+        figures.switch.note(change.began.elapsed());
+        figures.loads.add(u64::from(change.loads));
+        if let Some(held) = change.held {
+            figures.hold.note(held.elapsed());
+        }
+    }
+
     /// The map in force: remembered, the one that every group starts with, or put together from what the ranks hold.
     fn present(&mut self) -> Option<&Map> {
         let epoch = self.conductor.epoch();
@@ -376,6 +401,7 @@
                 map: refined.map,
                 began: Instant::now(),
                 deepest: refined.deepest,
+                loads: refined.loads,
                 held: None,
             });
         }
@@ -584,6 +610,8 @@
             let load = member.load.filter(|(_, at)| at.elapsed() < LOAD_AGE);
             load.map(|(load, _)| load)
         };
+        self.context.figures.skew.set(skew);
+        self.context.figures.pass_seconds.set(self.pass_micros / 1.0e6);
         let load = GroupLoad {
             group: self.charge.group.clone(),
             order: (self.charge.claim, self.messages),
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -9,6 +9,7 @@
 mod distant;
 mod duty;
 mod engine;
+mod figures;
 mod leader;
 mod link;
 mod program;
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -5,16 +5,17 @@
 use std::time::Duration;
 
 use snafu::{ResultExt as _, Snafu};
-use sparscale_belief::{Board, Pace, Source, read_catalog, read_roster};
+use sparscale_belief::{Board, Pace, ReadFigures, Source, read_catalog, read_roster};
 use sparscale_catalog::{Catalog, Roster};
 use sparscale_mesh::Mesh;
-use sparscale_telemetry::DECISION;
+use sparscale_telemetry::{DECISION, Registry};
 use sparscale_wire::{Endpoint, EndpointError, Identity, Role};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::claims::Claims;
 use crate::duty;
 use crate::engine::Engines;
+use crate::figures::Figures;
 use crate::leader::Context;
 use crate::link;
 use crate::rank;
@@ -48,6 +49,8 @@
     pub engines: Arc<dyn Engines>,
     /// The list of claims.
     pub claims: Box<dyn Claims>,
+    /// The process's figures.
+    pub registry: Arc<Registry>,
 }
 
 impl std::fmt::Debug for Parts {
@@ -98,9 +101,11 @@
     );
     tokio::spawn(Arc::clone(&mesh).follow_one());
     let pace = || Arc::new(Pace::new(settings.read_interval, Duration::ZERO));
-    tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, pace()));
-    tokio::spawn(read_roster(Arc::clone(&board), parts.roster, pace()));
-    let handle = rank::start(Arc::clone(&parts.engines), settings.engine);
+    let reads = || ReadFigures::new(&parts.registry);
+    tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, pace(), reads()));
+    tokio::spawn(read_roster(Arc::clone(&board), parts.roster, pace(), reads()));
+    let figures = Figures::new(&parts.registry);
+    let handle = rank::start(Arc::clone(&parts.engines), settings.engine, figures.clone());
     tokio::spawn(link::accept(Arc::clone(&endpoint), handle.clone()));
     let context = Context {
         board,
@@ -109,6 +114,7 @@
         engines: parts.engines,
         handle,
         port: settings.address.port(),
+        figures,
     };
     tokio::spawn(duty::run(context, parts.claims, settings.service.clone()));
     log::info!(target: DECISION, decision = "start", name = settings.name.as_str(), address = settings.address.to_string().as_str(); "agent started");
--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::engine::{Counts, Engine, EngineState, Engines};
+use crate::figures::Figures;
 
 /// Time between two looks at a rank on which nothing is under way.
 const CALM_PAUSE: Duration = Duration::from_millis(100);
@@ -75,6 +76,7 @@
 struct Agent {
     engine: Box<dyn Engine>,
     engines: Arc<dyn Engines>,
+    figures: Figures,
     subscriber: Option<Subscriber>,
     state: watch::Sender<Option<EngineState>>,
     led: watch::Sender<Led>,
@@ -86,7 +88,7 @@
 }
 
 /// Starts the agent of the rank whose engine is at `engine`.
-pub(crate) fn start(engines: Arc<dyn Engines>, engine: SocketAddr) -> Handle {
+pub(crate) fn start(engines: Arc<dyn Engines>, engine: SocketAddr, figures: Figures) -> Handle {
     let (commands, received_commands) = mpsc::channel(QUEUE);
     let (subscribers, received_subscribers) = mpsc::channel(QUEUE);
     let state = watch::Sender::new(None);
@@ -103,6 +105,7 @@
     let agent = Agent {
         engine: engines.at(engine),
         engines,
+        figures,
         subscriber: None,
         state,
         led,
@@ -212,6 +215,7 @@
             self.staging = Some(number);
         }
         let state = self.engine.state().await.ok();
+        self.figures.ordered(&order.act, answer);
         if order.act != Act::Look {
             log::info!(target: DECISION, decision = "order", claim, fence = order.fence, epoch = order.epoch, act:? = order.act, answer:? = answer, step = state.as_ref().map(|state| state.view.step); "passed an order on");
         }
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -110,6 +110,7 @@
                 caller: rank,
             }),
             claims: Box::new(Listed(self.clone())),
+            registry: Arc::default(),
         };
         let started = runtime.block_on(async { start(&settings, parts) });
         started.expect("a free address");
--- a/crates/sparscale_entry/src/main.rs
+++ b/crates/sparscale_entry/src/main.rs
@@ -8,13 +8,5 @@
 async fn main() -> ExitCode {
     let matches = sparscale_entry::command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    if let Err(error) = sparscale_telemetry::init_log() {
-        eprintln!("sparscale-entry: {error}");
-        return ExitCode::FAILURE;
-    }
-    if let Err(error) = sparscale_entry::run(&path).await {
-        eprintln!("sparscale-entry: {error}");
-        return ExitCode::FAILURE;
-    }
-    ExitCode::SUCCESS
+    sparscale_telemetry::run_logged("sparscale-entry", sparscale_entry::run(&path)).await
 }
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -60,6 +60,7 @@
             },
             Err(refusal) => refusal,
         };
+        self.gateway.figures.refused(refused.reason);
         log_refusal(&head, refused, self.gateway.board.catalog().as_ref());
         refused.response(&self.gateway.caller.dialect.request_id, head.id.as_ref())
     }
@@ -130,7 +131,7 @@
 }
 
 fn log_refusal(head: &Head, refusal: Refusal, catalog: Option<&Belief<Catalog>>) {
-    log::info!(
+    log::warn!(
         target: DECISION,
         decision = "refuse",
         request = head.id_text(),
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use snafu::ResultExt as _;
-use sparscale_belief::{Board, Pace, read_catalog, read_roster};
+use sparscale_belief::{Board, Pace, ReadFigures, read_catalog, read_roster};
 use sparscale_mesh::{Line, Mesh};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, Identity, Role};
@@ -18,6 +18,7 @@
 use crate::admission::Admission;
 use crate::attempt::Caller;
 use crate::exchange::Gateway;
+use crate::figures::{Figures, tell_levels};
 use crate::loads::Loads;
 use crate::pool::Pool;
 use crate::program::{AddressSnafu, Error, ListenSnafu, Parts, PeersSnafu, Settings};
@@ -54,8 +55,20 @@
         let ready = listen(settings.ready).await?;
         let mesh = mesh(&settings, &board)?;
         let pace = Arc::new(Pace::new(settings.read_interval, settings.read_step));
-        tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, Arc::clone(&pace)));
-        tokio::spawn(read_roster(Arc::clone(&board), parts.roster, Arc::clone(&pace)));
+        let registry = parts.registry;
+        let figures = || ReadFigures::new(&registry);
+        tokio::spawn(read_catalog(
+            Arc::clone(&board),
+            parts.catalog,
+            Arc::clone(&pace),
+            figures(),
+        ));
+        tokio::spawn(read_roster(
+            Arc::clone(&board),
+            parts.roster,
+            Arc::clone(&pace),
+            figures(),
+        ));
         let gateway = Arc::new(Gateway {
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
@@ -69,8 +82,11 @@
             allowance: settings.allowance,
             budgets: Mutex::new(HashMap::new()),
             splits: Splits::default(),
+            figures: Figures::new(Arc::clone(&registry)),
             entries: AtomicUsize::new(UNKNOWN_ENTRIES),
         });
+        let progress = Arc::new(Progress::default());
+        tell_levels(&registry, &board, &mesh, &progress);
         tokio::spawn(follow_line(mesh, pace, Arc::clone(&gateway)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
@@ -79,7 +95,7 @@
             ready: ready.local_addr().context(AddressSnafu)?,
             board: Arc::clone(&board),
             phase,
-            progress: Arc::new(Progress::default()),
+            progress,
             settings,
         };
         tokio::spawn(ready::serve(ready, board, phases.clone()));
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rest, Turned, Whole};
 use crate::budget::{Allowance, Budget};
 use crate::events::Event;
+use crate::figures::Figures;
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::{Run, join};
@@ -31,6 +32,8 @@
 const MAX_UNREACHED: u32 = 3;
 /// When a caller is told to come back after a target turned its request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(200);
+/// Outcome of a request whose caller did not wait for its answer.
+const CALLER_LEFT: &str = "caller_left";
 /// When a caller is told to come back if no target is there.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -45,6 +48,7 @@
     pub(crate) allowance: Allowance,
     pub(crate) budgets: Mutex<HashMap<String, Budget>>,
     pub(crate) splits: Splits,
+    pub(crate) figures: Figures,
     /// Entries that share the budget, this one included.
     pub(crate) entries: AtomicUsize,
 }
@@ -102,7 +106,12 @@
         match self.answer(&job, &mut tries).await {
             Ok(answer) => self.respond(job, answer),
             Err(refusal) => {
-                log_end(&job, refusal.reason.name(), &tries.tried, 0);
+                self.end(
+                    &job,
+                    refusal.reason.name(),
+                    &tries.tried,
+                    refusal.reason.status().as_u16(),
+                );
                 refusal.response(&self.caller.dialect.request_id, job.outbound.head.id.as_ref())
             }
         }
@@ -212,7 +221,17 @@
     }
 
     fn may_send_again(&self, job: &Job, tries: &Tries) -> bool {
-        tries.tried.len() < job.route().attempts as usize && self.spend(tries)
+        if tries.tried.len() >= job.route().attempts as usize {
+            return false;
+        }
+        let paid = self.spend(tries);
+        let counter = if paid {
+            &self.figures.repeats
+        } else {
+            &self.figures.unpaid_repeats
+        };
+        counter.add_one();
+        paid
     }
 
     fn earn(&self, job: &Job) {
@@ -255,12 +274,14 @@
     fn respond(self: &Arc<Self>, job: Job, answer: Answer) -> Response<Body> {
         match answer {
             Answer::Whole(whole) => {
-                log_end(&job, "answered", &[], whole.status.as_u16());
+                self.figures.first(job.route().kind, job.began.elapsed());
+                self.end(&job, "answered", &[], whole.status.as_u16());
                 let body = Full::new(whole.body).map_err(|never| match never {}).boxed_unsync();
                 response(whole.status, whole.headers, body)
             }
             Answer::Long(begun, running) => {
-                log_end(&job, "passed_on", &[], begun.status.as_u16());
+                self.figures.first(job.route().kind, job.began.elapsed());
+                self.end(&job, "passed_on", &[], begun.status.as_u16());
                 response(
                     begun.status,
                     begun.headers,
@@ -268,12 +289,34 @@
                 )
             }
             Answer::Stream(stream) => {
+                self.figures.first(job.route().kind, job.began.elapsed());
                 let (status, headers) = (stream.status, stream.headers.clone());
                 response(status, headers, self.stream_body(job, *stream))
             }
         }
     }
 
+    /// Notes that a request is over; a failure is worth a warning, which the log never leaves out.
+    fn end(&self, job: &Job, outcome: &str, targets: &[String], status: u16) {
+        self.figures.end(job.route().kind, outcome, job.began.elapsed());
+        let sound = matches!(outcome, "answered" | "passed_on" | "streamed" | CALLER_LEFT) && status < 500;
+        let level = if sound { log::Level::Info } else { log::Level::Warn };
+        log::log!(
+            target: DECISION,
+            level,
+            decision = "end",
+            request = job.outbound.head.id_text(),
+            route = job.route().name.as_str(),
+            version = job.catalog.version(),
+            outcome,
+            status,
+            targets:? = targets,
+            prompt_tokens = job.outbound.head.size.prompt,
+            took_ms = job.began.elapsed().as_millis() as u64;
+            "request"
+        );
+    }
+
     fn stream_body(self: &Arc<Self>, job: Job, stream: Stream) -> Body {
         let relay = Relay {
             gateway: Arc::clone(self),
@@ -369,6 +412,7 @@
             return false;
         };
         log::info!(target: DECISION, decision = "resumed", request = self.job.outbound.head.id_text(), after = self.job.outbound.last_event, loss = loss.name(); "stream goes on elsewhere");
+        self.gateway.figures.resumed.add_one();
         self.tries = stream.tries;
         self.first = stream.first;
         self.run = stream.run;
@@ -378,7 +422,15 @@
 
     fn end(&mut self, outcome: &str) {
         self.over = true;
-        log_end(&self.job, outcome, &self.tries.tried, 200);
+        self.gateway.end(&self.job, outcome, &self.tries.tried, 200);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            self.gateway.end(&self.job, CALLER_LEFT, &self.tries.tried, 200);
+        }
     }
 }
 
@@ -415,22 +467,6 @@
     BodyExt::boxed_unsync(StreamBody::new(pieces))
 }
 
-fn log_end(job: &Job, outcome: &str, targets: &[String], status: u16) {
-    log::info!(
-        target: DECISION,
-        decision = "end",
-        request = job.outbound.head.id_text(),
-        route = job.route().name.as_str(),
-        version = job.catalog.version(),
-        outcome,
-        status,
-        targets:? = targets,
-        prompt_tokens = job.outbound.head.size.prompt,
-        took_ms = job.began.elapsed().as_millis() as u64;
-        "request"
-    );
-}
-
 /// The workspace as a header value; names are checked where they come in.
 pub(crate) fn header_of(name: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(name).ok()
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod events;
 mod exchange;
+mod figures;
 mod head;
 mod loads;
 mod pool;
--- a/crates/sparscale_gateway/src/program.rs
+++ b/crates/sparscale_gateway/src/program.rs
@@ -1,12 +1,13 @@
 //! Puts a gateway together and runs it until it is told to stop.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use snafu::{ResultExt as _, Snafu};
 use sparscale_belief::Source;
 use sparscale_catalog::{Catalog, Roster};
-use sparscale_telemetry::DECISION;
+use sparscale_telemetry::{DECISION, Registry};
 use sparscale_wire::EndpointError;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -54,6 +55,8 @@
     pub roster: Box<dyn Source<Roster>>,
     /// Names of the headers.
     pub dialect: Dialect,
+    /// The process's figures.
+    pub registry: Arc<Registry>,
 }
 
 impl std::fmt::Debug for Parts {
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -108,6 +108,7 @@
             catalog: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
             dialect: Dialect::own().expect("proper names"),
+            registry: Arc::default(),
         };
         let entry = runtime.block_on(Entry::start(settings, parts)).expect("free ports");
         let world = Self {
--- /dev/null
+++ b/crates/sparscale_telemetry/src/exposition.rs
@@ -0,0 +1,53 @@
+//! Tells a process's figures over HTTP.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::registry::Registry;
+
+/// Answers every request at `address` with the figures of `registry`; never ends. A process whose address is taken
+/// works on without telling them.
+pub async fn expose(registry: Arc<Registry>, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(address = address.to_string().as_str(), error = error.to_string().as_str(); "no figures are told: the address cannot be listened at");
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let registry = Arc::clone(&registry);
+        let service = service_fn(move |_request: Request<Incoming>| {
+            let text = registry.text();
+            async move { Ok::<_, Infallible>(response(text)) }
+        });
+        tokio::spawn(async move {
+            // A reader that goes away asks again.
+            let _ended = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn response(text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let plain = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
--- a/crates/sparscale_telemetry/src/lib.rs
+++ b/crates/sparscale_telemetry/src/lib.rs
@@ -3,16 +3,24 @@
 //! Log lines are JSON on standard output. Every routing or placement decision is one line with target
 //! [`DECISION`]. Lines of dropshot, which logs through slog, come out in the same log.
 
+mod exposition;
+mod main_run;
 mod metrics;
+mod registry;
+mod writer;
 
+pub use exposition::expose;
+pub use main_run::run_logged;
 pub use metrics::Metrics;
+pub use registry::{Counter, Gauge, Histogram, Registry};
+pub use writer::Flush;
 
-use logforth::append::Stdout;
-use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 use slog::Drain as _;
 use snafu::Snafu;
 
+use crate::writer::Bounded;
+
 /// Log target of decision lines.
 pub const DECISION: &str = "sparscale::decision";
 /// Log target of alarms: lines that operators must act on.
@@ -25,18 +33,19 @@
     message: String,
 }
 
-/// Sets up the log of this process; to be called once, before anything else.
-pub fn init_log() -> Result<(), Error> {
+/// Sets up the log of this process; to be called once, before anything else. What it gives waits for the last lines.
+pub fn init_log() -> Result<Flush, Error> {
+    let failed = |message: String| Error { message };
+    let (bounded, flush) = Bounded::start().map_err(|error| failed(error.to_string()))?;
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
                 .filter(LevelFilter::MoreSevereEqual(Level::Info))
-                .append(Stdout::default().with_layout(JsonLayout::default()))
+                .append(bounded)
         })
         .try_apply()
-        .map_err(|error| Error {
-            message: error.to_string(),
-        })
+        .map_err(|error| failed(error.to_string()))?;
+    Ok(flush)
 }
 
 /// A logger for dropshot that writes warnings and errors into the one log.
