Loads only where passes are long; agents give entries time before they read the store

Change: the fall of skew that a change has to bring rises as passes are shorter than the pause that streams allow; a new agent gives the others its reading interval first.

--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -29,15 +29,18 @@
     pub interval: Duration,
     /// What each place in line adds to it.
     pub step: Duration,
+    /// Time that a new process gives others to tell it before it reads for the first time.
+    pub head_start: Duration,
     place: AtomicUsize,
 }
 
 impl Pace {
     /// The pace of a process that knows of no others: it is first in line.
-    pub fn new(interval: Duration, step: Duration) -> Self {
+    pub fn new(interval: Duration, step: Duration, head_start: Duration) -> Self {
         Self {
             interval,
             step,
+            head_start,
             place: AtomicUsize::new(0),
         }
     }
@@ -117,8 +120,11 @@
     offer: impl Fn(Reading<T>, Instant) -> Change,
 ) {
     let mut reachable = true;
+    let started = Instant::now();
     loop {
-        let wait = age().and_then(|age| pace.patience().checked_sub(age));
+        // What nobody has told yet is as old as this process, less the head start that others get.
+        let known = age().unwrap_or_else(|| started.elapsed() + pace.patience().saturating_sub(pace.head_start));
+        let wait = pace.patience().checked_sub(known);
         if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
             tokio::time::sleep(wait).await;
             continue;
--- a/crates/sparscale_catalog/src/catalog.rs
+++ b/crates/sparscale_catalog/src/catalog.rs
@@ -1,11 +1,12 @@
 //! The checked catalog.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use snafu::{OptionExt as _, ensure};
 use sparscale_bundle::KeyHash;
 
-use crate::document::{Document, Limits, Route, Service, Workspace};
+use crate::document::{Document, Kind, Limits, Route, Service, Workspace};
 use crate::error::{Error, NoServiceSnafu, NoShareSnafu, PrefixSnafu, SharedKeySnafu, TwiceSnafu};
 use crate::routes::{RouteKey, ServiceKey, Table};
 
@@ -83,6 +84,17 @@
         })
     }
 
+    /// Shortest of the longest pauses between events that the routes to a service allow.
+    pub fn pause_of(&self, service: &str) -> Option<Duration> {
+        let to_service = |route: &&Route| route.shares.iter().any(|share| share.service == service);
+        let routes = self.document.routes.iter().filter(to_service);
+        let pauses = routes.filter_map(|route| match route.kind {
+            Kind::Stream { longest_pause, .. } => longest_pause,
+            _ => None,
+        });
+        pauses.min()
+    }
+
     /// Whether requests need keys at all.
     pub fn has_workspaces(&self) -> bool {
         !self.document.workspaces.is_empty()
--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -20,8 +20,14 @@
 const MAX_DEPTH: usize = 3;
 /// Time between two lines of the log about staying.
 const STAY_PAUSE: Duration = Duration::from_secs(1);
-/// Fall of the skew for which a change is made at all.
+/// Fall of the skew for which a change is made while passes take as long as streams allow.
 const MIN_FALL: f64 = 0.08;
+/// What an idle group adds to it: while passes are short, a little skew costs nobody anything, and loads do.
+const IDLE_FALL: f64 = 0.3;
+/// Part of the allowed pause up to which a pass counts as short.
+const SHORT_PART: f64 = 0.6;
+/// Pause between events that is taken to be allowed until the catalog says it.
+const USUAL_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the demand for experts, and decides.
 #[derive(Debug)]
@@ -32,6 +38,8 @@
     gathered: Vec<f64>,
     since: Instant,
     paces: Vec<f64>,
+    /// Time of the latest passes, over the pause that streams allow.
+    pressure: f64,
     told_stay: Option<Instant>,
 }
 
@@ -51,6 +59,7 @@
             gathered: vec![0.0; experts.sets * experts.count],
             since: Instant::now(),
             paces: vec![1.0; ranks],
+            pressure: 1.0,
             told_stay: None,
         }
     }
@@ -60,6 +69,12 @@
         self.paces = paces;
     }
 
+    /// Notes how long passes take, and how long they may.
+    pub(crate) fn press(&mut self, pass: Duration, pause: Option<Duration>) {
+        let pause = pause.unwrap_or(USUAL_PAUSE);
+        self.pressure = pass.as_secs_f64() / pause.as_secs_f64().max(f64::MIN_POSITIVE);
+    }
+
     /// Dimensions of the group.
     pub(crate) fn shape(&self) -> Shape {
         self.shape
@@ -114,7 +129,8 @@
             (self.cost(&refined), refined)
         });
         let (_, best) = candidates.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
-        let pays = best.before - best.after >= MIN_FALL;
+        let slack = ((SHORT_PART - self.pressure) / SHORT_PART).clamp(0.0, 1.0);
+        let pays = best.before - best.after >= MIN_FALL + IDLE_FALL * slack;
         if !pays {
             self.log_stay(&best);
         }
@@ -126,6 +142,7 @@
                 skew_next = best.after,
                 loads = best.loads,
                 deepest = best.deepest,
+                pressure = self.pressure,
                 samples = self.popularity.samples();
                 "placement"
             );
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -388,9 +388,12 @@
             .iter()
             .map(|member| member.load.map_or(1.0, |(load, _)| load.pace()));
         let paces = paces.collect();
+        let pause = self.context.board.catalog();
+        let pause = pause.and_then(|catalog| catalog.value.pause_of(&self.charge.service));
         let (Some(decider), Some((_, _, map))) = (&mut self.decider, &self.map) else {
             return;
         };
+        decider.press(Duration::from_secs_f64(self.pass_micros / 1.0e6), pause);
         decider.pace(paces);
         let Some(refined) = decider.next(map) else { return };
         self.changes += 1;
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -100,7 +100,13 @@
         Arc::clone(&endpoint),
     );
     tokio::spawn(Arc::clone(&mesh).follow_one());
-    let pace = || Arc::new(Pace::new(settings.read_interval, Duration::ZERO));
+    let pace = || {
+        Arc::new(Pace::new(
+            settings.read_interval,
+            Duration::ZERO,
+            settings.read_interval,
+        ))
+    };
     let reads = || ReadFigures::new(&parts.registry);
     tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, pace(), reads()));
     tokio::spawn(read_roster(Arc::clone(&board), parts.roster, pace(), reads()));
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -54,7 +54,7 @@
         let callers = listen(settings.callers).await?;
         let ready = listen(settings.ready).await?;
         let mesh = mesh(&settings, &board)?;
-        let pace = Arc::new(Pace::new(settings.read_interval, settings.read_step));
+        let pace = Arc::new(Pace::new(settings.read_interval, settings.read_step, Duration::ZERO));
         let registry = parts.registry;
         let figures = || ReadFigures::new(&registry);
         tokio::spawn(read_catalog(
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -235,13 +235,18 @@
     }
 }
 
-/// Agents need neither routes nor keys.
+/// Agents need no keys, and of the routes only what streams are held to.
 fn for_role(document: &Document, role: Role) -> Document {
     match role {
         Role::Entry => document.clone(),
         Role::Agent => Document {
             version: document.version,
-            routes: Vec::new(),
+            routes: document
+                .routes
+                .iter()
+                .filter(|route| route.kind.is_stream())
+                .cloned()
+                .collect(),
             services: document.services.clone(),
             workspaces: Vec::new(),
             limits: document.limits,
