A door before each group: requests wait or are refused early while passes would outlast the pause

Change: entries work out from the engine's figures and the latest passes how many requests a group can hold, share the room that is free, let the rest wait by tier up to 0.4 of the objective, and refuse with the time to come back what would wait longer. What was lost once is never called not run any more (tries.rs).

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -33,7 +33,9 @@
 /// Time after which an order without an answer is given up.
 const ORDER_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two messages about loads to the entries.
-const LOADS_PAUSE: Duration = Duration::from_millis(200);
+const LOADS_PAUSE: Duration = Duration::from_millis(100);
+/// Span over which passes are timed.
+const PASS_SPAN: Duration = Duration::from_millis(300);
 /// A load that is older than this is not told any more.
 const LOAD_AGE: Duration = Duration::from_millis(700);
 /// Time between two heartbeats to each agent.
@@ -253,16 +255,24 @@
         }
     }
 
+    /// Passes are timed over a span: between two looks there are none, one or a few.
     fn time_passes(&mut self, step: u64, now: Instant) {
-        match self.pass {
-            Some((before, at)) if step > before => {
-                let passes = (step - before) as f64;
-                let micros = now.saturating_duration_since(at).as_micros() as f64 / passes;
-                self.pass_micros = micros;
-                self.pass = Some((step, now));
-            }
-            Some((before, _)) if step == before => {}
-            _ => self.pass = Some((step, now)),
+        let Some((before, at)) = self.pass else {
+            self.pass = Some((step, now));
+            return;
+        };
+        let span = now.saturating_duration_since(at);
+        if step < before || span > 4 * PASS_SPAN {
+            self.pass = Some((step, now));
+        } else if span >= PASS_SPAN && step > before {
+            let micros = span.as_micros() as f64 / (step - before) as f64;
+            let old = if self.pass_micros > 0.0 {
+                self.pass_micros
+            } else {
+                micros
+            };
+            self.pass_micros = f64::midpoint(old, micros);
+            self.pass = Some((step, now));
         }
     }
 
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -17,6 +17,7 @@
 
 use crate::admission::Admission;
 use crate::attempt::Caller;
+use crate::door::Doors;
 use crate::exchange::Gateway;
 use crate::figures::{Figures, tell_levels};
 use crate::loads::Loads;
@@ -69,6 +70,7 @@
             Arc::clone(&pace),
             figures(),
         ));
+        let entries = Arc::new(AtomicUsize::new(UNKNOWN_ENTRIES));
         let gateway = Arc::new(Gateway {
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
@@ -83,10 +85,12 @@
             budgets: Mutex::new(HashMap::new()),
             splits: Splits::default(),
             figures: Figures::new(Arc::clone(&registry)),
-            entries: AtomicUsize::new(UNKNOWN_ENTRIES),
+            doors: Doors::new(Arc::clone(&mesh), Arc::clone(&entries)),
+            entries,
         });
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
+        tokio::spawn(open_doors(Arc::clone(&gateway)));
         tokio::spawn(follow_line(mesh, pace, Arc::clone(&gateway)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
@@ -150,6 +154,28 @@
     }
 }
 
+/// Lets requests in that wait at doors whenever loads were told.
+async fn open_doors(gateway: Arc<Gateway>) {
+    let mut news = gateway.mesh.group_news();
+    while news.next().await {
+        let crowded = gateway.doors.crowded();
+        let (Some(catalog), Some(roster)) = (gateway.board.catalog(), gateway.board.roster()) else {
+            continue;
+        };
+        for group in crowded {
+            let Some(target) = roster.value.rank(&group, 0) else {
+                continue;
+            };
+            let service = catalog.value.find_service(&target.service);
+            let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
+            let pause = catalog.value.pause_of(&target.service);
+            if let (Some(engine), Some(pause)) = (engine, pause) {
+                gateway.doors.refresh(&group, engine, pause);
+            }
+        }
+    }
+}
+
 /// Drops what is kept about targets that are gone.
 async fn forget_gone(gateway: Arc<Gateway>) {
     let mut rosters = gateway.board.rosters();
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -5,12 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::stream;
 use http::header::HeaderValue;
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use http::{Response, StatusCode};
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Kind, Roster, Route, RouteKey, Target};
 use sparscale_mesh::Mesh;
@@ -18,22 +14,22 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rest, Turned, Whole};
+use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned};
 use crate::budget::{Allowance, Budget};
-use crate::events::Event;
+use crate::door::{Doors, Pass, Visit};
 use crate::figures::Figures;
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
-use crate::relay::{Run, join};
+use crate::relay::Run;
+use crate::respond::{Answer, CALLER_LEFT, Stream, respond};
 use crate::server::Body;
 use crate::split::Splits;
+use crate::tries::Tries;
 
 /// Tries that reach no target, at most; they cost a target nothing.
 const MAX_UNREACHED: u32 = 3;
 /// When a caller is told to come back after a target turned its request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(200);
-/// Outcome of a request whose caller did not wait for its answer.
-const CALLER_LEFT: &str = "caller_left";
 /// When a caller is told to come back if no target is there.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -50,7 +46,8 @@
     pub(crate) splits: Splits,
     pub(crate) figures: Figures,
     /// Entries that share the budget, this one included.
-    pub(crate) entries: AtomicUsize,
+    pub(crate) entries: Arc<AtomicUsize>,
+    pub(crate) doors: Arc<Doors>,
 }
 
 /// A request that may be sent.
@@ -63,62 +60,63 @@
 }
 
 impl Job {
-    fn route(&self) -> &Route {
+    pub(crate) fn route(&self) -> &Route {
         self.catalog.route(self.route)
     }
 }
 
-/// The sends of one request.
-#[derive(Debug, Default)]
-struct Tries {
-    /// Service that takes the request, once it is chosen.
-    service: Option<String>,
-    tried: Vec<String>,
-    unreached: u32,
-    /// Best answer so far, if it is a failure of a target's.
-    failure: Option<Whole>,
-    refusal: Option<Refusal>,
-}
-
-/// An answer that can go to the caller.
-enum Answer {
-    Whole(Whole),
-    /// Longer than what is collected: passed on as it comes.
-    Long(Box<Begun>, Running),
-    Stream(Box<Stream>),
-}
-
-/// A stream of events with its first event.
-struct Stream {
-    status: StatusCode,
-    headers: HeaderMap,
-    first: Option<Event>,
-    run: Run,
-    running: Running,
-    tries: Tries,
-}
-
 impl Gateway {
     /// Serves a request that has passed all checks.
     pub(crate) async fn serve(self: &Arc<Self>, job: Job) -> Response<Body> {
         self.earn(&job);
         let mut tries = Tries::default();
-        match self.answer(&job, &mut tries).await {
-            Ok(answer) => self.respond(job, answer),
+        let served = match self.pass(&job, &mut tries).await {
+            Ok(pass) => self.answer(&job, &mut tries).await.map(|answer| (pass, answer)),
+            Err(refusal) => Err(refusal),
+        };
+        match served {
+            Ok((pass, answer)) => respond(self, job, tries, pass, answer),
             Err(refusal) => {
-                self.end(
-                    &job,
-                    refusal.reason.name(),
-                    &tries.tried,
-                    refusal.reason.status().as_u16(),
-                );
+                let status = refusal.reason.status().as_u16();
+                self.end(&job, refusal.reason.name(), &tries.tried, status);
                 refusal.response(&self.caller.dialect.request_id, job.outbound.head.id.as_ref())
             }
         }
     }
 
+    /// Waits at the door of the group that serves the request, if a group does.
+    async fn pass(&self, job: &Job, tries: &mut Tries) -> Result<Option<Pass>, Refusal> {
+        let Some(belief) = self.board.roster() else {
+            return Ok(None);
+        };
+        tries.service = self.service(job, &belief.value);
+        let Kind::Stream { longest_pause, .. } = job.route().kind else {
+            return Ok(None);
+        };
+        let Some(service) = tries.service.as_deref() else {
+            return Ok(None);
+        };
+        let engine = job.catalog.find_service(service);
+        let engine = engine.and_then(|key| job.catalog.service(key).engine.as_ref());
+        let mut members = belief
+            .value
+            .of_service(service)
+            .filter_map(|target| target.membership.as_ref());
+        let (Some(engine), Some(member), Some(pause)) = (engine, members.next(), longest_pause) else {
+            return Ok(None);
+        };
+        let visit = Visit {
+            group: &member.group,
+            engine,
+            pause,
+            objective: job.route().objective,
+            tier: job.outbound.urgency.unwrap_or_default(),
+        };
+        self.doors.enter(visit).await.map(Some)
+    }
+
     /// Sends until there is an answer or nothing more may be tried.
-    async fn answer(&self, job: &Job, tries: &mut Tries) -> Result<Answer, Refusal> {
+    pub(crate) async fn answer(&self, job: &Job, tries: &mut Tries) -> Result<Answer, Refusal> {
         loop {
             if Instant::now() >= job.outbound.until {
                 return tries.give_up(Refusal::new(Reason::TooLate));
@@ -149,13 +147,14 @@
                 }
                 Outcome::Whole(whole) => {
                     self.loads.note_good(&target.id);
+                    tries.tried.push(target.id);
                     return Ok(Answer::Whole(whole));
                 }
                 Outcome::Begun(begun) => match self.begin(job, begun, running).await {
                     Ok(answer) => {
                         self.loads.note_good(&target.id);
                         tries.tried.push(target.id);
-                        return Ok(answer.with_tries(std::mem::take(tries)));
+                        return Ok(answer);
                     }
                     Err(loss) => self.lost(job, &target, loss, tries)?,
                 },
@@ -212,7 +211,7 @@
         } else {
             Reason::BrokenAnswer
         };
-        tries.refusal = Some(Refusal::new(reason));
+        tries.lost = Some(Refusal::new(reason));
         if job.outbound.may_repeat {
             return Ok(());
         }
@@ -220,7 +219,7 @@
         Err(Refusal::new(reason))
     }
 
-    fn may_send_again(&self, job: &Job, tries: &Tries) -> bool {
+    pub(crate) fn may_send_again(&self, job: &Job, tries: &Tries) -> bool {
         if tries.tried.len() >= job.route().attempts as usize {
             return false;
         }
@@ -267,37 +266,11 @@
             first,
             run,
             running,
-            tries: Tries::default(),
         })))
     }
 
-    fn respond(self: &Arc<Self>, job: Job, answer: Answer) -> Response<Body> {
-        match answer {
-            Answer::Whole(whole) => {
-                self.figures.first(job.route().kind, job.began.elapsed());
-                self.end(&job, "answered", &[], whole.status.as_u16());
-                let body = Full::new(whole.body).map_err(|never| match never {}).boxed_unsync();
-                response(whole.status, whole.headers, body)
-            }
-            Answer::Long(begun, running) => {
-                self.figures.first(job.route().kind, job.began.elapsed());
-                self.end(&job, "passed_on", &[], begun.status.as_u16());
-                response(
-                    begun.status,
-                    begun.headers,
-                    long_body(begun.collected, begun.rest, job.outbound.until, running),
-                )
-            }
-            Answer::Stream(stream) => {
-                self.figures.first(job.route().kind, job.began.elapsed());
-                let (status, headers) = (stream.status, stream.headers.clone());
-                response(status, headers, self.stream_body(job, *stream))
-            }
-        }
-    }
-
     /// Notes that a request is over; a failure is worth a warning, which the log never leaves out.
-    fn end(&self, job: &Job, outcome: &str, targets: &[String], status: u16) {
+    pub(crate) fn end(&self, job: &Job, outcome: &str, targets: &[String], status: u16) {
         self.figures.end(job.route().kind, outcome, job.began.elapsed());
         let sound = matches!(outcome, "answered" | "passed_on" | "streamed" | CALLER_LEFT) && status < 500;
         let level = if sound { log::Level::Info } else { log::Level::Warn };
@@ -316,158 +289,17 @@
             "request"
         );
     }
-
-    fn stream_body(self: &Arc<Self>, job: Job, stream: Stream) -> Body {
-        let relay = Relay {
-            gateway: Arc::clone(self),
-            job,
-            first: stream.first,
-            run: stream.run,
-            running: stream.running,
-            tries: stream.tries,
-            over: false,
-            events: 0,
-        };
-        let pieces = stream::unfold(relay, |mut relay| async move {
-            let piece = relay.next().await?;
-            Some((piece.map(Frame::data), relay))
-        });
-        BodyExt::boxed_unsync(StreamBody::new(pieces))
-    }
-}
-
-impl Answer {
-    fn with_tries(self, tries: Tries) -> Self {
-        match self {
-            Self::Stream(stream) => Self::Stream(Box::new(Stream { tries, ..*stream })),
-            other => other,
-        }
-    }
-}
-
-impl Tries {
-    /// The best that can be said now: a target's own failure, a refusal that was met, or `otherwise`.
-    fn give_up(&mut self, otherwise: Refusal) -> Result<Answer, Refusal> {
-        match self.failure.take() {
-            Some(failure) => Ok(Answer::Whole(failure)),
-            None => Err(self.refusal.unwrap_or(otherwise)),
-        }
-    }
-}
-
-/// A stream on its way to the caller.
-struct Relay {
-    gateway: Arc<Gateway>,
-    job: Job,
-    first: Option<Event>,
-    run: Run,
-    running: Running,
-    tries: Tries,
-    over: bool,
-    events: u64,
-}
-
-impl Relay {
-    /// The next bytes for the caller; an error breaks the connection, so that the answer does not look whole.
-    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
-        if self.over {
-            return None;
-        }
-        loop {
-            if let Some(first) = self.first.take() {
-                return Some(Ok(self.pass(first)));
-            }
-            match self.run.next(self.job.outbound.until).await {
-                Ok(Some(event)) => return Some(Ok(self.pass(event))),
-                Ok(None) => {
-                    self.end("streamed");
-                    return None;
-                }
-                Err(loss) => {
-                    if !self.resume(loss).await {
-                        self.end(loss.name());
-                        return Some(Err(std::io::Error::other("the answer broke off")));
-                    }
-                }
-            }
-        }
-    }
-
-    fn pass(&mut self, event: Event) -> Bytes {
-        self.events += 1;
-        join(event, &mut self.run)
-    }
-
-    /// Goes on elsewhere after the last event that the caller has.
-    async fn resume(&mut self, loss: Loss) -> bool {
-        let resumable = self.job.outbound.may_repeat && loss != Loss::Timeout;
-        if !resumable || !self.gateway.may_send_again(&self.job, &self.tries) {
-            return false;
-        }
-        self.job.outbound.last_event = self.run.last().or(self.job.outbound.last_event);
-        let mut tries = std::mem::take(&mut self.tries);
-        let resumed = self.gateway.answer(&self.job, &mut tries).await;
-        self.tries = tries;
-        let Ok(Answer::Stream(stream)) = resumed else {
-            return false;
-        };
-        log::info!(target: DECISION, decision = "resumed", request = self.job.outbound.head.id_text(), after = self.job.outbound.last_event, loss = loss.name(); "stream goes on elsewhere");
-        self.gateway.figures.resumed.add_one();
-        self.tries = stream.tries;
-        self.first = stream.first;
-        self.run = stream.run;
-        self.running = stream.running;
-        true
-    }
-
-    fn end(&mut self, outcome: &str) {
-        self.over = true;
-        self.gateway.end(&self.job, outcome, &self.tries.tried, 200);
-    }
 }
 
-impl Drop for Relay {
-    fn drop(&mut self) {
-        if !self.over {
-            self.gateway.end(&self.job, CALLER_LEFT, &self.tries.tried, 200);
-        }
-    }
+/// The workspace as a header value; names are checked where they come in.
+pub(crate) fn header_of(name: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(name).ok()
 }
 
 fn is_stream(job: &Job) -> bool {
-    matches!(job.route().kind, Kind::Stream { .. })
+    job.route().kind.is_stream()
 }
 
 fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
 }
-
-fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
-/// The rest of a long answer as it comes.
-fn long_body(collected: Bytes, rest: Rest, until: Instant, running: Running) -> Body {
-    let state = (Some(collected), rest, running);
-    let pieces = stream::unfold(state, move |(collected, mut rest, running)| async move {
-        if let Some(bytes) = collected {
-            return Some((Ok(Frame::data(bytes)), (None, rest, running)));
-        }
-        let next = tokio::time::timeout_at(until, rest.next()).await;
-        let piece = match next.unwrap_or(Err(Loss::Timeout)) {
-            Ok(Some(bytes)) => Ok(Frame::data(bytes)),
-            Ok(None) => return None,
-            Err(loss) => Err(std::io::Error::other(loss.name())),
-        };
-        Some((piece, (None, rest, running)))
-    });
-    BodyExt::boxed_unsync(StreamBody::new(pieces))
-}
-
-/// The workspace as a header value; names are checked where they come in.
-pub(crate) fn header_of(name: &str) -> Option<HeaderValue> {
-    HeaderValue::from_str(name).ok()
-}
--- /dev/null
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -0,0 +1,184 @@
+//! Answers on their way to callers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use sparscale_telemetry::DECISION;
+use tokio::time::Instant;
+
+use crate::attempt::{Begun, Loss, Rest, Whole};
+use crate::door::Pass;
+use crate::events::Event;
+use crate::exchange::{Gateway, Job};
+use crate::loads::Running;
+use crate::relay::{Run, join};
+use crate::server::Body;
+use crate::tries::Tries;
+
+/// Outcome of a request whose caller did not wait for its answer.
+pub(crate) const CALLER_LEFT: &str = "caller_left";
+
+/// An answer that can go to the caller.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// All of it.
+    Whole(Whole),
+    /// Longer than what is collected: passed on as it comes.
+    Long(Box<Begun>, Running),
+    /// Events.
+    Stream(Box<Stream>),
+}
+
+/// A stream of events with its first event.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) first: Option<Event>,
+    pub(crate) run: Run,
+    pub(crate) running: Running,
+}
+
+/// The answer as the caller gets it.
+pub(crate) fn respond(
+    gateway: &Arc<Gateway>,
+    job: Job,
+    tries: Tries,
+    pass: Option<Pass>,
+    answer: Answer,
+) -> Response<Body> {
+    gateway.figures.first(job.route().kind, job.began.elapsed());
+    match answer {
+        Answer::Whole(whole) => {
+            gateway.end(&job, "answered", &tries.tried, whole.status.as_u16());
+            let body = Full::new(whole.body).map_err(|never| match never {}).boxed_unsync();
+            response(whole.status, whole.headers, body)
+        }
+        Answer::Long(begun, running) => {
+            gateway.end(&job, "passed_on", &tries.tried, begun.status.as_u16());
+            let body = long_body(begun.collected, begun.rest, job.outbound.until, running);
+            response(begun.status, begun.headers, body)
+        }
+        Answer::Stream(stream) => {
+            let (status, headers) = (stream.status, stream.headers);
+            let relay = Relay {
+                gateway: Arc::clone(gateway),
+                job,
+                first: stream.first,
+                run: stream.run,
+                _running: stream.running,
+                _pass: pass,
+                tries,
+                over: false,
+            };
+            response(status, headers, relay.into_body())
+        }
+    }
+}
+
+/// A stream on its way to the caller.
+struct Relay {
+    gateway: Arc<Gateway>,
+    job: Job,
+    first: Option<Event>,
+    run: Run,
+    _running: Running,
+    _pass: Option<Pass>,
+    tries: Tries,
+    over: bool,
+}
+
+impl Relay {
+    fn into_body(self) -> Body {
+        let pieces = stream::unfold(self, |mut relay| async move {
+            let piece = relay.next().await?;
+            Some((piece.map(Frame::data), relay))
+        });
+        BodyExt::boxed_unsync(StreamBody::new(pieces))
+    }
+
+    /// The next bytes for the caller; an error breaks the connection, so that the answer does not look whole.
+    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            if let Some(first) = self.first.take() {
+                return Some(Ok(join(first, &mut self.run)));
+            }
+            match self.run.next(self.job.outbound.until).await {
+                Ok(Some(event)) => return Some(Ok(join(event, &mut self.run))),
+                Ok(None) => {
+                    self.end("streamed");
+                    return None;
+                }
+                Err(loss) => {
+                    if !self.resume(loss).await {
+                        self.end(loss.name());
+                        return Some(Err(std::io::Error::other("the answer broke off")));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on elsewhere after the last event that the caller has.
+    async fn resume(&mut self, loss: Loss) -> bool {
+        let resumable = self.job.outbound.may_repeat && loss != Loss::Timeout;
+        if !resumable || !self.gateway.may_send_again(&self.job, &self.tries) {
+            return false;
+        }
+        self.job.outbound.last_event = self.run.last().or(self.job.outbound.last_event);
+        let Ok(Answer::Stream(stream)) = self.gateway.answer(&self.job, &mut self.tries).await else {
+            return false;
+        };
+        log::info!(target: DECISION, decision = "resumed", request = self.job.outbound.head.id_text(), after = self.job.outbound.last_event, loss = loss.name(); "stream goes on elsewhere");
+        self.gateway.figures.resumed.add_one();
+        self.first = stream.first;
+        self.run = stream.run;
+        self._running = stream.running;
+        true
+    }
+
+    fn end(&mut self, outcome: &str) {
+        self.over = true;
+        self.gateway.end(&self.job, outcome, &self.tries.tried, 200);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            self.gateway.end(&self.job, CALLER_LEFT, &self.tries.tried, 200);
+        }
+    }
+}
+
+fn response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The rest of a long answer as it comes.
+fn long_body(collected: Bytes, rest: Rest, until: Instant, running: Running) -> Body {
+    let state = (Some(collected), rest, running);
+    let pieces = stream::unfold(state, move |(collected, mut rest, running)| async move {
+        if let Some(bytes) = collected {
+            return Some((Ok(Frame::data(bytes)), (None, rest, running)));
+        }
+        let next = tokio::time::timeout_at(until, rest.next()).await;
+        let piece = match next.unwrap_or(Err(Loss::Timeout)) {
+            Ok(Some(bytes)) => Ok(Frame::data(bytes)),
+            Ok(None) => return None,
+            Err(loss) => Err(std::io::Error::other(loss.name())),
+        };
+        Some((piece, (None, rest, running)))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(pieces))
+}
--- /dev/null
+++ b/crates/sparscale_gateway/src/room.rs
@@ -0,0 +1,67 @@
+//! How many more requests a group of engines can take while its streams stay within their pauses.
+//!
+//! All ranks of a group advance together, so a pass takes as long as the fullest rank needs. Up to a number of requests
+//! that rises gently; beyond it every stream of the group is late, and since late streams hold their places longer, the
+//! group does not come back by itself. So requests beyond that number wait at the door, or are told when to come back.
+
+use std::time::Duration;
+
+use sparscale_catalog::Engine;
+use sparscale_wire::GroupLoad;
+
+/// Part of the allowed pause that passes may take: the rest is for prompts that are read between, and for the way.
+const PASS_PART: f64 = 0.62;
+/// Skew that conductors keep groups within.
+const USUAL_SKEW: f64 = 1.3;
+/// Least requests a rank is filled with, whatever the figures say: with fewer nothing gets done.
+const MIN_RANK: f64 = 3.0;
+
+/// Requests that the ranks of `load` may hold in all, waiting ones included.
+///
+/// The engine's own figures tell how a pass grows with the requests of a rank; the latest passes tell what they take
+/// besides, such as reading prompts and uneven experts. Where even a lone request is late, places are all that counts.
+pub(crate) fn capacity(load: &GroupLoad, engine: &Engine, pause: Duration) -> f64 {
+    let ranks = load.ranks.len() as f64;
+    let slots = f64::from(engine.slots);
+    let heard: Vec<f64> = load
+        .ranks
+        .iter()
+        .flatten()
+        .map(|rank| f64::from(rank.running))
+        .collect();
+    if heard.is_empty() || load.pass_micros == 0 {
+        return ranks * slots;
+    }
+    let mean = heard.iter().sum::<f64>() / heard.len() as f64;
+    let context = f64::from(engine.usual_prompt + engine.usual_answer / 2);
+    // A shift of demand leaves a large skew for a moment only; what lasts shows in the passes.
+    let skew = load.skew.clamp(1.0, USUAL_SKEW);
+    let model = |requests: f64| engine.pass_ms(requests, requests * context, skew);
+    let measured = load.pass_micros as f64 / 1_000.0;
+    // What passes take beyond the model does not vanish with fewer requests, so it is taken as it is.
+    let besides = (measured - model(mean)).max(0.0);
+    let allowed = pause.as_secs_f64() * 1_000.0 * PASS_PART;
+    let fits = |requests: f64| model(requests) + besides.min(allowed / 2.0) <= allowed;
+    if !fits(1.0) {
+        return ranks * slots;
+    }
+    let mut requests = slots;
+    while requests > MIN_RANK && !fits(requests) {
+        requests -= 0.5;
+    }
+    ranks * requests
+}
+
+/// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
+pub(crate) fn held(load: &GroupLoad) -> f64 {
+    let heard: Vec<f64> = load
+        .ranks
+        .iter()
+        .flatten()
+        .map(|rank| f64::from(rank.running + rank.queued))
+        .collect();
+    if heard.is_empty() {
+        return 0.0;
+    }
+    heard.iter().sum::<f64>() / heard.len() as f64 * load.ranks.len() as f64
+}
--- /dev/null
+++ b/crates/sparscale_gateway/src/tries.rs
@@ -0,0 +1,33 @@
+//! The sends of one request so far, and the best that can be said of them.
+
+use crate::attempt::Whole;
+use crate::refusal::Refusal;
+use crate::respond::Answer;
+
+/// The sends of one request.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    /// Service that takes the request, once it is chosen.
+    pub(crate) service: Option<String>,
+    /// Targets that it was sent to.
+    pub(crate) tried: Vec<String>,
+    /// Targets that were not reached, in a row or not.
+    pub(crate) unreached: u32,
+    /// A target's own failure.
+    pub(crate) failure: Option<Whole>,
+    /// What to say after a send without an answer: from then on nobody may say that the request has not run.
+    pub(crate) lost: Option<Refusal>,
+    /// What to say as long as every target has said that it has not run the request.
+    pub(crate) refusal: Option<Refusal>,
+}
+
+impl Tries {
+    /// The best that can be said now: a target's own failure, that nobody knows, a refusal that was met, or
+    /// `otherwise`.
+    pub(crate) fn give_up(&mut self, otherwise: Refusal) -> Result<Answer, Refusal> {
+        match self.failure.take() {
+            Some(failure) => Ok(Answer::Whole(failure)),
+            None => Err(self.lost.or(self.refusal).unwrap_or(otherwise)),
+        }
+    }
+}
