--- a/crates/sparscale_gateway/src/door.rs
+++ b/crates/sparscale_gateway/src/door.rs
@@ -45,7 +45,7 @@
     mesh: Arc<Mesh>,
     /// Entries that share the room, this one included.
     entries: Arc<AtomicUsize>,
-    doors: Mutex<HashMap<String, Door>>,
+    by_group: Mutex<HashMap<String, Door>>,
     tickets: AtomicUsize,
 }
 
@@ -80,7 +80,7 @@
         Arc::new(Self {
             mesh,
             entries,
-            doors: Mutex::default(),
+            by_group: Mutex::default(),
             tickets: AtomicUsize::new(0),
         })
     }
@@ -97,7 +97,7 @@
             }
             let expected = door.expected_wait();
             if expected > visit.objective.mul_f64(WAIT_PART) {
-                return Err(Refusal::retry(Reason::Busy, door.retry_after(expected)));
+                return Err(Refusal::retry(Reason::Busy, retry_after(expected)));
             }
             let (sender, receiver) = oneshot::channel();
             door.waiting.insert(ticket, sender);
@@ -163,7 +163,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Door>> {
-        self.doors.lock().unwrap_or_else(PoisonError::into_inner)
+        self.by_group.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -242,9 +242,11 @@
         let inside = Arc::strong_count(&self.token) - 1;
         self.stay.mul_f64(ahead / (inside.max(1) as f64))
     }
+}
 
-    fn retry_after(&self, expected: Duration) -> Duration {
-        let spread = 0.75 + 0.5 * rand::random::<f64>();
-        expected.clamp(MIN_RETRY, MAX_RETRY).mul_f64(spread)
-    }
+/// When to come back after a wait that is too long, spread so that those who were refused together do not return
+/// together.
+fn retry_after(expected: Duration) -> Duration {
+    let spread = 0.75 + 0.5 * rand::random::<f64>();
+    expected.clamp(MIN_RETRY, MAX_RETRY).mul_f64(spread)
 }
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -70,7 +70,7 @@
                 job,
                 first: stream.first,
                 run: stream.run,
-                _running: stream.running,
+                running: stream.running,
                 _pass: pass,
                 tries,
                 over: false,
@@ -86,7 +86,8 @@
     job: Job,
     first: Option<Event>,
     run: Run,
-    _running: Running,
+    /// Counts as load of the target for as long as it is held.
+    running: Running,
     _pass: Option<Pass>,
     tries: Tries,
     over: bool,
@@ -140,7 +141,7 @@
         self.gateway.figures.resumed.add_one();
         self.first = stream.first;
         self.run = stream.run;
-        self._running = stream.running;
+        self.running = stream.running;
         true
     }
 
--- a/crates/sparscale_telemetry/src/registry.rs
+++ b/crates/sparscale_telemetry/src/registry.rs
@@ -158,11 +158,11 @@
         if let Some(known) = family.series.get(&labels) {
             return known.clone();
         }
-        let made = make();
+        let fresh = make();
         if family.series.len() < MAX_SERIES {
-            family.series.insert(labels, made.clone());
+            family.series.insert(labels, fresh.clone());
         }
-        made
+        fresh
     }
 }
 
--- a/crates/sparscale_telemetry/src/writer.rs
+++ b/crates/sparscale_telemetry/src/writer.rs
@@ -83,8 +83,8 @@
 }
 
 impl Append for Bounded {
-    fn append(&self, record: &Record, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
-        let line = self.layout.format(record, diagnostics)?;
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let line = self.layout.format(record, diags)?;
         let mut waiting = self.shared.lock();
         let spared = record.level() > Level::Info;
         if !waiting.admit(line.len(), spared, Instant::now()) {
