A conductor opens eight links at once, not all

Ruled out: counts as the cause of the exits (they arrive only on links that stand; exits came within 2 s of taking over). Change: a permit for each of eight dials; its time begins when it has one.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -10,13 +10,13 @@
 use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, GroupLoad, Placement, RankLoad, RankNews, RankOrder};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
 use crate::decision::Decider;
 use crate::engine::Engines;
 use crate::figures::Figures;
-use crate::link::{Event, Link, Place, Remote, lead_own};
+use crate::link::{DIALS, Event, Link, Place, Remote, lead_own};
 use crate::rank::Handle;
 
 /// Fences of one claim: each change uses two at most.
@@ -142,8 +142,9 @@
 impl Leader {
     pub(crate) fn new(context: Context, charge: Charge) -> Self {
         let (sender, events) = mpsc::channel(QUEUE);
+        let dials = Arc::new(Semaphore::new(DIALS));
         let members = (0..charge.size)
-            .map(|rank| member(&context, &charge, rank, sender.clone()))
+            .map(|rank| member(&context, &charge, rank, sender.clone(), &dials))
             .collect();
         let fence = (charge.claim + 1) * FENCES_PER_CLAIM;
         let now = Instant::now();
@@ -641,7 +642,13 @@
     matches!(order.act, Act::Stage { .. })
 }
 
-fn member(context: &Context, charge: &Charge, rank: usize, events: mpsc::Sender<Event>) -> Member {
+fn member(
+    context: &Context,
+    charge: &Charge,
+    rank: usize,
+    events: mpsc::Sender<Event>,
+    dials: &Arc<Semaphore>,
+) -> Member {
     let (sender, orders) = mpsc::channel(QUEUE);
     let place = watch::Sender::new(None);
     let link = Link { orders, events };
@@ -654,6 +661,7 @@
             claim: charge.claim,
             place: place.subscribe(),
             endpoint: Arc::clone(&context.endpoint),
+            dials: Arc::clone(dials),
             engines: Arc::clone(&context.engines),
             board: Arc::clone(&context.board),
             service: charge.service.clone(),
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -7,7 +7,7 @@
 use sparscale_belief::Board;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Ask, Channel, Endpoint, Frame, Peer, RankNews, RankOrder, Role};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
 use crate::distant::Distant;
@@ -16,6 +16,9 @@
 
 /// Time that reaching an agent may take.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// Links that one conductor opens at once. A handshake takes a small box some 10 ms of processor time; dozens at once
+/// would all outlast [`OPEN_TIMEOUT`], and begin anew for ever.
+pub(crate) const DIALS: usize = 8;
 /// Pause before an agent that was not reached is tried again.
 const REDIAL: Duration = Duration::from_millis(100);
 /// An agent that is not heard for this long is reached for anew: it tells its state ten times a second.
@@ -125,6 +128,8 @@
     pub(crate) claim: u64,
     pub(crate) place: watch::Receiver<Option<Place>>,
     pub(crate) endpoint: Arc<Endpoint>,
+    /// One permit for each link that may be opened now.
+    pub(crate) dials: Arc<Semaphore>,
     pub(crate) engines: Arc<dyn Engines>,
     pub(crate) board: Arc<Board>,
     pub(crate) service: String,
@@ -150,6 +155,8 @@
 
     async fn open(&mut self) -> Option<Channel> {
         let place = (*self.place.borrow_and_update())?;
+        // Its time begins when it is its turn.
+        let _turn = self.dials.acquire().await.ok()?;
         let opening = async {
             let mut channel = self.endpoint.open(place.agent, Role::Agent).await.ok()?;
             let ask = Ask::Conduct {
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -18,6 +18,7 @@
 use tokio::runtime::Runtime;
 
 pub const RANKS: usize = 4;
+const AGENT_PORT: u16 = 7_700;
 const PASS: Duration = Duration::from_millis(8);
 /// Time after which a call of an engine on another box that stands still is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(40);
@@ -57,8 +58,13 @@
 impl World {
     /// A group whose boxes have addresses of their own, by `network`, and whose demand is for one expert of each set.
     pub fn new(network: u8) -> Self {
+        Self::of(network, RANKS)
+    }
+
+    /// The same with as many ranks as wanted.
+    pub fn of(network: u8, ranks: usize) -> Self {
         let group = Group {
-            ranks: vec![Rank::default(); RANKS],
+            ranks: vec![Rank::default(); ranks],
             counts: vec![0; experts().sets * experts().count],
             ..Group::default()
         };
@@ -81,6 +87,11 @@
         self.group.lock().expect("no test thread panicked")
     }
 
+    /// Where the agent beside `rank` is reached.
+    pub fn agent_address(&self, rank: usize) -> SocketAddr {
+        self.address(rank, AGENT_PORT)
+    }
+
     fn address(&self, rank: usize, port: u16) -> SocketAddr {
         let ip = Ipv4Addr::new(127, 77, self.network, rank as u8 + 1);
         SocketAddr::new(IpAddr::V4(ip), port)
@@ -95,7 +106,7 @@
             .expect("a runtime");
         let settings = Settings {
             name: format!("agent-{rank}"),
-            address: self.address(rank, 7_700),
+            address: self.agent_address(rank),
             engine: self.address(rank, 8_000),
             service: samples::MODEL.to_owned(),
             seeds: Vec::new(),
@@ -118,17 +129,18 @@
     }
 
     fn roster(&self) -> Arc<Roster> {
+        let size = self.lock().ranks.len();
         let target = |rank| sparscale_catalog::Target {
             address: self.address(rank, 8_000),
             membership: Some(Membership {
                 group: "g".to_owned(),
                 rank,
-                size: RANKS,
+                size,
                 open: true,
             }),
             ..samples::target(&format!("m-{rank}"), samples::MODEL, 8_000)
         };
-        Arc::new(Roster::new((0..RANKS).map(target).collect()))
+        Arc::new(Roster::new((0..size).map(target).collect()))
     }
 
     /// Waits until `seen` holds.
@@ -194,7 +206,7 @@
         EngineState {
             group: Some("g".to_owned()),
             rank: index,
-            size: RANKS,
+            size: self.ranks.len(),
             view: View {
                 epoch: 1,
                 open: true,
@@ -350,7 +362,7 @@
         let group = self.world.lock();
         let (number, map) = &group.ranks[self.rank].map;
         let shape = Shape {
-            ranks: RANKS,
+            ranks: group.ranks.len(),
             layers: experts().sets,
             experts: experts().count,
             slots: experts().places,
--- a/crates/sparscale_conduct/tests/group/main.rs
+++ b/crates/sparscale_conduct/tests/group/main.rs
@@ -3,3 +3,4 @@
 mod engines;
 mod leading;
 mod old_state;
+mod wide_group;
