An agent that fell silent is dialled over a new connection

Cause: an agent that was started anew was not reached for up to 3 s: its conductor opened streams on the connection to its predecessor until that idled out. Meanwhile the new agent, unled, claimed the duty (test: three claims where one was due). Ruled out: the agent's side (it accepts at once). Change: a link that ends in silence drops its connection; a new agent is patient for as long as a conductor needs to notice. Before: group::agent_restarted failed, 3 claims. Conclusion: the duty stays where it is when another rank's agent is replaced.

--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -8,6 +8,7 @@
 use crate::claims::{Claim, Claims};
 use crate::engine::EngineState;
 use crate::leader::{Charge, Context, Leader};
+use crate::link::SILENT;
 
 /// Time without a word from any conductor after which the first in line claims the duty. A conductor speaks five times
 /// a second and more.
@@ -24,7 +25,8 @@
 /// Leads the group whenever nobody else does; never ends.
 pub(crate) async fn run(context: Context, mut claims: Box<dyn Claims>, service: String) {
     let mut end = 0;
-    let mut waited_since = Instant::now();
+    // A conductor notices only after a while that this agent's predecessor is gone, and dials anew.
+    let mut waited_since = Instant::now() + SILENT;
     loop {
         tokio::time::sleep(LOOK).await;
         let led = *context.handle.led.borrow();
@@ -34,7 +36,7 @@
         waited_since = waited_since.max(led.spoke);
         let state = context.handle.state.borrow().clone();
         let Some((group, state)) = state.and_then(member_of) else {
-            waited_since = Instant::now();
+            waited_since = waited_since.max(Instant::now());
             continue;
         };
         if waited_since.elapsed() < patience(&state) {
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -22,7 +22,7 @@
 /// Pause before an agent that was not reached is tried again.
 const REDIAL: Duration = Duration::from_millis(100);
 /// An agent that is not heard for this long is reached for anew: it tells its state ten times a second.
-const SILENT: Duration = Duration::from_millis(600);
+pub(crate) const SILENT: Duration = Duration::from_millis(600);
 /// Time after which an order to a rank whose agent is not reached goes to its engine directly. Such orders are dear, but
 /// a group may be standing still for them.
 const DIRECT_AFTER: Duration = Duration::from_millis(150);
@@ -190,7 +190,12 @@
                         return;
                     }
                 }
-                () = tokio::time::sleep_until(heard + SILENT) => return,
+                () = tokio::time::sleep_until(heard + SILENT) => {
+                    if let Some(place) = *self.place.borrow() {
+                        self.endpoint.renew(place.agent, Role::Agent);
+                    }
+                    return;
+                }
                 Ok(()) = self.place.changed() => return,
             }
         }
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -98,6 +98,7 @@
     let leader = world.lock().claims.last().cloned().expect("a claim");
     let other = (0..RANKS).find(|rank| !leader.ends_with(&format!("/{rank}")));
     let other = other.expect("a rank whose agent does not lead");
+    let claims = world.lock().claims.len();
     for _ in 0..2 {
         kill(&mut agents, other);
         agents.insert(other, world.agent(other));
@@ -105,6 +106,7 @@
         world.lock().shift();
         world.wait("a change of map with the new agent", |group| group.changes > changes);
     }
+    assert_eq!(world.lock().claims.len(), claims, "the new agent was not found in time");
     assert!(!world.lock().mixed);
     end(agents);
 }
--- a/crates/sparscale_wire/src/endpoint.rs
+++ b/crates/sparscale_wire/src/endpoint.rs
@@ -187,6 +187,18 @@
         Ok(opened.map(|(send, receive)| Channel::new(send, receive, Some(lease))))
     }
 
+    /// Drops the connection to the process at `address`, so that the next stream is opened over a new one.
+    ///
+    /// For a peer that fell silent: it may have been started anew, and the new process knows nothing of the old one's
+    /// connections. The transport itself notices that only after its idle timeout.
+    pub fn renew(&self, address: SocketAddr, role: Role) {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = connections.remove(&(address, role));
+        if let Some(connection) = slot.as_ref().and_then(|slot| slot.connection.get()) {
+            connection.close(VarInt::from_u32(0), b"silent");
+        }
+    }
+
     /// Closes connections without any stream that nobody has used for a while; to be called now and then.
     ///
     /// An entry talks to a few agents all the time and to any other once in a while. Kept for ever, those connections'
