After a restart of everything, rank 0 leads at once

A new agent waited 0.7 s (1.3 s since the last change), lost its first claim because it did not know where the list ends, and waited again. Ruled out: forming (open at 36.3 s), dials (0.1 s). Tried first: a lost first claim is followed by the next one at once: five ranks claimed within 0.75 s, since none was linked yet (first map at 38.1 s). Change: where the group still has its first map, rank 0 claims after 50 ms, the others leave it 0.5 s and their place in line; where it has another map, a new agent waits for the conductor that put it there. Links wait for the roster before they count a rank as not reached. Test: group::all_restarted (718 ms of waiting before).

--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -15,6 +15,12 @@
 const PATIENCE: Duration = Duration::from_millis(700);
 /// What each place in line adds to it.
 const PATIENCE_STEP: Duration = Duration::from_millis(150);
+/// The same for a group whose ranks still have the map that every group starts with: nobody has led it in this epoch, and
+/// its passes are several times as long as they need to be. The first in line claims at once; if others led before, its
+/// first claim only tells it so.
+const FIRST_MAP_PATIENCE: Duration = Duration::from_millis(50);
+/// Time that all others give it to learn where they are and to reach them.
+const FIRST_LINK: Duration = Duration::from_millis(500);
 /// Places in line that are told apart.
 const PLACES: usize = 12;
 /// Time that a claim may take.
@@ -24,14 +30,14 @@
 
 /// Leads the group whenever nobody else does; never ends.
 pub(crate) async fn run(context: Context, mut claims: Box<dyn Claims>, service: String) {
-    let mut end = 0;
-    // A conductor notices only after a while that this agent's predecessor is gone, and dials anew.
-    let mut waited_since = Instant::now() + SILENT;
+    // Where the list of claims ends, once that is known.
+    let mut end = None;
+    let mut waited_since = Instant::now();
     loop {
         tokio::time::sleep(LOOK).await;
         let led = *context.handle.led.borrow();
         if let Some(claim) = led.claim {
-            end = end.max(claim + 1);
+            end = end.max(Some(claim + 1));
         }
         waited_since = waited_since.max(led.spoke);
         let state = context.handle.state.borrow().clone();
@@ -39,11 +45,12 @@
             waited_since = waited_since.max(Instant::now());
             continue;
         };
-        if waited_since.elapsed() < patience(&state) {
+        if waited_since.elapsed() < patience(&state, led.claim.is_some()) {
             continue;
         }
         let holder = format!("{service}/{}", state.rank);
-        let claiming = tokio::time::timeout(CLAIM_TIMEOUT, claims.claim(&group, &holder, end)).await;
+        let claiming =
+            tokio::time::timeout(CLAIM_TIMEOUT, claims.claim(&group, &holder, end.unwrap_or_default())).await;
         waited_since = Instant::now();
         match claiming {
             Ok(Ok(Claim::Won { offset })) => {
@@ -60,7 +67,7 @@
             }
             Ok(Ok(Claim::Lost { end: claims })) => {
                 context.figures.claimed("lost");
-                end = claims;
+                end = Some(claims);
             }
             Ok(Err(error)) => {
                 context.figures.claimed("unanswered");
@@ -79,7 +86,14 @@
     Some((group, state))
 }
 
-fn patience(state: &EngineState) -> Duration {
-    let place = state.rank.min(PLACES) as u32;
-    PATIENCE + PATIENCE_STEP * place
+/// Time without a word from any conductor after which an agent in this state claims the duty.
+fn patience(state: &EngineState, was_led: bool) -> Duration {
+    let place = PATIENCE_STEP * state.rank.min(PLACES) as u32;
+    match (was_led, state.view.map) {
+        (true, _) => PATIENCE + place,
+        (false, 0) if state.rank == 0 => FIRST_MAP_PATIENCE,
+        (false, 0) => FIRST_LINK + place,
+        // Somebody leads, and notices only after a while that this agent's predecessor is gone, and dials anew.
+        (false, _) => SILENT + PATIENCE + place,
+    }
 }
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -138,6 +138,10 @@
 impl Remote {
     /// Keeps the link up until the conductor is gone.
     pub(crate) async fn lead(mut self, mut link: Link) {
+        // Until the roster tells where the rank is, nobody can be reached.
+        if self.place.wait_for(Option::is_some).await.is_err() {
+            return;
+        }
         let mut unreached = Instant::now();
         loop {
             if let Some(channel) = self.open().await {
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -46,6 +46,8 @@
     pub mixed: bool,
     pub changes: u32,
     pub claims: Vec<String>,
+    /// When claims were lost.
+    pub lost_claims: Vec<Instant>,
     /// Agents (by rank) that stand still once they have placed a hold.
     pub freeze_after_hold: bool,
     pub frozen: Option<usize>,
@@ -287,12 +289,13 @@
 #[async_trait]
 impl Claims for Listed {
     async fn claim(&mut self, _group: &str, holder: &str, end: u64) -> Result<Claim, ClaimError> {
-        let claims = &mut self.0.lock().claims;
-        let standing = claims.len() as u64;
+        let mut group = self.0.lock();
+        let standing = group.claims.len() as u64;
         if standing != end {
+            group.lost_claims.push(Instant::now());
             return Ok(Claim::Lost { end: standing });
         }
-        claims.push(holder.to_owned());
+        group.claims.push(holder.to_owned());
         Ok(Claim::Won { offset: standing })
     }
 }
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -110,3 +110,19 @@
     assert!(!world.lock().mixed);
     end(agents);
 }
+
+/// All agents were started anew. The first claim only tells them that there were others before; they do not wait a
+/// second time.
+#[test]
+fn all_restarted() {
+    let world = World::new(8);
+    world.lock().claims = vec!["before".to_owned(); 3];
+    let agents = agents(&world);
+    world.wait("a claim", |group| group.claims.len() > 3);
+    let first = world.lock().lost_claims.first().copied().expect("a lost claim");
+    let waited = first.elapsed();
+    // A led agent is patient for longer than that.
+    assert!(waited < Duration::from_millis(500), "waited for {waited:?}");
+    world.wait("a change of map", |group| group.changes >= 1);
+    end(agents);
+}
