While passes are late whoever is refused, up to six requests a rank are let in

The door answers with three requests a rank, refuses nine of ten, and those it lets in are late all the same. Ruled out: routing (the slow rank gets none), placement (skew 1.25 with paces). Change: if passes take more beyond the engine's figures than streams allow altogether, the door lets six a rank in. Test: group_room (slow_rank fails without it).

--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -31,4 +31,5 @@
 pub use entry::Entry;
 pub use program::{Error, Parts, Settings, run};
 pub use refusal::{Reason, Refusal};
+pub use room::{capacity, held};
 pub use server::{Body, Phase};
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -13,6 +13,9 @@
 const PASS_PART: f64 = 0.62;
 /// Skew that conductors keep groups within.
 const USUAL_SKEW: f64 = 1.3;
+/// Requests that a rank is filled with while streams are late however few there are: more would be late for long after
+/// that.
+const LATE_RANK: f64 = 6.0;
 /// Least requests a rank is filled with, whatever the figures say: with fewer nothing gets done.
 const MIN_RANK: f64 = 3.0;
 
@@ -20,7 +23,7 @@
 ///
 /// The engine's own figures tell how a pass grows with the requests of a rank; the latest passes tell what they take
 /// besides, such as reading prompts and uneven experts. Where even a lone request is late, places are all that counts.
-pub(crate) fn capacity(load: &GroupLoad, engine: &Engine, pause: Duration) -> f64 {
+pub fn capacity(load: &GroupLoad, engine: &Engine, pause: Duration) -> f64 {
     let ranks = load.ranks.len() as f64;
     let slots = f64::from(engine.slots);
     let heard: Vec<f64> = load
@@ -41,6 +44,10 @@
     // What passes take beyond the model does not vanish with fewer requests, so it is taken as it is.
     let besides = (measured - model(mean)).max(0.0);
     let allowed = pause.as_secs_f64() * 1_000.0 * PASS_PART;
+    if besides > allowed {
+        // A slow rank, say: every stream is late however few there are, and late answers are worth more than none.
+        return ranks * slots.min(LATE_RANK);
+    }
     let fits = |requests: f64| model(requests) + besides.min(allowed / 2.0) <= allowed;
     if !fits(1.0) {
         return ranks * slots;
@@ -53,7 +60,7 @@
 }
 
 /// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
-pub(crate) fn held(load: &GroupLoad) -> f64 {
+pub fn held(load: &GroupLoad) -> f64 {
     let heard: Vec<f64> = load
         .ranks
         .iter()
