A switch that was dropped leaves agents with a map to build on; whole maps get their time

Ruled out: counts (0.4 of the link), deciding, loading. Tests: map_updates (dropped_tries: six whole maps before, one now; right_map).

--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -9,6 +9,7 @@
 use crate::engine::EngineState;
 use crate::leader::{Charge, Context, Leader};
 use crate::link::SILENT;
+use crate::rank::Led;
 
 /// Time without a word from any conductor after which the first in line claims the duty. A conductor speaks five times
 /// a second and more.
@@ -45,7 +46,7 @@
             waited_since = waited_since.max(Instant::now());
             continue;
         };
-        if waited_since.elapsed() < patience(&state, led.claim.is_some()) {
+        if waited_since.elapsed() < patience(&state, &led, end.is_some()) {
             continue;
         }
         let holder = format!("{service}/{}", state.rank);
@@ -86,14 +87,18 @@
     Some((group, state))
 }
 
-/// Time without a word from any conductor after which an agent in this state claims the duty.
-fn patience(state: &EngineState, was_led: bool) -> Duration {
+/// Time without a word from any conductor after which an agent in this state claims the duty. One that does not know yet
+/// where the list of claims ends, and so has not been led, loses its first claim to whoever led before, and learns it.
+fn patience(state: &EngineState, led: &Led, knows_end: bool) -> Duration {
     let place = PATIENCE_STEP * state.rank.min(PLACES) as u32;
-    match (was_led, state.view.map) {
-        (true, _) => PATIENCE + place,
-        (false, 0) if state.rank == 0 => FIRST_MAP_PATIENCE,
-        (false, 0) => FIRST_LINK + place,
+    if led.claim.is_some() {
+        return PATIENCE + place;
+    }
+    match (state.view.map, knows_end) {
+        (0, _) if state.rank == 0 => FIRST_MAP_PATIENCE,
+        (0, false) => FIRST_LINK + place,
+        (_, true) => PATIENCE + place,
         // Somebody leads, and notices only after a while that this agent's predecessor is gone, and dials anew.
-        (false, _) => SILENT + PATIENCE + place,
+        (_, false) => SILENT + place,
     }
 }
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -6,8 +6,8 @@
 
 use sparscale_belief::Board;
 use sparscale_mesh::Mesh;
+use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress};
-use sparscale_place::{Map, Patch};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Base, Endpoint, GroupLoad, MapUpdate, Placement, RankLoad, RankNews, RankOrder};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -17,7 +17,7 @@
 use crate::engine::Engines;
 use crate::figures::Figures;
 use crate::link::{DIALS, Event, Link, Place, Remote, lead_own};
-use crate::maps::Sent;
+use crate::maps::{Offer, Sent};
 use crate::rank::Handle;
 
 /// Fences of one claim: each change uses two at most.
@@ -29,6 +29,9 @@
 const SURVEY_PAUSE: Duration = Duration::from_millis(60);
 /// Time that staging may take beyond the loading itself.
 const STAGE_SLACK: Duration = Duration::from_millis(700);
+/// What each agent that is sent a whole map adds to it: 4 KB take 4 ms of the slimmest link, which carries counts and
+/// loads as well.
+const WHOLE_SLACK: Duration = Duration::from_millis(15);
 /// Time for which the group may be held before a change is taken back.
 const HOLD_LIMIT: Duration = Duration::from_millis(220);
 /// Time after which an order without an answer is given up.
@@ -86,7 +89,7 @@
     /// Maps that the agent has.
     sent: Sent,
     /// The map that it was sent and has not answered for: its number, and the one that it was sent as a change of.
-    sending: Option<(u64, Option<u64>)>,
+    sending: Option<(u64, Option<Base>)>,
 }
 
 impl Member {
@@ -122,11 +125,9 @@
 
 /// A map that is being put in force.
 struct Change {
-    number: u64,
-    map: Arc<Map>,
-    /// The map that it changes, and how.
-    base: Base,
-    patch: Arc<Patch>,
+    offer: Offer,
+    /// Agents to which all of it was sent.
+    wholes: u32,
     began: Instant,
     deepest: u32,
     /// Experts that it loads, over all ranks.
@@ -134,25 +135,6 @@
     held: Option<Instant>,
 }
 
-impl Change {
-    /// The map as it goes to `member`.
-    fn update(&self, member: &mut Member) -> MapUpdate {
-        let (base, known) = match self.base {
-            Base::Initial(_) => (None, true),
-            Base::Sent(number) => (Some(number), member.sent.has(number)),
-        };
-        if !known {
-            member.sending = Some((self.number, None));
-            return MapUpdate::Whole(Arc::clone(&self.map));
-        }
-        member.sending = Some((self.number, base));
-        MapUpdate::Change {
-            base: self.base,
-            patch: Arc::clone(&self.patch),
-        }
-    }
-}
-
 pub(crate) struct Leader {
     context: Context,
     charge: Charge,
@@ -163,6 +145,8 @@
     /// The map that all ranks use, with epoch and number.
     map: Option<(u64, u64, Arc<Map>)>,
     change: Option<Change>,
+    /// The last map that was sent and did not come in force, with its number: agents may have it.
+    dropped: Option<(u64, Arc<Map>)>,
     errand: Option<Errand>,
     beaten: Instant,
     changes: u64,
@@ -195,6 +179,7 @@
             decider: None,
             map: None,
             change: None,
+            dropped: None,
             errand: None,
             beaten: now - HEARTBEAT,
             changes: 0,
@@ -355,7 +340,7 @@
             return;
         }
         let step = self.conductor.step();
-        log::info!(target: DECISION, decision = "switch", group = self.charge.group.as_str(), from:? = self.progress, to:? = progress, epoch = self.conductor.epoch(), number = self.change.as_ref().map(|change| change.number), step; "map switch");
+        log::info!(target: DECISION, decision = "switch", group = self.charge.group.as_str(), from:? = self.progress, to:? = progress, epoch = self.conductor.epoch(), number = self.change.as_ref().map(|change| change.offer.number), step; "map switch");
         self.progress = progress;
         if matches!(progress, Progress::Holding | Progress::Arming)
             && let Some(change) = &mut self.change
@@ -379,13 +364,14 @@
         if let Some(change) = change {
             let took_ms = change.began.elapsed().as_millis() as u64;
             let held_ms = change.held.map(|held| held.elapsed().as_millis() as u64);
-            let in_force = change.number == number && !failed;
+            let in_force = change.offer.number == number && !failed;
             log::info!(target: DECISION, decision = "map", group = self.charge.group.as_str(), epoch, number, in_force, took_ms, held_ms; "map switch over");
             self.note_switch(&change, in_force);
-            if change.number == number {
-                self.map = Some((epoch, number, change.map));
+            if change.offer.number == number {
+                self.map = Some((epoch, number, change.offer.map));
                 return;
             }
+            self.dropped = Some((change.offer.number, change.offer.map));
         }
         if self
             .map
@@ -454,11 +440,11 @@
                 0 => Base::Initial(decider.shape()),
                 number => Base::Sent(*number),
             };
+            let mut bases = vec![(base, Arc::clone(map))];
+            bases.extend(self.dropped.take().map(|(number, map)| (Base::Sent(number), map)));
             self.change = Some(Change {
-                number,
-                base,
-                patch: Arc::new(Patch::between(map, &refined.map)),
-                map: Arc::new(refined.map),
+                offer: Offer::new(number, refined.map, &bases),
+                wholes: 0,
                 began: Instant::now(),
                 deepest: refined.deepest,
                 loads: refined.loads,
@@ -484,7 +470,15 @@
 
     fn send_own(&mut self, rank: usize, order: Order) {
         let change = self.change.as_ref().filter(|_| is_stage(&order));
-        let map = change.map(|change| change.update(&mut self.members[rank]));
+        let map = change.map(|change| change.offer.update(&self.members[rank].sent));
+        if let (Some(change), Some(map)) = (&mut self.change, &map) {
+            let base = match map {
+                MapUpdate::Whole(_) => None,
+                MapUpdate::Change { base, .. } => Some(*base),
+            };
+            change.wholes += u32::from(base.is_none());
+            self.members[rank].sending = Some((change.offer.number, base));
+        }
         let sent = self.members[rank].orders.try_send(RankOrder::Own { order, map });
         if sent.is_err() {
             self.members[rank].ordered = None;
@@ -609,8 +603,10 @@
 
     /// Gives up what takes too long.
     fn check_times(&mut self) {
+        let wholes = self.change.as_ref().map_or(0, |change| change.wholes);
+        let limit = ORDER_LIMIT + WHOLE_SLACK * wholes;
         for rank in 0..self.members.len() {
-            if self.members[rank].ordered.is_some_and(|at| at.elapsed() > ORDER_LIMIT) {
+            if self.members[rank].ordered.is_some_and(|at| at.elapsed() > limit) {
                 self.members[rank].ordered = None;
                 self.conductor.lost(rank);
             }
@@ -623,14 +619,15 @@
                 .and_then(|engine| engine.experts)
                 .map_or(0.0, |experts| experts.load_ms())
         });
-        let staging = Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + STAGE_SLACK;
+        let staging =
+            Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + STAGE_SLACK + WHOLE_SLACK * wholes;
         let over = match self.conductor.progress() {
             Progress::Staging => change.began.elapsed() > staging,
             Progress::Holding | Progress::Arming => change.held.is_some_and(|held| held.elapsed() > HOLD_LIMIT),
             _ => false,
         };
         if over {
-            log::warn!(target: DECISION, decision = "abandon", group = self.charge.group.as_str(), number = change.number, progress:? = self.conductor.progress(); "a map switch took too long");
+            log::warn!(target: DECISION, decision = "abandon", group = self.charge.group.as_str(), number = change.offer.number, progress:? = self.conductor.progress(); "a map switch took too long");
             self.conductor.abandon();
         }
     }
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -20,5 +20,6 @@
 pub use claims::{Claim, Claims, Error as ClaimError};
 pub use distant::Distant;
 pub use engine::{Counts, Engine, EngineError, EngineState, Engines, Held};
+pub use maps::{Offer, Sent, Shelf};
 pub use program::{Error, Parts, Settings, run, start};
 pub use reporter::{MAX_NUMBERS, Reporter};
--- a/crates/sparscale_conduct/src/maps.rs
+++ b/crates/sparscale_conduct/src/maps.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use sparscale_place::Map;
+use sparscale_place::{Map, Patch};
 use sparscale_wire::{Base, MapUpdate};
 
 /// Maps that are kept: the one in force and the one that is to follow it.
@@ -13,19 +13,57 @@
 
 /// The maps that an agent has.
 #[derive(Debug, Default)]
-pub(crate) struct Shelf {
+pub struct Shelf {
     maps: Vec<(u64, Arc<Map>)>,
 }
 
+/// A map that a conductor puts in force, as it goes to agents.
+#[derive(Debug)]
+pub struct Offer {
+    /// Its number.
+    pub number: u64,
+    /// All of it.
+    pub map: Arc<Map>,
+    /// What differs from maps that agents may have, the likeliest first.
+    patches: Vec<(Base, Arc<Patch>)>,
+}
+
+impl Offer {
+    /// `bases` are maps that agents may have; a map that was sent and never came in force is one, too.
+    pub fn new(number: u64, map: Map, bases: &[(Base, Arc<Map>)]) -> Self {
+        let patch = |(base, old): &(Base, Arc<Map>)| (*base, Arc::new(Patch::between(old, &map)));
+        Self {
+            patches: bases.iter().map(patch).collect(),
+            number,
+            map: Arc::new(map),
+        }
+    }
+
+    /// The least that an agent with `sent` has to be told.
+    pub fn update(&self, sent: &Sent) -> MapUpdate {
+        let known = |base: &Base| match base {
+            Base::Initial(_) => true,
+            Base::Sent(number) => sent.has(*number),
+        };
+        match self.patches.iter().find(|(base, _)| known(base)) {
+            Some((base, patch)) => MapUpdate::Change {
+                base: *base,
+                patch: Arc::clone(patch),
+            },
+            None => MapUpdate::Whole(Arc::clone(&self.map)),
+        }
+    }
+}
+
 /// The numbers of the maps on an agent's shelf, as its conductor knows them.
 #[derive(Debug, Default)]
-pub(crate) struct Sent {
+pub struct Sent {
     numbers: Vec<u64>,
 }
 
 impl Shelf {
     /// The map that `update` makes, which is kept under `number`; none if its base is not here.
-    pub(crate) fn take(&mut self, number: u64, update: MapUpdate) -> Option<Arc<Map>> {
+    pub fn take(&mut self, number: u64, update: MapUpdate) -> Option<Arc<Map>> {
         let (base, map) = match update {
             MapUpdate::Whole(map) => (None, map),
             MapUpdate::Change {
@@ -48,19 +86,20 @@
 
 impl Sent {
     /// Whether the agent has map `number`.
-    pub(crate) fn has(&self, number: u64) -> bool {
+    pub fn has(&self, number: u64) -> bool {
         self.numbers.contains(&number)
     }
 
     /// Notes that the agent took map `number`, which was sent as a change of `base` or else whole.
-    pub(crate) fn note(&mut self, number: u64, base: Option<u64>) {
-        self.numbers.retain(|known| Some(*known) == base);
+    pub fn note(&mut self, number: u64, base: Option<Base>) {
+        self.numbers
+            .retain(|known| matches!(base, Some(Base::Sent(base)) if base == *known));
         self.numbers.push(number);
         debug_assert!(self.numbers.len() <= KEPT);
     }
 
     /// Nothing is known of the agent any more.
-    pub(crate) fn forget(&mut self) {
+    pub fn forget(&mut self) {
         self.numbers.clear();
     }
 }
