Readers pause longer with each failure while the store is away

Change: pauses double up to 1.2 s for entries, which have to be up to date 3 s after trouble, and to 6 s for agents; spread, so that they do not return together.

--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -19,8 +19,11 @@
 
 /// Time that one reading may take before it is given up.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause after a failed reading; the next one may meet a store that is back.
+/// Pause after a failed reading, doubled with each further failure in a row; the next one may meet a store that is back.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such pause of a process that answers for how old its beliefs are: a machine has to be up to date 3 s after
+/// the end of trouble, and one reading may take [`READ_TIMEOUT`] in vain before the one that succeeds.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// How old a belief gets before this process reads the source itself.
 #[derive(Debug)]
@@ -31,6 +34,8 @@
     pub step: Duration,
     /// Time that a new process gives others to tell it before it reads for the first time.
     pub head_start: Duration,
+    /// Longest pause between two readings while they fail.
+    pub max_retry: Duration,
     place: AtomicUsize,
 }
 
@@ -41,10 +46,18 @@
             interval,
             step,
             head_start,
+            max_retry: MAX_RETRY_PAUSE,
             place: AtomicUsize::new(0),
         }
     }
 
+    /// The same with another longest pause between two readings while they fail.
+    #[must_use]
+    pub fn with_max_retry(mut self, max_retry: Duration) -> Self {
+        self.max_retry = max_retry;
+        self
+    }
+
     /// Sets the place in line, 0 for the first.
     pub fn set_place(&self, place: usize) {
         self.place.store(place, Ordering::Relaxed);
@@ -55,6 +68,14 @@
         self.place.load(Ordering::Relaxed)
     }
 
+    /// Pause after `failures` failed readings in a row, spread so that processes which failed together do not all call
+    /// together again.
+    fn retry_pause(&self, failures: u32) -> Duration {
+        let doubled = RETRY_PAUSE.saturating_mul(2_u32.saturating_pow(failures.saturating_sub(1)));
+        let spread = 0.75 + 0.5 * rand::random::<f64>();
+        doubled.min(self.max_retry).mul_f64(spread)
+    }
+
     fn patience(&self) -> Duration {
         let steps = u32::try_from(self.place()).unwrap_or(u32::MAX);
         self.interval + self.step.saturating_mul(steps)
@@ -120,12 +141,15 @@
     offer: impl Fn(Reading<T>, Instant) -> Change,
 ) {
     let mut reachable = true;
+    let mut failures = 0;
     let started = Instant::now();
     loop {
         // What nobody has told yet is as old as this process, less the head start that others get.
         let known = age().unwrap_or_else(|| started.elapsed() + pace.patience().saturating_sub(pace.head_start));
         let wait = pace.patience().checked_sub(known);
         if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
+            // Somebody told it.
+            failures = 0;
             tokio::time::sleep(wait).await;
             continue;
         }
@@ -140,7 +164,10 @@
         let news = answer.map(|reading| offer(reading, asked));
         // A store that answers from the past says nothing about now: asking at once again would only load it.
         if matches!(news, Err(_) | Ok(Change::Older)) {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            failures += 1;
+            tokio::time::sleep(pace.retry_pause(failures)).await;
+        } else {
+            failures = 0;
         }
     }
 }
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -20,6 +20,10 @@
 use crate::link;
 use crate::rank;
 
+/// Longest pause between two readings of the store while they fail. Agents are many, and serve nobody by what they read:
+/// a conductor needs to know where its ranks are, and that changes seldom.
+const MAX_RETRY: Duration = Duration::from_secs(6);
+
 /// Checked settings of an agent.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -101,11 +105,8 @@
     );
     tokio::spawn(Arc::clone(&mesh).follow_one());
     let pace = || {
-        Arc::new(Pace::new(
-            settings.read_interval,
-            Duration::ZERO,
-            settings.read_interval,
-        ))
+        let (interval, head_start) = (settings.read_interval, settings.read_interval);
+        Arc::new(Pace::new(interval, Duration::ZERO, head_start).with_max_retry(MAX_RETRY))
     };
     let reads = || ReadFigures::new(&parts.registry);
     tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, pace(), reads()));
