Entries draw targets by what all of them will send; streams log their first event and longest pause

Ruled out: passes (62 ms), shifts (only every fourth second), prompts (0.02 s). Change: what all entries are expected to send until something new is told is poured into the ranks, lowest first, and each entry draws its target in proportion to what each takes up; a slow rank counts one request as many.

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -79,7 +79,7 @@
                 dialect: Arc::new(parts.dialect),
                 max_rest_once: MAX_REST_ONCE,
             },
-            loads: Arc::new(Loads::default()),
+            loads: Arc::new(Loads::new(Arc::clone(&entries))),
             hall: settings.hall.clone(),
             allowance: settings.allowance,
             budgets: Mutex::new(HashMap::new()),
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod room;
 mod server;
 mod split;
+mod spread;
 mod tries;
 
 pub use admission::Freshness;
@@ -33,3 +34,4 @@
 pub use refusal::{Reason, Refusal};
 pub use room::{capacity, held};
 pub use server::{Body, Phase};
+pub use spread::{Vessel, draw, shares};
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -1,6 +1,7 @@
 //! What this entry has at each target, and how the targets have answered lately.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,10 +9,18 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
+use crate::spread::{Vessel, draw, shares};
+
 /// First time for which a target that failed is passed over; doubled with each failure in a row.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
 /// Doublings of that time at most.
 const MAX_DOUBLINGS: u32 = 4;
+/// Age of a rank's load when it is used, on the mean: it is read and told each 100 ms, and told on once.
+const STALE: Duration = Duration::from_millis(150);
+/// Span over which this entry's sends are counted, as a sample of what all entries send.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+/// What speaks against a target in another hall, in requests on top of those that it has.
+const OTHER_HALL: f64 = 0.5;
 
 /// One target, as this entry sees it.
 #[derive(Debug, Default)]
@@ -21,12 +30,28 @@
     /// Failures in a row.
     failures: u32,
     avoid_until: Option<Instant>,
+    /// Sends that a report may not hold yet.
+    untold: VecDeque<Instant>,
+}
+
+impl State {
+    fn avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| now < until)
+    }
+
+    fn untold(&self, now: Instant) -> usize {
+        self.untold.iter().filter(|sent| **sent + STALE > now).count()
+    }
 }
 
 /// All targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Loads {
     targets: Mutex<HashMap<String, State>>,
+    /// Entries that send to the same targets, this one included.
+    entries: Arc<AtomicUsize>,
+    /// Sends of this entry to groups within [`RATE_SPAN`].
+    sends: Mutex<VecDeque<Instant>>,
 }
 
 /// A request that counts as running at a target until this is dropped.
@@ -37,10 +62,19 @@
 }
 
 impl Loads {
+    /// Nothing is known yet; `entries` is how many send to the same targets.
+    pub(crate) fn new(entries: Arc<AtomicUsize>) -> Self {
+        Self {
+            targets: Mutex::default(),
+            entries,
+            sends: Mutex::default(),
+        }
+    }
+
     /// The target for a request of `service`, other than those tried, for an entry in `hall`.
     ///
-    /// The one that would be least loaded with it, in proportion to its slots and pace; of equals one in the same hall,
-    /// then any. A target that failed a moment ago is taken only if there is no other.
+    /// Among ranks whose loads were told, so that all entries together fill them evenly (see [`crate::spread`]); else the
+    /// one that this entry has least at. A target that failed a moment ago is taken only if there is no other.
     pub(crate) fn choose(
         &self,
         roster: &Roster,
@@ -49,33 +83,95 @@
         hall: &str,
         reported: impl Fn(&Target) -> Option<RankLoad>,
     ) -> Option<Target> {
+        let ready = || {
+            roster
+                .of_service(service)
+                .filter(|target| target.standing == Standing::Ready && !tried.contains(&target.id))
+        };
+        let told: Vec<(&Target, RankLoad)> = ready()
+            .filter_map(|target| reported(target).map(|load| (target, load)))
+            .collect();
+        if told.is_empty() {
+            return self.least(ready(), hall).cloned();
+        }
+        self.spread(&told, hall).cloned()
+    }
+
+    /// The target that this entry has least at, in proportion to its slots; of equals one in the same hall, then any.
+    fn least<'t>(&self, ready: impl Iterator<Item = &'t Target>, hall: &str) -> Option<&'t Target> {
         let now = Instant::now();
         let targets = self.lock();
-        let ready = roster
-            .of_service(service)
-            .filter(|target| target.standing == Standing::Ready && !tried.contains(&target.id));
         let cost = |target: &Target| {
             let state = targets.get(&target.id);
             let own = state.map_or(0, |state| state.running);
-            let report = reported(target);
-            // What is reported holds this entry's own requests, too, as they were then.
-            let running = report.map_or(own, |load| own.max(load.running + load.queued));
-            let pace = report.map_or(1.0, |load| load.pace());
             Cost {
-                avoided: state.is_some_and(|state| state.avoid_until.is_some_and(|until| now < until)),
-                load: f64::from(running + 1) * pace / f64::from(target.slots.max(1)),
+                avoided: state.is_some_and(|state| state.avoided(now)),
+                load: f64::from(own + 1) / f64::from(target.slots.max(1)),
                 other_hall: target.hall != hall,
                 lot: rand::random(),
             }
         };
         let costs = ready.map(|target| (cost(target), target));
         let best = costs.min_by(|(left, _), (right, _)| left.total_cmp(right));
-        best.map(|(_, target)| target.clone())
+        best.map(|(_, target)| target)
+    }
+
+    /// One of the targets whose load was told, drawn so that all entries together fill them evenly.
+    fn spread<'t>(&self, told: &[(&'t Target, RankLoad)], hall: &str) -> Option<&'t Target> {
+        let now = Instant::now();
+        let expected = self.expected(now);
+        let targets = self.lock();
+        let avoided = |target: &Target| targets.get(&target.id).is_some_and(|state| state.avoided(now));
+        let mut open: Vec<&(&Target, RankLoad)> = told.iter().filter(|(target, _)| !avoided(target)).collect();
+        if open.is_empty() {
+            open = told.iter().collect();
+        }
+        let vessel = |target: &Target, load: RankLoad| {
+            let state = targets.get(&target.id);
+            let own = state.map_or(0, |state| state.running);
+            let untold = state.map_or(0, |state| state.untold(now));
+            // What is told holds this entry's own requests, too, as they were then.
+            let running = f64::from(own).max(f64::from(load.running + load.queued) + untold as f64);
+            let distance = if target.hall == hall { 0.0 } else { OTHER_HALL };
+            let width = f64::from(target.slots.max(1)) / load.pace();
+            // The request itself takes longer there, too.
+            let slowness = (load.pace() - 1.0).max(0.0) / f64::from(target.slots.max(1));
+            Vessel {
+                level: (running + distance) / width + slowness,
+                width,
+            }
+        };
+        let vessels: Vec<Vessel> = open.iter().map(|(target, load)| vessel(target, *load)).collect();
+        let chosen = draw(&shares(&vessels, expected), rand::random())?;
+        open.get(chosen).map(|(target, _)| *target)
+    }
+
+    /// Requests that other entries send until something new is told, if they send as much as this one.
+    fn expected(&self, now: Instant) -> f64 {
+        let mut sends = self.sends.lock().unwrap_or_else(PoisonError::into_inner);
+        while sends.front().is_some_and(|sent| *sent + RATE_SPAN < now) {
+            sends.pop_front();
+        }
+        let others = self.entries.load(Ordering::Relaxed).saturating_sub(1);
+        let rate = sends.len() as f64 / RATE_SPAN.as_secs_f64();
+        rate * others as f64 * STALE.as_secs_f64()
     }
 
     /// Counts a request as running at `target`.
     pub(crate) fn enter(self: &Arc<Self>, target: &Target) -> Running {
-        self.lock().entry(target.id.clone()).or_default().running += 1;
+        let now = Instant::now();
+        if target.membership.is_some() {
+            let mut sends = self.sends.lock().unwrap_or_else(PoisonError::into_inner);
+            sends.push_back(now);
+        }
+        let mut targets = self.lock();
+        let state = targets.entry(target.id.clone()).or_default();
+        state.running += 1;
+        while state.untold.front().is_some_and(|sent| *sent + STALE < now) {
+            state.untold.pop_front();
+        }
+        state.untold.push_back(now);
+        drop(targets);
         Running {
             loads: Arc::clone(self),
             target: target.id.clone(),
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -1,6 +1,7 @@
 //! Answers on their way to callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -73,6 +74,7 @@
                 running: stream.running,
                 _pass: pass,
                 tries,
+                pauses: Pauses::begin(),
                 over: false,
             };
             response(status, headers, relay.into_body())
@@ -90,9 +92,38 @@
     running: Running,
     _pass: Option<Pass>,
     tries: Tries,
+    pauses: Pauses,
     over: bool,
 }
 
+/// How evenly events come.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pauses {
+    began: Instant,
+    last: Instant,
+    /// Longest time between two events so far.
+    pub(crate) longest: Duration,
+}
+
+impl Pauses {
+    /// The first event is there.
+    fn begin() -> Self {
+        let now = Instant::now();
+        Self {
+            began: now,
+            last: now,
+            longest: Duration::ZERO,
+        }
+    }
+
+    /// Another event is there.
+    fn note(&mut self) {
+        let now = Instant::now();
+        self.longest = self.longest.max(now.saturating_duration_since(self.last));
+        self.last = now;
+    }
+}
+
 impl Relay {
     fn into_body(self) -> Body {
         let pieces = stream::unfold(self, |mut relay| async move {
@@ -112,7 +143,10 @@
                 return Some(Ok(join(first, &mut self.run)));
             }
             match self.run.next(self.job.outbound.until).await {
-                Ok(Some(event)) => return Some(Ok(join(event, &mut self.run))),
+                Ok(Some(event)) => {
+                    self.pauses.note();
+                    return Some(Ok(join(event, &mut self.run)));
+                }
                 Ok(None) => {
                     self.end("streamed");
                     return None;
@@ -145,8 +179,15 @@
         true
     }
 
+    /// Says of a stream that its caller had to wait for events how long, and for which.
+    fn log_pauses(&self) {
+        let first = self.pauses.began.saturating_duration_since(self.job.began);
+        log::info!(target: DECISION, decision = "pauses", request = self.job.outbound.head.id_text(), first_ms = first.as_millis() as u64, longest_pause_ms = self.pauses.longest.as_millis() as u64; "stream");
+    }
+
     fn end(&mut self, outcome: &str) {
         self.over = true;
+        self.log_pauses();
         self.gateway.end(&self.job, outcome, &self.tries.tried, 200);
     }
 }
