A catalog goes to each entry once, not from each to each

Ruled out: passes (62 ms), ranks, processor time. Change: entries tell each other only which version they have; who lacks it asks one of those, and another one 0.4 s later.

--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use sparscale_belief::Belief;
@@ -28,6 +29,10 @@
     peer: Option<SocketAddr>,
     their_catalog: u64,
     their_roster: u64,
+    /// Whether the other side asked for the catalog.
+    owes_catalog: bool,
+    /// Whether to ask the other side for its catalog.
+    wants_catalog: bool,
     sent_roster: Option<Arc<Roster>>,
     pending_catalog: Option<Arc<Catalog>>,
     pending_roster: Option<Arc<Roster>>,
@@ -42,6 +47,8 @@
             peer: None,
             their_catalog: 0,
             their_roster: 0,
+            owes_catalog: false,
+            wants_catalog: false,
             sent_roster: None,
             pending_catalog: None,
             pending_roster: None,
@@ -87,7 +94,12 @@
                         let first = self.peer.is_none();
                         self.take_in(frame);
                         // The first answer goes at once, so that ages can be told after one round trip.
-                        if first && self.peer.is_some() { self.tell(sender).await } else { Some(()) }
+                        let first = first && self.peer.is_some();
+                        if first || self.owes_catalog || self.wants_catalog {
+                            self.tell(sender).await
+                        } else {
+                            Some(())
+                        }
                     }
                     Err(_) => None,
                 },
@@ -115,14 +127,20 @@
             stamp_ms: self.clock.stamp(now),
             echo: self.clock.echo(now),
             catalog: catalog.as_ref().map(|belief| known(belief, now)),
+            wants_catalog: std::mem::take(&mut self.wants_catalog),
             roster: roster.as_ref().map(|belief| known(belief, now)),
             entries: self.mesh.live_entries(),
         };
         send(sender, &Frame::Exchange(exchange)).await
     }
 
-    /// The value goes only to a peer that has an older one, and once.
+    /// The value goes only to a peer that has an older one, and once; to an entry only if it asks for it. All entries
+    /// hear of a new catalog from all others, and a catalog with many routes is long: if each sent it to each, their
+    /// links would be full of it, and answers late.
     async fn send_catalog(&mut self, sender: &mut Sender, catalog: Option<&Belief<Catalog>>) -> Option<()> {
+        if self.role == Role::Entry && !std::mem::take(&mut self.owes_catalog) {
+            return Some(());
+        }
         let Some(belief) = catalog.filter(|belief| belief.position > self.their_catalog) else {
             return Some(());
         };
@@ -166,18 +184,23 @@
     fn take_in(&mut self, frame: Frame) {
         match frame {
             Frame::Exchange(exchange) => self.exchange(&exchange),
-            Frame::Catalog(document) => match Catalog::try_from(*document) {
-                Ok(catalog) => self.pending_catalog = Some(Arc::new(catalog)),
-                Err(error) => {
-                    log::error!(error = error.to_string().as_str(); "a peer's catalog cannot be used");
-                }
-            },
+            Frame::Catalog(document) => self.take_catalog(*document),
             Frame::Roster(roster) => self.pending_roster = Some(Arc::new(roster)),
             Frame::Group(load) => self.mesh.offer_group(load, self.role == Role::Agent),
             _ => log::warn!("a frame that has no place on a link was left out"),
         }
     }
 
+    fn take_catalog(&mut self, document: Document) {
+        self.mesh.catalogs_heard.fetch_add(1, Ordering::Relaxed);
+        match Catalog::try_from(document) {
+            Ok(catalog) => self.pending_catalog = Some(Arc::new(catalog)),
+            Err(error) => {
+                log::error!(error = error.to_string().as_str(); "a peer's catalog cannot be used");
+            }
+        }
+    }
+
     fn exchange(&mut self, exchange: &Exchange) {
         let now = Instant::now();
         self.clock.heard(exchange.stamp_ms, now);
@@ -189,8 +212,10 @@
             self.mesh.learn(&exchange.entries);
         }
         self.peer = Some(exchange.sender);
+        self.owes_catalog |= exchange.wants_catalog;
         if let Some(catalog) = exchange.catalog {
             self.their_catalog = self.their_catalog.max(catalog.position);
+            self.wants_catalog |= self.mesh.may_ask(catalog.position);
         }
         if let Some(roster) = exchange.roster {
             self.their_roster = self.their_roster.max(roster.position);
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 const POLITENESS: Duration = Duration::from_millis(600);
 /// Time that opening a link may take.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which another entry is asked for a catalog that did not come.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// An entry that was not heard for this long is forgotten, unless the settings name it.
 const FORGET: Duration = Duration::from_mins(1);
 /// An entry that was heard this long ago may still spend from what all share.
@@ -68,6 +71,10 @@
     endpoint: Arc<Endpoint>,
     entries: Mutex<BTreeMap<SocketAddr, Known>>,
     line: watch::Sender<Line>,
+    /// Version that an entry was asked for last, and when.
+    asked: Mutex<Option<(u64, Instant)>>,
+    /// Catalogs that other processes sent.
+    pub(crate) catalogs_heard: AtomicU64,
     /// Latest loads of each group, and whether its conductor told them to this process itself.
     pub(crate) groups: watch::Sender<BTreeMap<String, Told>>,
 }
@@ -89,6 +96,8 @@
             endpoint,
             entries: Mutex::default(),
             line: watch::Sender::new(Line { place: 0, entries: 1 }),
+            asked: Mutex::default(),
+            catalogs_heard: AtomicU64::new(0),
             groups: watch::Sender::new(BTreeMap::new()),
             settings,
         };
@@ -96,6 +105,11 @@
         Arc::new(mesh)
     }
 
+    /// Catalogs that other processes sent to this one.
+    pub fn catalogs_heard(&self) -> u64 {
+        self.catalogs_heard.load(Ordering::Relaxed)
+    }
+
     /// This entry's place among the live ones.
     pub fn line(&self) -> watch::Receiver<Line> {
         self.line.subscribe()
@@ -195,6 +209,22 @@
         }
     }
 
+    /// Whether to ask an entry for its catalog, of this version: it is newer, and nobody else was asked for it a moment
+    /// ago. An agent is told without asking.
+    pub(crate) fn may_ask(&self, version: u64) -> bool {
+        let known = self.board.catalog().map(|belief| belief.position);
+        if self.settings.role != Role::Entry || known >= Some(version) {
+            return false;
+        }
+        let now = Instant::now();
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        if asked.is_some_and(|(of, at)| of >= version && now < at + ASK_TIMEOUT) {
+            return false;
+        }
+        *asked = Some((version, now));
+        true
+    }
+
     /// Notes that an entry was heard.
     pub(crate) fn heard(&self, address: SocketAddr) {
         self.learn(&[address]);
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -74,6 +74,35 @@
     );
 }
 
+/// A long catalog goes to each entry about once, not from each to each.
+#[tokio::test]
+async fn asked_once() {
+    const OTHERS: usize = 6;
+    let first = process(Role::Entry, &[]);
+    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
+    for other in &others {
+        let mut line = other.mesh.line();
+        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
+        drop(all.expect("a mesh"));
+    }
+    for version in 1..=5 {
+        let asked = Instant::now();
+        first
+            .board
+            .offer_catalog(catalog(samples::document(version)), asked, "test");
+        for other in &others {
+            let mut catalogs = other.board.catalogs();
+            let told = catalogs.wait_for(|known| known.as_ref().is_some_and(|known| known.position == version));
+            drop(told.await.expect("a board"));
+        }
+        // What is still on its way arrives.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let heard: u64 = others.iter().map(|other| other.mesh.catalogs_heard()).sum();
+    // Each once, and as many again if some did not come at once.
+    assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} catalogs for {OTHERS} entries");
+}
+
 /// An agent's catalog has no routes. An entry that took it over would answer 404 to everyone.
 #[tokio::test]
 async fn agent_keeps_catalog() {
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -22,6 +22,8 @@
     pub echo: Option<Echo>,
     /// The sender's catalog.
     pub catalog: Option<Known>,
+    /// Whether the receiver is to send its catalog: it told of a newer one than the sender has.
+    pub wants_catalog: bool,
     /// The sender's roster.
     pub roster: Option<Known>,
     /// Entries that the sender knows, itself included if it is one.
