explain finds requests as well as attempts, on standard input too

Cause: lines of the gateway name a request, not an attempt, and a collector puts its own text before each line; explain found nothing on the platform. Change: both fields; text before the line is passed over; - reads standard input. Tests: cli explain_request.

--- a/crates/sparscale_cli/src/command.rs
+++ b/crates/sparscale_cli/src/command.rs
@@ -27,13 +27,17 @@
         .subcommand(
             Command::new("explain")
                 .about("Shows the decisions about one request")
-                .arg(Arg::new("attempt").required(true).help("Attempt id from a log line"))
+                .arg(
+                    Arg::new("id")
+                        .required(true)
+                        .help("Id of a request, or of an attempt, from a log line or an answer"),
+                )
                 .arg(
                     Arg::new("files")
                         .required(true)
                         .num_args(1..)
                         .value_parser(value_parser!(PathBuf))
-                        .help("Log files of entries and agents"),
+                        .help("Log files of entries and agents; - for standard input"),
                 ),
         )
         .subcommand(
@@ -149,7 +153,7 @@
         Some(("bundle", matches)) => run_bundle(matches).await,
         Some(("explain", matches)) => {
             let files: Vec<PathBuf> = matches.get_many("files").into_iter().flatten().cloned().collect();
-            explain::explain(text(matches, "attempt")?, &files)
+            explain::explain(text(matches, "id")?, &files)
         }
         Some(("settings", matches)) => {
             let check = subcommand(matches)?.1;
--- a/crates/sparscale_cli/src/explain.rs
+++ b/crates/sparscale_cli/src/explain.rs
@@ -1,6 +1,7 @@
-//! `sparscale explain`: the decision lines about one request, from log files, in time order.
+//! `sparscale explain`: the decision lines about one request, from log files or standard input, in time order.
 
 use std::fs;
+use std::io::Read as _;
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
@@ -26,25 +27,42 @@
     fields: serde_json::Map<String, serde_json::Value>,
 }
 
-/// Finds all lines about `attempt` in `files`.
-pub(crate) fn explain(attempt: &str, files: &[PathBuf]) -> Result<Report, Error> {
+/// File name that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+/// Fields that name the request that a line is about.
+const ID_FIELDS: [&str; 2] = ["attempt", "request"];
+
+/// Finds all lines about the request or attempt `id` in `files`.
+pub(crate) fn explain(id: &str, files: &[PathBuf]) -> Result<Report, Error> {
     let mut decisions = Vec::new();
     for path in files {
-        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        decisions.extend(text.lines().filter_map(|line| decision(line, attempt, path)));
+        let text = read(path)?;
+        decisions.extend(text.lines().filter_map(|line| decision(line, id, path)));
     }
     decisions.sort_by(|left, right| left.timestamp.cmp(&right.timestamp));
     if decisions.is_empty() {
-        let text = format!("no line about {attempt}; give the log files of all entries and agents");
+        let text = format!("no line about {id}; give the log files of all entries and agents");
         return Ok(Report::new(Exit::Refused, text, &decisions));
     }
     let lines: Vec<String> = decisions.iter().map(Decision::text).collect();
     Ok(Report::new(Exit::Success, lines.join("\n"), &decisions))
 }
 
-fn decision(line: &str, attempt: &str, path: &Path) -> Option<Decision> {
-    let line: Line = serde_json::from_str(line).ok()?;
-    if line.kvs.get("attempt")?.as_str()? != attempt {
+fn read(path: &Path) -> Result<String, Error> {
+    if path.as_os_str() != STANDARD_INPUT {
+        return fs::read_to_string(path).context(ReadSnafu { path });
+    }
+    let mut text = String::new();
+    std::io::stdin().read_to_string(&mut text).context(ReadSnafu { path })?;
+    Ok(text)
+}
+
+/// A line that is about `id`. What a collector of logs put before the line's own text is passed over.
+fn decision(line: &str, id: &str, path: &Path) -> Option<Decision> {
+    let begin = line.find('{')?;
+    let line: Line = serde_json::from_str(&line[begin..]).ok()?;
+    let mut ids = ID_FIELDS.iter().filter_map(|field| line.kvs.get(*field)?.as_str());
+    if !ids.any(|named| named == id) {
         return None;
     }
     Some(Decision {
