--- a/crates/sparscale_settings/src/lib.rs
+++ b/crates/sparscale_settings/src/lib.rs
@@ -25,7 +25,7 @@
         source: std::io::Error,
     },
     /// The text is not JSON with comments, or a key is unknown, missing or of the wrong type.
-    #[snafu(display("{}:{line}: {message}; mend this line, all keys are listed in docs/OPERATING.md", path.display()))]
+    #[snafu(display("{}:{line}: {message}; mend this line, all keys are listed in docs/OPERATIONS.md", path.display()))]
     Parse {
         /// The file that was read.
         path: PathBuf,
