An answer to an order that was given up no longer stands for the next one; lines for stalls and turned back requests

Cause (found by group::holder_frozen once the duty stayed where it was, below): a conductor cleared the time of the order on its way whenever the rank's agent answered anything, also an order given up earlier. If the answer to the one on its way then got lost (an agent drops news that its conductor does not read in time, as in the burst after a freeze), that order was waited for for ever: the group stayed held, or the survey never ended. Change: an answer counts only for the order with its serial, for its time and for the maps that an agent is known to have; an order to an agent that is being dialled again waits for the redial, instead of being lost and given again thousands of times a second. Lines: stalled (why a conductor decides nothing, every 2 s), turn_back (why a door refuses, with load, its age, room). leader.rs split: what is kept of each rank is member.rs. Before: conductor stuck in Undo with the group held, 12,400 orders in 3 s.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -9,15 +9,16 @@
 use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Base, Endpoint, GroupLoad, MapUpdate, Placement, RankLoad, RankNews, RankOrder};
-use tokio::sync::{Semaphore, mpsc, watch};
+use sparscale_wire::{Base, Endpoint, GroupLoad, MapUpdate, RankNews, RankOrder};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
 use crate::decision::Decider;
 use crate::engine::Engines;
 use crate::figures::Figures;
-use crate::link::{DIALS, Event, Link, Place, Remote, lead_own};
-use crate::maps::{Offer, Sent};
+use crate::link::{DIALS, Event, Place};
+use crate::maps::Offer;
+use crate::member::{Change, Errand, Member, Proof, assemble, is_stage, member};
 use crate::rank::Handle;
 
 /// Fences of one claim: each change uses two at most.
@@ -52,8 +53,10 @@
 const HELPER_AGE: Duration = Duration::from_millis(250);
 /// Time for which an agent that failed as a helper is passed over.
 const HELPER_PAUSE: Duration = Duration::from_secs(5);
-/// Orders and events that wait.
-const QUEUE: usize = 256;
+/// Time without a decision after which a line tells why.
+const STALL_PAUSE: Duration = Duration::from_secs(2);
+/// Orders and events that wait, of each rank.
+pub(crate) const QUEUE: usize = 256;
 
 /// What a leader works with.
 #[derive(Clone)]
@@ -79,62 +82,6 @@
     pub(crate) claim: u64,
 }
 
-struct Member {
-    orders: mpsc::Sender<RankOrder>,
-    place: watch::Sender<Option<Place>>,
-    load: Option<(RankLoad, Instant)>,
-    holds: Option<Placement>,
-    ordered: Option<Instant>,
-    failed_errand: Option<Instant>,
-    /// Maps that the agent has.
-    sent: Sent,
-    /// The map that it was sent and has not answered for: its number, and the one that it was sent as a change of.
-    sending: Option<(u64, Option<Base>)>,
-}
-
-impl Member {
-    /// Notes what became of the map that was sent last, if its answer was still due.
-    fn settle_sending(&mut self, answer: Option<Answer>) {
-        match (self.sending.take(), answer) {
-            (Some((number, base)), Some(Answer::Done)) => self.sent.note(number, base),
-            (Some(_), _) | (None, None) => self.sent.forget(),
-            (None, Some(_)) => {}
-        }
-    }
-}
-
-/// An order that another rank's agent carries out.
-struct Errand {
-    order: Order,
-    helper: usize,
-    sent: Instant,
-    answer: Option<Answer>,
-    proof: Proof,
-}
-
-/// Whether a helper is known to have gone on after it placed a hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Proof {
-    /// It is asked at this time.
-    Due(Instant),
-    /// It was asked.
-    Asked,
-    /// It has answered.
-    Given,
-}
-
-/// A map that is being put in force.
-struct Change {
-    offer: Offer,
-    /// Agents to which all of it was sent.
-    wholes: u32,
-    began: Instant,
-    deepest: u32,
-    /// Experts that it loads, over all ranks.
-    loads: u32,
-    held: Option<Instant>,
-}
-
 pub(crate) struct Leader {
     context: Context,
     charge: Charge,
@@ -159,6 +106,8 @@
     overtaken: bool,
     /// Whether something is new since the last decision.
     undecided: bool,
+    /// When a decision could be made last, or a line told that none can.
+    decided: Instant,
 }
 
 impl Leader {
@@ -191,6 +140,7 @@
             pass_micros: 0.0,
             overtaken: false,
             undecided: false,
+            decided: now,
         }
     }
 
@@ -260,7 +210,8 @@
                 if let Some(load) = load {
                     self.members[rank].load = Some((load, now));
                 }
-                if report.answer.is_some() {
+                // An answer to an earlier order, which was given up, says nothing about the one on its way.
+                if report.answer.is_some() && self.members[rank].awaits(report.serial) {
                     self.members[rank].ordered = None;
                     self.members[rank].settle_sending(report.answer);
                 }
@@ -316,6 +267,7 @@
         self.send_orders();
         self.send_heartbeats();
         self.tell_loads();
+        self.tell_stall();
         self.overtaken |= self.conductor.progress() == Progress::Overtaken;
     }
 
@@ -432,6 +384,7 @@
         };
         decider.press(Duration::from_secs_f64(self.pass_micros / 1.0e6), pause);
         decider.pace(paces);
+        self.decided = Instant::now();
         let Some(refined) = decider.next(map) else { return };
         self.changes += 1;
         let number = (self.charge.claim + 1) * FENCES_PER_CLAIM + self.changes;
@@ -453,6 +406,26 @@
         }
     }
 
+    /// Says now and then why nothing can be decided, if nothing can.
+    fn tell_stall(&mut self) {
+        if self.decided.elapsed() < STALL_PAUSE {
+            return;
+        }
+        self.decided = Instant::now();
+        let has_map = self.present().is_some();
+        let unheard: Vec<usize> = (0..self.members.len())
+            .filter(|rank| self.members[*rank].load.is_none_or(|(_, at)| at.elapsed() > LOAD_AGE))
+            .collect();
+        let reason = match (&self.decider, self.conductor.progress()) {
+            (None, _) => "no catalog that tells of experts",
+            (Some(decider), _) if !decider.knows() => "no counts",
+            (_, Progress::Idle) if has_map => "no new counts",
+            (_, Progress::Idle) => "no map that all ranks have",
+            _ => "ranks that do not answer",
+        };
+        log::info!(target: DECISION, decision = "stalled", group = self.charge.group.as_str(), reason, progress:? = self.conductor.progress(), unheard:? = unheard; "nothing can be decided");
+    }
+
     fn send_orders(&mut self) {
         if self.conductor.progress() == Progress::Surveying {
             if self.surveyed.elapsed() < SURVEY_PAUSE {
@@ -461,7 +434,7 @@
             self.surveyed = Instant::now();
         }
         for (rank, order) in self.conductor.orders() {
-            self.members[rank].ordered = Some(Instant::now());
+            self.members[rank].ordered = Some((order.serial, Instant::now()));
             if !self.send_errand(rank, order) {
                 self.send_own(rank, order);
             }
@@ -606,7 +579,7 @@
         let wholes = self.change.as_ref().map_or(0, |change| change.wholes);
         let limit = ORDER_LIMIT + WHOLE_SLACK * wholes;
         for rank in 0..self.members.len() {
-            if self.members[rank].ordered.is_some_and(|at| at.elapsed() > limit) {
+            if self.members[rank].ordered.is_some_and(|(_, at)| at.elapsed() > limit) {
                 self.members[rank].ordered = None;
                 self.conductor.lost(rank);
             }
@@ -680,67 +653,3 @@
         self.context.mesh.offer_group(load, true);
     }
 }
-
-fn is_stage(order: &Order) -> bool {
-    matches!(order.act, Act::Stage { .. })
-}
-
-fn member(
-    context: &Context,
-    charge: &Charge,
-    rank: usize,
-    events: mpsc::Sender<Event>,
-    dials: &Arc<Semaphore>,
-) -> Member {
-    let (sender, orders) = mpsc::channel(QUEUE);
-    let place = watch::Sender::new(None);
-    let link = Link { orders, events };
-    if rank == charge.own {
-        tokio::spawn(lead_own(rank, charge.claim, context.handle.clone(), link));
-    } else {
-        let remote = Remote {
-            rank,
-            group: charge.group.clone(),
-            claim: charge.claim,
-            place: place.subscribe(),
-            endpoint: Arc::clone(&context.endpoint),
-            dials: Arc::clone(dials),
-            engines: Arc::clone(&context.engines),
-            board: Arc::clone(&context.board),
-            service: charge.service.clone(),
-        };
-        tokio::spawn(remote.lead(link));
-    }
-    Member {
-        orders: sender,
-        place,
-        load: None,
-        holds: None,
-        ordered: None,
-        failed_errand: None,
-        sent: Sent::default(),
-        sending: None,
-    }
-}
-
-/// The map that the ranks say they hold, if all speak of the same one.
-fn assemble<'a>(
-    holds: impl Iterator<Item = Option<&'a Placement>>,
-    epoch: u64,
-    number: u64,
-    layers: usize,
-) -> Option<Map> {
-    let holds: Vec<&Placement> = holds.collect::<Option<_>>()?;
-    let same = |placement: &&Placement| {
-        (placement.epoch, placement.number) == (epoch, number) && placement.sets.len() == layers
-    };
-    if !holds.iter().all(same) {
-        return None;
-    }
-    let layer = |index: usize| sparscale_place::Layer {
-        ranks: holds.iter().map(|placement| placement.sets[index].clone()).collect(),
-    };
-    Some(Map {
-        layers: (0..layers).map(layer).collect(),
-    })
-}
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -13,6 +13,7 @@
 mod leader;
 mod link;
 mod maps;
+mod member;
 mod program;
 mod rank;
 mod reporter;
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -212,12 +212,13 @@
             tokio::select! {
                 order = link.orders.recv() => {
                     let Some(order) = order else { return false };
-                    let event = if unreached.elapsed() < DIRECT_AFTER {
-                        Some(Event::Lost { rank: self.rank })
-                    } else {
-                        self.order_directly(order).await
-                    };
-                    if let Some(event) = event
+                    if unreached.elapsed() < DIRECT_AFTER {
+                        // The conductor orders again as soon as it hears that this one is lost.
+                        tokio::time::sleep_until(until).await;
+                        let lost = Event::Lost { rank: self.rank };
+                        return link.events.send(lost).await.is_ok();
+                    }
+                    if let Some(event) = self.order_directly(order).await
                         && link.events.send(event).await.is_err()
                     {
                         return false;
--- /dev/null
+++ b/crates/sparscale_conduct/src/member.rs
@@ -0,0 +1,140 @@
+//! What a conductor keeps of each rank, and of what it has under way.
+
+use std::sync::Arc;
+
+use sparscale_place::Map;
+use sparscale_place::barrier::{Act, Answer, Order};
+use sparscale_wire::{Base, Placement, RankLoad, RankOrder};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::Instant;
+
+use crate::leader::{Charge, Context, QUEUE};
+use crate::link::{Event, Link, Place, Remote, lead_own};
+use crate::maps::{Offer, Sent};
+
+/// One rank.
+pub(crate) struct Member {
+    pub(crate) orders: mpsc::Sender<RankOrder>,
+    pub(crate) place: watch::Sender<Option<Place>>,
+    pub(crate) load: Option<(RankLoad, Instant)>,
+    pub(crate) holds: Option<Placement>,
+    /// Serial of the order on its way, and when it was sent.
+    pub(crate) ordered: Option<(u64, Instant)>,
+    pub(crate) failed_errand: Option<Instant>,
+    /// Maps that the agent has.
+    pub(crate) sent: Sent,
+    /// The map that it was sent and has not answered for: its number, and the one that it was sent as a change of.
+    pub(crate) sending: Option<(u64, Option<Base>)>,
+}
+
+impl Member {
+    /// Whether the order with this serial is on its way.
+    pub(crate) fn awaits(&self, serial: u64) -> bool {
+        self.ordered.is_some_and(|(ordered, _)| ordered == serial)
+    }
+
+    /// Notes what became of the map that was sent last, if its answer was still due.
+    pub(crate) fn settle_sending(&mut self, answer: Option<Answer>) {
+        match (self.sending.take(), answer) {
+            (Some((number, base)), Some(Answer::Done)) => self.sent.note(number, base),
+            (Some(_), _) | (None, None) => self.sent.forget(),
+            (None, Some(_)) => {}
+        }
+    }
+}
+
+/// An order that another rank's agent carries out.
+pub(crate) struct Errand {
+    pub(crate) order: Order,
+    pub(crate) helper: usize,
+    pub(crate) sent: Instant,
+    pub(crate) answer: Option<Answer>,
+    pub(crate) proof: Proof,
+}
+
+/// Whether a helper is known to have gone on after it placed a hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Proof {
+    /// It is asked at this time.
+    Due(Instant),
+    /// It was asked.
+    Asked,
+    /// It has answered.
+    Given,
+}
+
+/// A map that is being put in force.
+pub(crate) struct Change {
+    pub(crate) offer: Offer,
+    /// Agents to which all of it was sent.
+    pub(crate) wholes: u32,
+    pub(crate) began: Instant,
+    pub(crate) deepest: u32,
+    /// Experts that it loads, over all ranks.
+    pub(crate) loads: u32,
+    pub(crate) held: Option<Instant>,
+}
+
+pub(crate) fn is_stage(order: &Order) -> bool {
+    matches!(order.act, Act::Stage { .. })
+}
+
+pub(crate) fn member(
+    context: &Context,
+    charge: &Charge,
+    rank: usize,
+    events: mpsc::Sender<Event>,
+    dials: &Arc<Semaphore>,
+) -> Member {
+    let (sender, orders) = mpsc::channel(QUEUE);
+    let place = watch::Sender::new(None);
+    let link = Link { orders, events };
+    if rank == charge.own {
+        tokio::spawn(lead_own(rank, charge.claim, context.handle.clone(), link));
+    } else {
+        let remote = Remote {
+            rank,
+            group: charge.group.clone(),
+            claim: charge.claim,
+            place: place.subscribe(),
+            endpoint: Arc::clone(&context.endpoint),
+            dials: Arc::clone(dials),
+            engines: Arc::clone(&context.engines),
+            board: Arc::clone(&context.board),
+            service: charge.service.clone(),
+        };
+        tokio::spawn(remote.lead(link));
+    }
+    Member {
+        orders: sender,
+        place,
+        load: None,
+        holds: None,
+        ordered: None,
+        failed_errand: None,
+        sent: Sent::default(),
+        sending: None,
+    }
+}
+
+/// The map that the ranks say they hold, if all speak of the same one.
+pub(crate) fn assemble<'a>(
+    holds: impl Iterator<Item = Option<&'a Placement>>,
+    epoch: u64,
+    number: u64,
+    layers: usize,
+) -> Option<Map> {
+    let holds: Vec<&Placement> = holds.collect::<Option<_>>()?;
+    let same = |placement: &&Placement| {
+        (placement.epoch, placement.number) == (epoch, number) && placement.sets.len() == layers
+    };
+    if !holds.iter().all(same) {
+        return None;
+    }
+    let layer = |index: usize| sparscale_place::Layer {
+        ranks: holds.iter().map(|placement| placement.sets[index].clone()).collect(),
+    };
+    Some(Map {
+        layers: (0..layers).map(layer).collect(),
+    })
+}
--- a/crates/sparscale_gateway/src/door.rs
+++ b/crates/sparscale_gateway/src/door.rs
@@ -7,6 +7,7 @@
 
 use sparscale_catalog::Engine;
 use sparscale_mesh::Mesh;
+use sparscale_telemetry::DECISION;
 use sparscale_wire::GroupLoad;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -28,6 +29,8 @@
 /// A request that wants in.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Visit<'a> {
+    /// Id of the request, for the log.
+    pub(crate) request: &'a str,
     /// Group that it goes to.
     pub(crate) group: &'a str,
     pub(crate) engine: &'a Engine,
@@ -97,7 +100,9 @@
             }
             let expected = door.expected_wait();
             if expected > visit.objective.mul_f64(WAIT_PART) {
-                return Err(Refusal::retry(Reason::Busy, retry_after(expected)));
+                let retry = retry_after(expected);
+                log::info!(target: DECISION, decision = "turn_back", request = visit.request, group = visit.group, load:? = door.order, load_age_ms = door.told.elapsed().as_millis() as u64, room = door.room, waiting = door.waiting.len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no room in the group");
+                return Err(Refusal::retry(Reason::Busy, retry));
             }
             let (sender, receiver) = oneshot::channel();
             door.waiting.insert(ticket, sender);
@@ -124,6 +129,7 @@
     pub(crate) fn refresh(&self, group: &str, engine: &Engine, pause: Duration) {
         let mut doors = self.lock();
         let visit = Visit {
+            request: "",
             group,
             engine,
             pause,
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -106,6 +106,7 @@
             return Ok(None);
         };
         let visit = Visit {
+            request: job.outbound.head.id_text(),
             group: &member.group,
             engine,
             pause,
