A box that wakes does not take the duty

Ruled out: the conductor (its heartbeats lie unread in the woken box). Change: an agent whose own timer comes 0.4 s late takes itself for the one that stood still, and starts to wait anew. Test: group::holder_frozen (two claims before, one now).

--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -26,6 +26,8 @@
 const PLACES: usize = 12;
 /// Time that a claim may take.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+/// A look that comes this late means that the box stood still.
+const STOOD_STILL: Duration = Duration::from_millis(400);
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -35,7 +37,12 @@
     let mut end = None;
     let mut waited_since = Instant::now();
     loop {
+        let slept = Instant::now();
         tokio::time::sleep(LOOK).await;
+        if slept.elapsed() > STOOD_STILL {
+            // This box stood still: it is the one that was not heard, and what was sent to it is still to be read.
+            waited_since = Instant::now();
+        }
         let led = *context.handle.led.borrow();
         if let Some(claim) = led.claim {
             end = end.max(Some(claim + 1));
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -82,9 +82,14 @@
     world.wait("a group that runs", |group| !group.is_held());
     let held = began.elapsed();
     assert!(held < Duration::from_millis(500), "held for {held:?}");
+    // Longer than anyone waits for a conductor that says nothing.
+    std::thread::sleep(Duration::from_millis(1_500));
     let changes = world.lock().changes;
+    let claims = world.lock().claims.len();
     world.lock().frozen = None;
     world.wait("a change of map afterwards", |group| group.changes > changes);
+    let woken = "the box that woke took the duty from a conductor that was there";
+    assert_eq!(world.lock().claims.len(), claims, "{woken}");
     assert!(!world.lock().mixed);
     end(agents);
 }
