--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -7,7 +7,7 @@
 use sparscale_belief::Board;
 use sparscale_mesh::Mesh;
 use sparscale_place::Map;
-use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress};
+use sparscale_place::barrier::{Conductor, Order, Progress};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Base, Endpoint, GroupLoad, MapUpdate, RankNews, RankOrder};
 use tokio::sync::{Semaphore, mpsc};
@@ -45,14 +45,6 @@
 const LOAD_AGE: Duration = Duration::from_millis(700);
 /// Time between two heartbeats to each agent.
 const HEARTBEAT: Duration = Duration::from_millis(200);
-/// Time that a helper may take to place a hold: two hops between halls and a call, four times over.
-const ERRAND_LIMIT: Duration = Duration::from_millis(50);
-/// Time after a hold at which the helper has to show that it goes on.
-const PROOF_PAUSE: Duration = Duration::from_millis(6);
-/// An agent that was not heard for this long is no helper.
-const HELPER_AGE: Duration = Duration::from_millis(250);
-/// Time for which an agent that failed as a helper is passed over.
-const HELPER_PAUSE: Duration = Duration::from_secs(5);
 /// Time without a decision after which a line tells why.
 const STALL_PAUSE: Duration = Duration::from_secs(2);
 /// Orders and events that wait, of each rank.
@@ -84,9 +76,9 @@
 
 pub(crate) struct Leader {
     context: Context,
-    charge: Charge,
-    conductor: Conductor,
-    members: Vec<Member>,
+    pub(crate) charge: Charge,
+    pub(crate) conductor: Conductor,
+    pub(crate) members: Vec<Member>,
     events: mpsc::Receiver<Event>,
     decider: Option<Decider>,
     /// The map that all ranks use, with epoch and number.
@@ -94,7 +86,7 @@
     change: Option<Change>,
     /// The last map that was sent and did not come in force, with its number: agents may have it.
     dropped: Option<(u64, Arc<Map>)>,
-    errand: Option<Errand>,
+    pub(crate) errand: Option<Errand>,
     beaten: Instant,
     changes: u64,
     progress: Progress,
@@ -441,7 +433,7 @@
         }
     }
 
-    fn send_own(&mut self, rank: usize, order: Order) {
+    pub(crate) fn send_own(&mut self, rank: usize, order: Order) {
         let change = self.change.as_ref().filter(|_| is_stage(&order));
         let map = change.map(|change| change.offer.update(&self.members[rank].sent));
         if let (Some(change), Some(map)) = (&mut self.change, &map) {
@@ -459,109 +451,6 @@
         }
     }
 
-    /// Lets another agent place the hold at this conductor's own rank; false if the order is no hold or nobody can.
-    ///
-    /// A box that stands still right after it has placed a hold leaves the group standing until it wakes: if it is the
-    /// conductor's, nobody knows what it has ordered besides. If it is another one, the conductor sees the hold at its
-    /// own rank, knows that no rank was told to arm, and lets the group go.
-    fn send_errand(&mut self, rank: usize, order: Order) -> bool {
-        let hold = matches!(order.act, Act::Hold { .. }) && self.conductor.progress() == Progress::Holding;
-        let place = *self.members[rank].place.borrow();
-        let Some(place) = place.filter(|_| hold && rank == self.charge.own) else {
-            return false;
-        };
-        let Some(helper) = self.helper() else { return false };
-        let engine = place.engine;
-        let sent = self.members[helper]
-            .orders
-            .try_send(RankOrder::Errand { order, engine });
-        if sent.is_ok() {
-            self.errand = Some(Errand {
-                order,
-                helper,
-                sent: Instant::now(),
-                answer: None,
-                proof: Proof::Given,
-            });
-        }
-        sent.is_ok()
-    }
-
-    /// The next rank after the conductor's own whose agent was heard a moment ago.
-    fn helper(&self) -> Option<usize> {
-        let size = self.members.len();
-        let mut others = (1..size).map(|step| (self.charge.own + step) % size);
-        others.find(|rank| {
-            let member = &self.members[*rank];
-            let lately = member.load.is_some_and(|(_, at)| at.elapsed() < HELPER_AGE);
-            lately && member.failed_errand.is_none_or(|at| at.elapsed() > HELPER_PAUSE)
-        })
-    }
-
-    /// The other agent's word on the hold, then its word that it has gone on since. A box may stand still right after
-    /// it has placed a hold; no rank is armed before it is known that this one does not.
-    fn errand_answered(&mut self, serial: u64, answer: Answer) {
-        let Some(errand) = self.errand.as_mut().filter(|errand| errand.order.serial == serial) else {
-            return;
-        };
-        match (errand.answer, errand.proof) {
-            (None, _) => {
-                errand.answer = Some(answer);
-                errand.sent = Instant::now();
-                if answer == Answer::Done {
-                    errand.proof = Proof::Due(Instant::now() + PROOF_PAUSE);
-                    return;
-                }
-            }
-            (Some(_), Proof::Asked) => errand.proof = Proof::Given,
-            _ => return,
-        }
-        // The state of the own rank is read now to go with the answer.
-        let look = Order {
-            act: Act::Look,
-            ..errand.order
-        };
-        self.send_own(self.charge.own, look);
-    }
-
-    /// Asks the helper for the proof when it is due.
-    fn ask_for_proof(&mut self) {
-        let Some(errand) = &mut self.errand else { return };
-        let Proof::Due(at) = errand.proof else { return };
-        if Instant::now() < at {
-            return;
-        }
-        errand.proof = Proof::Asked;
-        let order = Order {
-            act: Act::Look,
-            ..errand.order
-        };
-        let engine = (*self.members[self.charge.own].place.borrow()).map(|place| place.engine);
-        if let Some(engine) = engine {
-            // A full queue shows as a helper that does not answer.
-            let _full = self.members[errand.helper]
-                .orders
-                .try_send(RankOrder::Errand { order, engine });
-        }
-    }
-
-    /// A helper that does not answer may stand still, and its rank cannot be armed. Nothing was armed yet: the change
-    /// is dropped, and the hold goes as soon as the own rank shows it.
-    fn check_errand(&mut self) {
-        let silent = |errand: &mut Errand| {
-            let waits = errand.answer.is_none() || errand.proof != Proof::Given;
-            waits && errand.sent.elapsed() > ERRAND_LIMIT
-        };
-        let Some(errand) = self.errand.take_if(silent) else {
-            return;
-        };
-        log::warn!(target: DECISION, decision = "errand_lost", group = self.charge.group.as_str(), helper = errand.helper; "a helper did not answer; the map switch is dropped");
-        self.members[errand.helper].failed_errand = Some(Instant::now());
-        self.members[self.charge.own].ordered = None;
-        self.conductor.abandon();
-        self.conductor.lost(self.charge.own);
-    }
-
     /// Agents take a silent conductor for dead.
     fn send_heartbeats(&mut self) {
         if self.beaten.elapsed() < HEARTBEAT {
--- a/crates/sparscale_conduct/src/maps.rs
+++ b/crates/sparscale_conduct/src/maps.rs
@@ -13,7 +13,7 @@
 
 /// The maps that an agent has.
 #[derive(Debug, Default)]
-pub struct Shelf {
+pub struct Cache {
     maps: Vec<(u64, Arc<Map>)>,
 }
 
@@ -55,13 +55,13 @@
     }
 }
 
-/// The numbers of the maps on an agent's shelf, as its conductor knows them.
+/// The numbers of the maps in an agent's cache, as its conductor knows them.
 #[derive(Debug, Default)]
 pub struct Sent {
     numbers: Vec<u64>,
 }
 
-impl Shelf {
+impl Cache {
     /// The map that `update` makes, which is kept under `number`; none if its base is not here.
     pub fn take(&mut self, number: u64, update: MapUpdate) -> Option<Arc<Map>> {
         let (base, map) = match update {
--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -13,7 +13,7 @@
 
 use crate::engine::{Counts, Engine, EngineState, Engines};
 use crate::figures::Figures;
-use crate::maps::Shelf;
+use crate::maps::Cache;
 use crate::reporter::Reporter;
 
 /// Time between two looks at a rank on which nothing is under way.
@@ -87,7 +87,7 @@
     /// Serial of the last order that is over.
     serial: u64,
     staging: Option<u64>,
-    shelf: Shelf,
+    cache: Cache,
 }
 
 /// Starts the agent of the rank whose engine is at `engine`.
@@ -116,7 +116,7 @@
         told_map: None,
         serial: 0,
         staging: None,
-        shelf: Shelf::default(),
+        cache: Cache::default(),
     };
     tokio::spawn(agent.run(received_commands, received_subscribers));
     handle
@@ -212,7 +212,7 @@
     async fn own(&mut self, claim: u64, order: Order, update: Option<MapUpdate>) {
         let answer = match order.act {
             Act::Look => Answer::Done,
-            Act::Stage { number } => match update.and_then(|update| self.shelf.take(number, update)) {
+            Act::Stage { number } => match update.and_then(|update| self.cache.take(number, update)) {
                 Some(map) => self.order(&order, Some(&map)).await,
                 // The conductor thinks that this agent has a map which it does not have; it sends all of it next time.
                 None => Answer::Refused,
--- a/crates/sparscale_conduct/tests/map_updates.rs
+++ b/crates/sparscale_conduct/tests/map_updates.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use sparscale_conduct::{Offer, Sent, Shelf};
+use sparscale_conduct::{Cache, Offer, Sent};
 use sparscale_place::{Layer, Map};
 use sparscale_wire::{Base, MapUpdate};
 
@@ -46,7 +46,7 @@
 
 struct Pair {
     sent: Sent,
-    shelf: Shelf,
+    cache: Cache,
     in_force: Option<(u64, Arc<Map>)>,
     dropped: Option<(u64, Arc<Map>)>,
     refused: bool,
@@ -56,7 +56,7 @@
 impl Pair {
     fn offer(&mut self, number: u64, event: Event) -> bool {
         if matches!(event, Event::Restarted) {
-            self.shelf = Shelf::default();
+            self.cache = Cache::default();
         }
         let bases = [&self.in_force, &self.dropped];
         let bases = bases.into_iter().flatten();
@@ -70,7 +70,7 @@
             MapUpdate::Change { base, .. } => Some(*base),
         };
         self.wholes += u32::from(base.is_none());
-        let Some(taken) = self.shelf.take(number, update) else {
+        let Some(taken) = self.cache.take(number, update) else {
             // Twice in a row, and the group would never get on.
             let first = !self.refused;
             self.refused = true;
@@ -91,7 +91,7 @@
 fn pair() -> Pair {
     Pair {
         sent: Sent::default(),
-        shelf: Shelf::default(),
+        cache: Cache::default(),
         in_force: None,
         dropped: None,
         refused: false,
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -17,7 +17,6 @@
 
 use crate::admission::Admission;
 use crate::attempt::Caller;
-use crate::door::Doors;
 use crate::exchange::Gateway;
 use crate::figures::{Figures, tell_levels};
 use crate::loads::Loads;
@@ -26,6 +25,7 @@
 use crate::ready;
 use crate::server::{self, Phase, Progress};
 use crate::split::Splits;
+use crate::waiting::Queues;
 
 /// Longest rest of a connection on which a request that may run once is sent: a target may have forgotten it.
 const MAX_REST_ONCE: Duration = Duration::ZERO;
@@ -85,12 +85,12 @@
             budgets: Mutex::new(HashMap::new()),
             splits: Splits::default(),
             figures: Figures::new(Arc::clone(&registry)),
-            doors: Doors::new(Arc::clone(&mesh), Arc::clone(&entries)),
+            queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
             entries,
         });
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
-        tokio::spawn(open_doors(Arc::clone(&gateway)));
+        tokio::spawn(admit_waiting(Arc::clone(&gateway)));
         tokio::spawn(follow_line(mesh, pace, Arc::clone(&gateway)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
@@ -154,11 +154,11 @@
     }
 }
 
-/// Lets requests in that wait at doors whenever loads were told.
-async fn open_doors(gateway: Arc<Gateway>) {
+/// Lets requests in that wait whenever loads were told.
+async fn admit_waiting(gateway: Arc<Gateway>) {
     let mut news = gateway.mesh.group_news();
     while news.next().await {
-        let crowded = gateway.doors.crowded();
+        let crowded = gateway.queues.crowded();
         let (Some(catalog), Some(roster)) = (gateway.board.catalog(), gateway.board.roster()) else {
             continue;
         };
@@ -170,7 +170,7 @@
             let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
             let pause = catalog.value.pause_of(&target.service);
             if let (Some(engine), Some(pause)) = (engine, pause) {
-                gateway.doors.refresh(&group, engine, pause);
+                gateway.queues.refresh(&group, engine, pause);
             }
         }
     }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -16,7 +16,6 @@
 
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned};
 use crate::budget::{Allowance, Budget};
-use crate::door::{Doors, Pass, Visit};
 use crate::figures::Figures;
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
@@ -25,6 +24,7 @@
 use crate::server::Body;
 use crate::split::Splits;
 use crate::tries::Tries;
+use crate::waiting::{Arrival, Permit, Queues};
 
 /// Tries that reach no target, at most; they cost a target nothing.
 const MAX_UNREACHED: u32 = 3;
@@ -47,7 +47,7 @@
     pub(crate) figures: Figures,
     /// Entries that share the budget, this one included.
     pub(crate) entries: Arc<AtomicUsize>,
-    pub(crate) doors: Arc<Doors>,
+    pub(crate) queues: Arc<Queues>,
 }
 
 /// A request that may be sent.
@@ -70,12 +70,12 @@
     pub(crate) async fn serve(self: &Arc<Self>, job: Job) -> Response<Body> {
         self.earn(&job);
         let mut tries = Tries::default();
-        let served = match self.pass(&job, &mut tries).await {
-            Ok(pass) => self.answer(&job, &mut tries).await.map(|answer| (pass, answer)),
+        let served = match self.permit(&job, &mut tries).await {
+            Ok(permit) => self.answer(&job, &mut tries).await.map(|answer| (permit, answer)),
             Err(refusal) => Err(refusal),
         };
         match served {
-            Ok((pass, answer)) => respond(self, job, tries, pass, answer),
+            Ok((permit, answer)) => respond(self, job, tries, permit, answer),
             Err(refusal) => {
                 let status = refusal.reason.status().as_u16();
                 self.end(&job, refusal.reason.name(), &tries.tried, status);
@@ -84,8 +84,8 @@
         }
     }
 
-    /// Waits at the door of the group that serves the request, if a group does.
-    async fn pass(&self, job: &Job, tries: &mut Tries) -> Result<Option<Pass>, Refusal> {
+    /// Waits at the queue of the group that serves the request, if a group does.
+    async fn permit(&self, job: &Job, tries: &mut Tries) -> Result<Option<Permit>, Refusal> {
         let Some(belief) = self.board.roster() else {
             return Ok(None);
         };
@@ -105,7 +105,7 @@
         let (Some(engine), Some(member), Some(pause)) = (engine, members.next(), longest_pause) else {
             return Ok(None);
         };
-        let visit = Visit {
+        let arrival = Arrival {
             request: job.outbound.head.id_text(),
             group: &member.group,
             engine,
@@ -113,7 +113,7 @@
             objective: job.route().objective,
             tier: job.outbound.urgency.unwrap_or_default(),
         };
-        self.doors.enter(visit).await.map(Some)
+        self.queues.enter(arrival).await.map(Some)
     }
 
     /// Sends until there is an answer or nothing more may be tried.
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -9,7 +9,7 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::spread::{Vessel, draw, shares};
+use crate::spread::{Candidate, draw, shares};
 
 /// First time for which a target that failed is passed over; doubled with each failure in a row.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
@@ -126,23 +126,23 @@
         if open.is_empty() {
             open = told.iter().collect();
         }
-        let vessel = |target: &Target, load: RankLoad| {
+        let candidate = |target: &Target, load: RankLoad| {
             let state = targets.get(&target.id);
             let own = state.map_or(0, |state| state.running);
             let untold = state.map_or(0, |state| state.untold(now));
             // What is told holds this entry's own requests, too, as they were then.
             let running = f64::from(own).max(f64::from(load.running + load.queued) + untold as f64);
             let distance = if target.hall == hall { 0.0 } else { OTHER_HALL };
-            let width = f64::from(target.slots.max(1)) / load.pace();
+            let capacity = f64::from(target.slots.max(1)) / load.pace();
             // The request itself takes longer there, too.
             let slowness = (load.pace() - 1.0).max(0.0) / f64::from(target.slots.max(1));
-            Vessel {
-                level: (running + distance) / width + slowness,
-                width,
+            Candidate {
+                load: (running + distance) / capacity + slowness,
+                capacity,
             }
         };
-        let vessels: Vec<Vessel> = open.iter().map(|(target, load)| vessel(target, *load)).collect();
-        let chosen = draw(&shares(&vessels, expected), rand::random())?;
+        let candidates: Vec<Candidate> = open.iter().map(|(target, load)| candidate(target, *load)).collect();
+        let chosen = draw(&shares(&candidates, expected), rand::random())?;
         open.get(chosen).map(|(target, _)| *target)
     }
 
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -12,13 +12,13 @@
 use tokio::time::Instant;
 
 use crate::attempt::{Begun, Loss, Rest, Whole};
-use crate::door::Pass;
 use crate::events::Event;
 use crate::exchange::{Gateway, Job};
 use crate::loads::Running;
 use crate::relay::{Run, join};
 use crate::server::Body;
 use crate::tries::Tries;
+use crate::waiting::Permit;
 
 /// Outcome of a request whose caller did not wait for its answer.
 pub(crate) const CALLER_LEFT: &str = "caller_left";
@@ -49,7 +49,7 @@
     gateway: &Arc<Gateway>,
     job: Job,
     tries: Tries,
-    pass: Option<Pass>,
+    permit: Option<Permit>,
     answer: Answer,
 ) -> Response<Body> {
     gateway.figures.first(job.route().kind, job.began.elapsed());
@@ -72,7 +72,7 @@
                 first: stream.first,
                 run: stream.run,
                 running: stream.running,
-                _pass: pass,
+                _permit: permit,
                 tries,
                 pauses: Pauses::begin(),
                 over: false,
@@ -90,7 +90,7 @@
     run: Run,
     /// Counts as load of the target for as long as it is held.
     running: Running,
-    _pass: Option<Pass>,
+    _permit: Option<Permit>,
     tries: Tries,
     pauses: Pauses,
     over: bool,
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -2,7 +2,7 @@
 //!
 //! All ranks of a group advance together, so a pass takes as long as the fullest rank needs. Up to a number of requests
 //! that rises gently; beyond it every stream of the group is late, and since late streams hold their places longer, the
-//! group does not come back by itself. So requests beyond that number wait at the door, or are told when to come back.
+//! group does not come back by itself. So requests beyond that number wait, or are told when to come back.
 
 use std::time::Duration;
 
--- a/crates/sparscale_gateway/src/door.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -15,20 +15,20 @@
 use crate::refusal::{Reason, Refusal};
 use crate::room::{capacity, held};
 
-/// Part of the latency objective for which a request may wait at the door: the rest is for reading its prompt.
+/// Part of the latency objective for which a request may wait: the rest is for reading its prompt.
 const WAIT_PART: f64 = 0.4;
 /// Loads that are older than this say nothing: everyone is let in.
 const LOAD_AGE: Duration = Duration::from_millis(900);
 /// Time for which a request is not yet part of what the conductor tells.
 const UNTOLD: Duration = Duration::from_millis(120);
-/// First time after which a refused caller is told to come back; it rises with the line at the door.
+/// First time after which a refused caller is told to come back; it rises with the queue.
 const MIN_RETRY: Duration = Duration::from_millis(250);
 /// Longest such time.
 const MAX_RETRY: Duration = Duration::from_millis(1_500);
 
 /// A request that wants in.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Visit<'a> {
+pub(crate) struct Arrival<'a> {
     /// Id of the request, for the log.
     pub(crate) request: &'a str,
     /// Group that it goes to.
@@ -42,19 +42,19 @@
     pub(crate) tier: u8,
 }
 
-/// The doors of all groups.
+/// The queues of all groups.
 #[derive(Debug)]
-pub(crate) struct Doors {
+pub(crate) struct Queues {
     mesh: Arc<Mesh>,
     /// Entries that share the room, this one included.
     entries: Arc<AtomicUsize>,
-    by_group: Mutex<HashMap<String, Door>>,
+    by_group: Mutex<HashMap<String, Queue>>,
     tickets: AtomicUsize,
 }
 
-/// One group's door.
+/// One group's queue.
 #[derive(Debug)]
-struct Door {
+struct Queue {
     /// The loads that `room` was worked out from.
     order: (u64, u64),
     told: Instant,
@@ -63,7 +63,7 @@
     /// When this entry let requests in that the conductor may not have told yet.
     untold: Vec<Instant>,
     waiting: BTreeMap<(u8, usize), oneshot::Sender<Arc<()>>>,
-    /// Held by each request of this entry that is in, and by the door.
+    /// Held by each request of this entry that is in, and by the queue.
     token: Arc<()>,
     /// Mean time for which a request stays in.
     stay: Duration,
@@ -71,14 +71,14 @@
 
 /// Counts a request as inside until this is dropped.
 #[derive(Debug)]
-pub(crate) struct Pass {
+pub(crate) struct Permit {
     _token: Arc<()>,
-    doors: Arc<Doors>,
+    queues: Arc<Queues>,
     group: String,
     entered: Instant,
 }
 
-impl Doors {
+impl Queues {
     pub(crate) fn new(mesh: Arc<Mesh>, entries: Arc<AtomicUsize>) -> Arc<Self> {
         Arc::new(Self {
             mesh,
@@ -89,46 +89,46 @@
     }
 
     /// Lets a request in, at once or when room comes free; or refuses it with the time to come back.
-    pub(crate) async fn enter(self: &Arc<Self>, visit: Visit<'_>) -> Result<Pass, Refusal> {
-        let ticket = (visit.tier, self.tickets.fetch_add(1, Ordering::Relaxed));
+    pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Refusal> {
+        let ticket = (arrival.tier, self.tickets.fetch_add(1, Ordering::Relaxed));
         let waiting = {
-            let mut doors = self.lock();
-            let door = self.refreshed(&mut doors, visit);
-            if door.waiting.is_empty() && door.room >= 1.0 {
-                let token = door.admit();
-                return Ok(self.pass(visit.group, token));
+            let mut queues = self.lock();
+            let queue = self.refreshed(&mut queues, arrival);
+            if queue.waiting.is_empty() && queue.room >= 1.0 {
+                let token = queue.admit();
+                return Ok(self.permit(arrival.group, token));
             }
-            let expected = door.expected_wait();
-            if expected > visit.objective.mul_f64(WAIT_PART) {
+            let expected = queue.expected_wait();
+            if expected > arrival.objective.mul_f64(WAIT_PART) {
                 let retry = retry_after(expected);
-                log::info!(target: DECISION, decision = "turn_back", request = visit.request, group = visit.group, load:? = door.order, load_age_ms = door.told.elapsed().as_millis() as u64, room = door.room, waiting = door.waiting.len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no room in the group");
+                log::info!(target: DECISION, decision = "turn_back", request = arrival.request, group = arrival.group, load:? = queue.order, load_age_ms = queue.told.elapsed().as_millis() as u64, room = queue.room, waiting = queue.waiting.len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no room in the group");
                 return Err(Refusal::retry(Reason::Busy, retry));
             }
             let (sender, receiver) = oneshot::channel();
-            door.waiting.insert(ticket, sender);
+            queue.waiting.insert(ticket, sender);
             receiver
         };
         let guard = Waiting {
-            doors: self,
-            group: visit.group,
+            queues: self,
+            group: arrival.group,
             ticket,
         };
-        let patience = visit.objective.mul_f64(WAIT_PART);
+        let patience = arrival.objective.mul_f64(WAIT_PART);
         let let_in = tokio::time::timeout(patience, waiting).await;
         drop(guard);
         if let Ok(Ok(token)) = let_in {
-            return Ok(self.pass(visit.group, token));
+            return Ok(self.permit(arrival.group, token));
         }
         // Its time is short now and a refusal would come late: it goes in, and is served late at worst.
-        let mut doors = self.lock();
-        let token = self.refreshed(&mut doors, visit).admit();
-        Ok(self.pass(visit.group, token))
+        let mut queues = self.lock();
+        let token = self.refreshed(&mut queues, arrival).admit();
+        Ok(self.permit(arrival.group, token))
     }
 
     /// Lets waiting requests in after news of a group's loads.
     pub(crate) fn refresh(&self, group: &str, engine: &Engine, pause: Duration) {
-        let mut doors = self.lock();
-        let visit = Visit {
+        let mut queues = self.lock();
+        let arrival = Arrival {
             request: "",
             group,
             engine,
@@ -136,67 +136,67 @@
             objective: Duration::ZERO,
             tier: 0,
         };
-        self.refreshed(&mut doors, visit);
+        self.refreshed(&mut queues, arrival);
     }
 
-    /// Groups at whose doors requests wait.
+    /// Groups at whose queues requests wait.
     pub(crate) fn crowded(&self) -> Vec<String> {
-        let doors = self.lock();
-        let crowded = doors.iter().filter(|(_, door)| !door.waiting.is_empty());
+        let queues = self.lock();
+        let crowded = queues.iter().filter(|(_, queue)| !queue.waiting.is_empty());
         crowded.map(|(group, _)| group.clone()).collect()
     }
 
-    fn pass(self: &Arc<Self>, group: &str, token: Arc<()>) -> Pass {
-        Pass {
+    fn permit(self: &Arc<Self>, group: &str, token: Arc<()>) -> Permit {
+        Permit {
             _token: token,
-            doors: Arc::clone(self),
+            queues: Arc::clone(self),
             group: group.to_owned(),
             entered: Instant::now(),
         }
     }
 
-    /// The group's door, with its room worked out anew if there is news.
-    fn refreshed<'d>(&self, doors: &'d mut HashMap<String, Door>, visit: Visit<'_>) -> &'d mut Door {
-        let door = doors.entry(visit.group.to_owned()).or_insert_with(Door::new);
+    /// The group's queue, with its room worked out anew if there is news.
+    fn refreshed<'d>(&self, queues: &'d mut HashMap<String, Queue>, arrival: Arrival<'_>) -> &'d mut Queue {
+        let queue = queues.entry(arrival.group.to_owned()).or_insert_with(Queue::new);
         let entries = self.entries.load(Ordering::Relaxed);
-        match self.mesh.group(visit.group) {
-            Some(load) if load.order != door.order => door.news(&load, visit, entries),
-            _ if door.told.elapsed() > LOAD_AGE => door.room = f64::INFINITY,
+        match self.mesh.group(arrival.group) {
+            Some(load) if load.order != queue.order => queue.news(&load, arrival, entries),
+            _ if queue.told.elapsed() > LOAD_AGE => queue.room = f64::INFINITY,
             _ => {}
         }
-        door.let_in();
-        door
+        queue.let_in();
+        queue
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Door>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Queue>> {
         self.by_group.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Takes a request out of the line when it stops waiting, for whatever reason.
 struct Waiting<'a> {
-    doors: &'a Doors,
+    queues: &'a Queues,
     group: &'a str,
     ticket: (u8, usize),
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        if let Some(door) = self.doors.lock().get_mut(self.group) {
-            door.waiting.remove(&self.ticket);
+        if let Some(queue) = self.queues.lock().get_mut(self.group) {
+            queue.waiting.remove(&self.ticket);
         }
     }
 }
 
-impl Drop for Pass {
+impl Drop for Permit {
     fn drop(&mut self) {
-        if let Some(door) = self.doors.lock().get_mut(&self.group) {
-            door.leave(self.entered.elapsed());
+        if let Some(queue) = self.queues.lock().get_mut(&self.group) {
+            queue.leave(self.entered.elapsed());
         }
     }
 }
 
-impl Door {
+impl Queue {
     fn new() -> Self {
         Self {
             order: (0, 0),
@@ -209,12 +209,12 @@
         }
     }
 
-    fn news(&mut self, load: &GroupLoad, visit: Visit<'_>, entries: usize) {
+    fn news(&mut self, load: &GroupLoad, arrival: Arrival<'_>, entries: usize) {
         let now = Instant::now();
         self.order = load.order;
         self.told = now;
         self.untold.retain(|let_in| *let_in + UNTOLD > now);
-        let free = capacity(load, visit.engine, visit.pause) - held(load);
+        let free = capacity(load, arrival.engine, arrival.pause) - held(load);
         self.room = free / entries.max(1) as f64 - self.untold.len() as f64;
     }
 
--- a/crates/sparscale_gateway/tests/even_spread.rs
+++ b/crates/sparscale_gateway/tests/even_spread.rs
@@ -1,7 +1,7 @@
 //! Entries that act on the same late report fill the targets evenly.
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use sparscale_gateway::{Vessel, draw, shares};
+use sparscale_gateway::{Candidate, draw, shares};
 
 /// Numbers from 0 to 1, the same each time.
 struct Dice(u64);
@@ -50,11 +50,11 @@
     f64::from(late) / f64::from(all)
 }
 
-fn vessels(told: &[f64]) -> Vec<Vessel> {
+fn candidates(told: &[f64]) -> Vec<Candidate> {
     told.iter()
-        .map(|level| Vessel {
-            level: *level,
-            width: 1.0,
+        .map(|load| Candidate {
+            load: *load,
+            capacity: 1.0,
         })
         .collect()
 }
@@ -68,29 +68,29 @@
         equals[(lot * equals.len() as f64) as usize]
     });
     let expected = RATE / ENTRIES * (ENTRIES - 1.0) * REPORT * 1.5;
-    let drawn = blocked(|told, lot| draw(&shares(&vessels(told), expected), lot).expect("a target"));
+    let drawn = blocked(|told, lot| draw(&shares(&candidates(told), expected), lot).expect("a target"));
     assert!(least > 0.05, "{least}");
     assert!(drawn < 0.01, "{drawn}");
 }
 
 #[derive(Debug, Clone)]
-struct Row(Vec<Vessel>, f64);
+struct Row(Vec<Candidate>, f64);
 
 impl Arbitrary for Row {
     fn arbitrary(g: &mut Gen) -> Self {
-        let mut vessel = || Vessel {
-            level: f64::from(u8::arbitrary(g)) / 10.0,
-            width: f64::from(u8::arbitrary(g)) + 1.0,
+        let mut candidate = || Candidate {
+            load: f64::from(u8::arbitrary(g)) / 10.0,
+            capacity: f64::from(u8::arbitrary(g)) + 1.0,
         };
-        let vessels = (0..12).map(|_| vessel()).collect();
-        Self(vessels, f64::from(u8::arbitrary(g)))
+        let candidates = (0..12).map(|_| candidate()).collect();
+        Self(candidates, f64::from(u8::arbitrary(g)))
     }
 }
 
 #[test]
 fn parts_of_one() {
-    fn holds(Row(vessels, expected): Row) -> bool {
-        let parts = shares(&vessels, expected);
+    fn holds(Row(candidates, expected): Row) -> bool {
+        let parts = shares(&candidates, expected);
         (parts.iter().sum::<f64>() - 1.0).abs() < 1e-9 && parts.iter().all(|part| *part >= 0.0)
     }
     QuickCheck::new()
@@ -101,23 +101,23 @@
 /// Nobody is filled above another one that gets nothing.
 #[test]
 fn lowest_first() {
-    fn holds(Row(vessels, expected): Row) -> bool {
-        let parts = shares(&vessels, expected);
-        let poured = expected.max(1.0);
-        let after = vessels
+    fn holds(Row(candidates, expected): Row) -> bool {
+        let parts = shares(&candidates, expected);
+        let arriving = expected.max(1.0);
+        let after = candidates
             .iter()
             .zip(&parts)
-            .map(|(vessel, part)| vessel.level + part * poured / vessel.width);
+            .map(|(candidate, part)| candidate.load + part * arriving / candidate.capacity);
         let highest = after
             .zip(&parts)
             .filter(|(_, part)| **part > 0.0)
-            .map(|(level, _)| level)
+            .map(|(load, _)| load)
             .fold(0.0, f64::max);
-        let lowest_left = vessels
+        let lowest_left = candidates
             .iter()
             .zip(&parts)
             .filter(|(_, part)| **part <= 0.0)
-            .map(|(vessel, _)| vessel.level);
+            .map(|(candidate, _)| candidate.load);
         lowest_left.fold(f64::INFINITY, f64::min) >= highest - 1e-6
     }
     QuickCheck::new()
@@ -128,6 +128,6 @@
 /// One request at a time goes to the lowest.
 #[test]
 fn lone_entry() {
-    let parts = shares(&vessels(&[3.0, 1.0, 2.5]), 0.0);
+    let parts = shares(&candidates(&[3.0, 1.0, 2.5]), 0.0);
     assert_eq!(draw(&parts, 0.99), Some(1));
 }
