--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -26,6 +26,8 @@
 const IDLE_FALL: f64 = 0.3;
 /// Part of the allowed pause up to which a pass counts as short.
 const SHORT_PART: f64 = 0.6;
+/// Factor between two paces of a rank that is worth a line.
+const PACE_CHANGE: f64 = 1.3;
 /// Pause between events that is taken to be allowed until the catalog says it.
 const USUAL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -66,6 +68,11 @@
 
     /// Notes how many times as long as usual each rank's work takes.
     pub(crate) fn pace(&mut self, paces: Vec<f64>) {
+        for (rank, (before, now)) in self.paces.iter().zip(&paces).enumerate() {
+            if *now > before * PACE_CHANGE || *before > now * PACE_CHANGE {
+                log::info!(target: DECISION, decision = "pace", rank, before, now; "a rank works at another pace");
+            }
+        }
         self.paces = paces;
     }
 
