Connections between processes that keep a stream or two are set up for 64, not 16,384

About 1.4 MB for each connection: the transport sets up every stream that a peer may open, and 16,384 were allowed, as for a stream a request on the product's own path. Change: processes on the platform allow 64 streams a connection; the product's own path keeps 16,384.

--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -9,7 +9,7 @@
 use sparscale_catalog::{Catalog, Roster};
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{DECISION, Registry};
-use sparscale_wire::{Endpoint, EndpointError, Identity, Role};
+use sparscale_wire::{Endpoint, EndpointError, FEW_STREAMS, Identity, Role};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::claims::Claims;
@@ -92,7 +92,7 @@
 pub fn start(settings: &Settings, parts: Parts) -> Result<(), Error> {
     let board = Arc::new(Board::default());
     let identity = Identity::Made(Role::Agent);
-    let endpoint = Arc::new(Endpoint::bind(settings.address, identity).context(EndpointSnafu)?);
+    let endpoint = Arc::new(Endpoint::with_streams(settings.address, identity, FEW_STREAMS).context(EndpointSnafu)?);
     let mesh = Mesh::new(
         sparscale_mesh::Settings {
             address: settings.address,
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -10,7 +10,7 @@
 use sparscale_belief::{Board, Pace, ReadFigures, read_catalog, read_roster};
 use sparscale_mesh::{Line, Mesh};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Endpoint, Identity, Role};
+use sparscale_wire::{Endpoint, FEW_STREAMS, Identity, Role};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -130,7 +130,8 @@
 }
 
 fn mesh(settings: &Settings, board: &Arc<Board>) -> Result<Arc<Mesh>, Error> {
-    let endpoint = Endpoint::bind(settings.peers, Identity::Made(Role::Entry)).context(PeersSnafu)?;
+    let endpoint =
+        Endpoint::with_streams(settings.peers, Identity::Made(Role::Entry), FEW_STREAMS).context(PeersSnafu)?;
     let settings = sparscale_mesh::Settings {
         address: endpoint.local_address().context(AddressSnafu)?,
         role: Role::Entry,
--- a/crates/sparscale_wire/src/endpoint.rs
+++ b/crates/sparscale_wire/src/endpoint.rs
@@ -21,8 +21,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A connection without a stream is closed when the last one was opened longer ago.
 const UNUSED_TIMEOUT: Duration = Duration::from_secs(10);
-/// Streams that one peer may have open at once.
+/// Streams that one peer may have open at once, where each request is one.
 const MAX_STREAMS: u32 = 16_384;
+/// The same where a peer opens a stream or two and keeps them. The transport sets up some 80 bytes for each stream that
+/// may come, on each connection: 1.4 MB for [`MAX_STREAMS`].
+pub const FEW_STREAMS: u32 = 64;
 
 /// Why a process cannot talk to another.
 #[derive(Debug, Snafu)]
@@ -123,20 +126,31 @@
 pub struct Endpoint {
     socket: quinn::Endpoint,
     identity: Identity,
+    transport: Arc<TransportConfig>,
     client: Mutex<quinn::ClientConfig>,
     connections: Mutex<HashMap<(SocketAddr, Role), Arc<Slot>>>,
 }
 
 impl Endpoint {
-    /// Opens the socket at `address` with the certificates of `identity`.
+    /// Opens the socket at `address` with the certificates of `identity`, for a stream a request.
     pub fn bind(address: SocketAddr, identity: Identity) -> Result<Self, Error> {
+        Self::with_streams(address, identity, MAX_STREAMS)
+    }
+
+    /// The same for peers that have `streams` streams open at once at most.
+    pub fn with_streams(address: SocketAddr, identity: Identity, streams: u32) -> Result<Self, Error> {
         let configs = identity.load()?;
-        let server = with_transport_server(configs.server);
+        let transport = transport(streams);
+        let mut server = configs.server;
+        server.transport_config(Arc::clone(&transport));
         let endpoint = quinn::Endpoint::server(server, address).context(BindSnafu { address })?;
+        let mut client = configs.client;
+        client.transport_config(Arc::clone(&transport));
         Ok(Self {
             socket: endpoint,
             identity,
-            client: Mutex::new(with_transport_client(configs.client)),
+            transport,
+            client: Mutex::new(client),
             connections: Mutex::new(HashMap::new()),
         })
     }
@@ -149,9 +163,11 @@
     /// Reads the certificate files again. Connections that stand keep going; new ones use the new certificates.
     pub fn reload(&self) -> Result<(), Error> {
         let configs = self.identity.load()?;
-        self.socket
-            .set_server_config(Some(with_transport_server(configs.server)));
-        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = with_transport_client(configs.client);
+        let (mut server, mut client) = (configs.server, configs.client);
+        server.transport_config(Arc::clone(&self.transport));
+        client.transport_config(Arc::clone(&self.transport));
+        self.socket.set_server_config(Some(server));
+        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = client;
         Ok(())
     }
 
@@ -272,20 +288,10 @@
     Role::of(chain.first()?)
 }
 
-fn transport() -> Arc<TransportConfig> {
+fn transport(streams: u32) -> Arc<TransportConfig> {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
     transport.keep_alive_interval(Some(KEEP_ALIVE));
-    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(streams));
     Arc::new(transport)
 }
-
-fn with_transport_server(mut config: quinn::ServerConfig) -> quinn::ServerConfig {
-    config.transport_config(transport());
-    config
-}
-
-fn with_transport_client(mut config: quinn::ClientConfig) -> quinn::ClientConfig {
-    config.transport_config(transport());
-    config
-}
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -7,7 +7,7 @@
 mod stream;
 mod tls;
 
-pub use endpoint::{Endpoint, Error as EndpointError, Incoming, Peer};
+pub use endpoint::{Endpoint, Error as EndpointError, FEW_STREAMS, Incoming, Peer};
 pub use frame::{
     Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Part, Refusal, RefusalReason, Relayed,
     Settlement,
