--- a/crates/sparscale_belief/src/lapse.rs
+++ b/crates/sparscale_belief/src/lapse.rs
@@ -24,8 +24,8 @@
 }
 
 impl Lapse {
-    /// What `now` lacks of the targets that the store showed in `before`; none if it was not away in between. A target
-    /// that was leaving is not awaited.
+    /// What `now` lacks of the targets that the store showed in `before`; none if it was not away in between, or if
+    /// nothing is missing. A target that was leaving is not awaited.
     pub(crate) fn between(before: &Belief<Roster>, now: &Belief<Roster>) -> Option<Self> {
         if now.as_of.saturating_duration_since(before.as_of) < AWAY {
             return None;
@@ -37,7 +37,7 @@
             missing: ready.cloned().collect(),
         };
         lapse.note(&now.value);
-        Some(lapse)
+        (!lapse.missing.is_empty()).then_some(lapse)
     }
 
     /// Strikes what `roster` shows, and what it shows a successor of.
