A fault soak of the entries as real processes

The bench plays all machines in one simulated time; what real processes, sockets, signals and clocks do was checked by few tests.

Ruled out: the product's own programs instead of the platform's (not what runs there); a wire of our own for the stand-ins (the platform's shapes would not be met); proxies on the entries' own links (entries tell each other their addresses, a proxy would be dialled around).

Change: crates/sparscale_soak, which does not know the wire, and platform/tests/soak, which does. Three entries before a stand-in of the store and four of targets, loopback proxies that delay, reset, silence and cut one way, signals that kill, freeze, stop and hang up, entries that lapse, keys that are taken away, targets that fail, leave, die and are followed. From outside: at most one run, "not run" is true, whole answers of a target that ran them, events in order, final answers in time, leaving and revocation in their bounds, no denial of what is in force, orderly stops, the budget, recovery, memory, panics.

Not in it: agents and groups, the entries' own links other than by processes that stand still or die, clocks.

--- a/crates/sparscale_fleet/src/lib.rs
+++ b/crates/sparscale_fleet/src/lib.rs
@@ -12,3 +12,4 @@
 pub use client::{Client, Reply, StreamReply};
 pub use fleet::{Error, Fleet, GROUP, MODEL, SERVICE, eventually};
 pub use plan::{Plan, caller_key};
+pub use process::Process;
--- a/crates/sparscale_fleet/src/process.rs
+++ b/crates/sparscale_fleet/src/process.rs
@@ -9,13 +9,13 @@
 
 /// A running program whose log goes to a file.
 #[derive(Debug)]
-pub(crate) struct Process {
+pub struct Process {
     child: Child,
 }
 
 impl Process {
     /// Starts `program`; its output is added to the file at `log`.
-    pub(crate) fn start(program: &str, arguments: &[String], log: &Path) -> Result<Self, String> {
+    pub fn start(program: &str, arguments: &[String], log: &Path) -> Result<Self, String> {
         let output = open_log(log)?;
         let errors = output.try_clone().map_err(|error| error.to_string())?;
         let path = find_program(program)?;
@@ -29,24 +29,26 @@
         Ok(Self { child })
     }
 
-    pub(crate) fn signal(&self, signal: Signal) -> Result<(), String> {
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> Result<(), String> {
         let id = Pid::from_raw(self.child.id().cast_signed());
         kill(id, signal).map_err(|error| error.to_string())
     }
 
     /// Ends the process at once.
-    pub(crate) fn kill(mut self) {
+    pub fn kill(mut self) {
         // A process that has ended by itself needs no end.
         let _ended = self.child.kill();
         let _status = self.child.wait();
     }
 
     /// The status of a process that has ended by itself.
-    pub(crate) fn exit_status(&mut self) -> Option<ExitStatus> {
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 
-    pub(crate) fn id(&self) -> u32 {
+    /// Its id.
+    pub fn id(&self) -> u32 {
         self.child.id()
     }
 }
--- /dev/null
+++ b/crates/sparscale_soak/src/check.rs
@@ -0,0 +1,236 @@
+//! The promises, checked from what callers and targets saw.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::caller::{self, PATIENCE};
+use crate::fault::Fault;
+use crate::ledger::{Acknowledged, Answer, Attempt, Change, Ledger, Outcome, Run, Trouble};
+use crate::places::{DEADLINE, EVENTS};
+use crate::platform::RouteKind;
+use crate::target;
+
+/// Time after the acknowledgement of a revocation after which the key runs nowhere (the users' `revoke_ms`).
+const REVOKED: Duration = Duration::from_secs(5);
+/// Time after which a leaving target gets nothing new (the users' `drain_ms`).
+const LEFT: Duration = Duration::from_secs(2);
+/// Time without trouble after which an entry and the store count as in touch (the users' `contact_ms`).
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time that a request may be on its way through a slow link.
+const ON_THE_WAY: Duration = Duration::from_millis(400);
+/// Time beyond its deadline in which a final answer has to have come: some for a busy machine.
+const LATE: Duration = Duration::from_secs(1);
+/// Share of the requests that may be sent once more, and how many in any case, in any window.
+const BUDGET_RATIO: f64 = 0.2;
+const BUDGET_SLACK: f64 = 88.0;
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Violation {
+    /// Its name.
+    pub(crate) promise: &'static str,
+    /// What happened.
+    pub(crate) what: String,
+}
+
+/// Checks all promises.
+pub(crate) fn all(ledger: &Ledger) -> Vec<Violation> {
+    let runs = by_request(&ledger.runs);
+    let none = Vec::new();
+    let mut found = Vec::new();
+    for attempt in &ledger.attempts {
+        let runs = runs.get(attempt.request.as_str()).unwrap_or(&none);
+        let mut judge = |promise, what: Option<String>| {
+            let named = what.map(|what| format!("request {} at entry {}: {what}", attempt.request, attempt.entry));
+            found.extend(named.map(|what| Violation { promise, what }));
+        };
+        judge("once", ran_twice(attempt, runs));
+        judge("not run", ran_nevertheless(attempt, runs));
+        judge("answer", wrong_answer(attempt, runs));
+        judge("denied", denied(attempt, &ledger.acknowledged));
+        judge("final answer", no_end(attempt, &ledger.troubles));
+        judge("stop", cut_by_stop(attempt, runs, &ledger.troubles));
+        judge("leaving", sent_to_leaving(attempt, runs, ledger));
+    }
+    found.extend(ran_after_revocation(ledger));
+    found.extend(overspent(&runs));
+    let incidents = ledger.incidents.iter().map(|incident| Violation {
+        promise: "process",
+        what: format!("entry {}: {}", incident.entry, incident.what),
+    });
+    found.extend(incidents);
+    found
+}
+
+fn by_request(runs: &[Run]) -> BTreeMap<&str, Vec<&Run>> {
+    let mut by_request: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in runs {
+        by_request.entry(run.request.as_str()).or_default().push(run);
+    }
+    by_request
+}
+
+/// What may run at most once runs at most once.
+fn ran_twice(attempt: &Attempt, runs: &[&Run]) -> Option<String> {
+    let once = matches!(attempt.kind, RouteKind::Once | RouteKind::Stream);
+    (once && runs.len() > 1).then(|| format!("{:?} ran {} times", attempt.kind, runs.len()))
+}
+
+/// An answer that promises that nothing has run is true, now and later.
+fn ran_nevertheless(attempt: &Attempt, runs: &[&Run]) -> Option<String> {
+    let Outcome::Answered(answer) = &attempt.outcome else {
+        return None;
+    };
+    let promises = matches!(answer.status, 408 | 421 | 429 | 503);
+    let run = runs.first().filter(|_| promises)?;
+    Some(format!("{} although {} ran it", answer.status, run.target))
+}
+
+/// An answer is that of a target that ran the request, whole, or not whole and said so; events come in order.
+fn wrong_answer(attempt: &Attempt, runs: &[&Run]) -> Option<String> {
+    let Outcome::Answered(answer) = &attempt.outcome else {
+        return None;
+    };
+    if answer.status != 200 {
+        return None;
+    }
+    let ran = |digest: &String| runs.iter().any(|run| run.target == *digest);
+    if !answer.digest.as_ref().is_some_and(ran) {
+        return Some(format!("digest {:?} is of no target that ran it", answer.digest));
+    }
+    let expected = if caller::is_stream(attempt.kind) {
+        (1..=EVENTS).map(target::event).collect()
+    } else {
+        target::expected(&attempt.request, &caller::body(&attempt.request))
+    };
+    is_wrong(answer, &expected).then(|| format!("whole {}, body {:?}", answer.whole, answer.body))
+}
+
+fn is_wrong(answer: &Answer, expected: &str) -> bool {
+    if answer.whole {
+        answer.body != expected
+    } else {
+        !expected.starts_with(&answer.body)
+    }
+}
+
+/// Nobody is told that a route is not there, or that a key is not in force, which nobody has taken away.
+fn denied(attempt: &Attempt, acknowledged: &[Acknowledged]) -> Option<String> {
+    let Outcome::Answered(answer) = &attempt.outcome else {
+        return None;
+    };
+    let revoked = Change::Revoked(attempt.key.clone());
+    let taken = acknowledged
+        .iter()
+        .any(|known| known.what == revoked && known.at < attempt.ended);
+    let denied = answer.status == 404 || (answer.status == 401 && !taken);
+    denied.then(|| format!("{} for {}", answer.status, attempt.key))
+}
+
+/// A request gets its final answer by its deadline from an entry that runs.
+fn no_end(attempt: &Attempt, troubles: &[Trouble]) -> Option<String> {
+    let took = attempt.ended.saturating_duration_since(attempt.began);
+    let nothing = attempt.outcome == Outcome::Nothing || took > DEADLINE + LATE;
+    let harmed = troubles.iter().any(|trouble| {
+        // A stream that is on its way may last longer than an entry that stops waits for it.
+        entry_of(trouble.fault) == Some(attempt.entry) && overlaps(trouble, attempt.began, attempt.ended, PATIENCE)
+    });
+    (nothing && !harmed).then(|| format!("{:?} after {} ms", attempt.outcome, took.as_millis()))
+}
+
+/// An entry that is asked to stop finishes what it has passed on, if nothing else goes wrong.
+fn cut_by_stop(attempt: &Attempt, runs: &[&Run], troubles: &[Trouble]) -> Option<String> {
+    let cut = match &attempt.outcome {
+        Outcome::Closed | Outcome::Nothing => true,
+        Outcome::Answered(answer) => !answer.whole,
+        Outcome::Unreached => false,
+    };
+    if !cut || runs.is_empty() {
+        return None;
+    }
+    let mut near = troubles
+        .iter()
+        .filter(|trouble| overlaps(trouble, attempt.began, attempt.ended, CONTACT));
+    let stopped = near
+        .clone()
+        .any(|trouble| trouble.fault == Fault::Stop { entry: attempt.entry });
+    let only = near.all(|trouble| {
+        let elsewhere = entry_of(trouble.fault).is_some_and(|entry| entry != attempt.entry);
+        let calm = matches!(
+            trouble.fault,
+            Fault::Stop { .. } | Fault::HangUp { .. } | Fault::Revoke { .. }
+        );
+        elsewhere || calm
+    });
+    (stopped && only).then(|| format!("cut: {:?}", attempt.outcome))
+}
+
+/// A target that is leaving gets nothing new from an entry that is in touch.
+fn sent_to_leaving(attempt: &Attempt, runs: &[&Run], ledger: &Ledger) -> Option<String> {
+    let run = runs.iter().find(|run| {
+        ledger.acknowledged.iter().any(|acknowledged| {
+            acknowledged.what == Change::Leaving(run.target.clone()) && run.at > acknowledged.at + LEFT + ON_THE_WAY
+        })
+    })?;
+    let out_of_touch = ledger.troubles.iter().any(|trouble| {
+        let store = matches!(
+            trouble.fault,
+            Fault::StoreBusy | Fault::StoreSilent | Fault::StoreLapse | Fault::StoreLink { .. }
+        );
+        let own = entry_of(trouble.fault) == Some(attempt.entry);
+        (store || own) && overlaps(trouble, run.at, run.at, CONTACT + LEFT)
+    });
+    (!out_of_touch).then(|| format!("ran on {} which had left", run.target))
+}
+
+/// A key that was taken away runs nowhere once the bound has passed, whatever else happens.
+fn ran_after_revocation(ledger: &Ledger) -> Vec<Violation> {
+    let revoked = ledger.acknowledged.iter().filter_map(|known| match &known.what {
+        Change::Revoked(key) => Some((key, known.at)),
+        Change::Leaving(_) => None,
+    });
+    let broken = revoked.flat_map(|(key, at)| {
+        let late = move |run: &&Run| run.workspace == *key && run.at > at + REVOKED + ON_THE_WAY;
+        ledger.runs.iter().filter(late).map(move |run| Violation {
+            promise: "revocation",
+            what: format!(
+                "request {} of {key} ran on {} after {} ms",
+                run.request,
+                run.target,
+                run.at.saturating_duration_since(at).as_millis()
+            ),
+        })
+    });
+    broken.collect()
+}
+
+/// Runs beyond the first stay within the budget that all entries share.
+fn overspent(runs: &BTreeMap<&str, Vec<&Run>>) -> Option<Violation> {
+    let firsts: Vec<Instant> = runs.values().filter_map(|runs| Some(runs.first()?.at)).collect();
+    let further = runs.values().flat_map(|runs| runs.iter().skip(1));
+    let further: Vec<Instant> = further.map(|run| run.at).collect();
+    let within = |times: &[Instant], from: Instant| {
+        let inside = times.iter().filter(|at| **at >= from && **at < from + BUDGET_WINDOW);
+        inside.count() as f64
+    };
+    further.iter().find_map(|from| {
+        let (spent, requests) = (within(&further, *from), within(&firsts, *from));
+        (spent > requests * BUDGET_RATIO + BUDGET_SLACK).then(|| Violation {
+            promise: "budget",
+            what: format!("{spent} further runs beside {requests} requests"),
+        })
+    })
+}
+
+fn entry_of(fault: Fault) -> Option<usize> {
+    match fault {
+        Fault::Kill { entry } | Fault::Freeze { entry } | Fault::Stop { entry } => Some(entry),
+        _ => None,
+    }
+}
+
+/// Whether a trouble was there from `margin` before `from` until `to`.
+fn overlaps(trouble: &Trouble, from: Instant, to: Instant, margin: Duration) -> bool {
+    trouble.from <= to && trouble.to + margin >= from
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/fault.rs
@@ -0,0 +1,163 @@
+//! What goes wrong in a round, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::places::{ENTRIES, KEYS, TARGETS};
+use crate::proxy::Link;
+use crate::target::Mood;
+
+/// One fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The store refuses all calls.
+    StoreBusy,
+    /// Nobody reaches the store.
+    StoreSilent,
+    /// The same, and targets' entries lapse meanwhile.
+    StoreLapse,
+    /// One entry's way to the store is harmed.
+    StoreLink { entry: usize, link: Link },
+    /// An entry is killed and starts again.
+    Kill { entry: usize },
+    /// An entry stands still.
+    Freeze { entry: usize },
+    /// An entry is asked to stop, and starts again.
+    Stop { entry: usize },
+    /// An entry gets a hang-up signal.
+    HangUp { entry: usize },
+    /// The way to a target is harmed.
+    TargetLink { target: usize, link: Link },
+    /// A target fails.
+    TargetMood { target: usize, mood: Mood },
+    /// A target says that it leaves, leaves, and another comes to its place.
+    Leave { target: usize },
+    /// A target dies, its entry goes later, and another comes to its place.
+    Die { target: usize },
+    /// A key is taken away; the first key stays.
+    Revoke { key: usize },
+}
+
+/// A fault and when it comes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Planned {
+    pub(crate) fault: Fault,
+    /// Time from the start of the round.
+    pub(crate) at: Duration,
+    /// Time until it is mended, where it does not end by itself.
+    pub(crate) lasts: Duration,
+}
+
+/// Pause between the beginnings of two faults, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 200..1_500;
+/// Length of a fault, in milliseconds; the longest outlast every bound on beliefs.
+const LASTS: std::ops::Range<u64> = 300..8_000;
+/// Delay on a slow link, in milliseconds.
+const SLOW: std::ops::Range<u64> = 20..300;
+
+impl Fault {
+    fn draw(random: &mut ChaCha8Rng) -> Self {
+        let entry = random.random_range(0..ENTRIES);
+        let target = random.random_range(0..TARGETS);
+        match random.random_range(0..14) {
+            0 => Self::StoreBusy,
+            1 => Self::StoreSilent,
+            2 => Self::StoreLapse,
+            3 => Self::StoreLink {
+                entry,
+                link: draw_link(random),
+            },
+            4 => Self::Kill { entry },
+            5 => Self::Freeze { entry },
+            6 => Self::Stop { entry },
+            7 => Self::HangUp { entry },
+            8 | 9 => Self::TargetLink {
+                target,
+                link: draw_link(random),
+            },
+            10 => Self::TargetMood {
+                target,
+                mood: draw_mood(random),
+            },
+            11 => Self::Leave { target },
+            12 => Self::Die { target },
+            _ => Self::Revoke {
+                key: random.random_range(1..KEYS),
+            },
+        }
+    }
+
+    /// What it takes hold of; two faults do not hold the same thing at once.
+    pub(crate) fn holds(self) -> Hold {
+        match self {
+            Self::StoreBusy | Self::StoreSilent => Hold::Store,
+            Self::StoreLapse => Hold::StoreAndTargets,
+            Self::StoreLink { entry, .. } => Hold::StoreLink(entry),
+            Self::Kill { entry } | Self::Freeze { entry } | Self::Stop { entry } | Self::HangUp { entry } => {
+                Hold::Entry(entry)
+            }
+            Self::TargetLink { target, .. }
+            | Self::TargetMood { target, .. }
+            | Self::Leave { target }
+            | Self::Die { target } => Hold::Target(target),
+            Self::Revoke { key } => Hold::Key(key),
+        }
+    }
+}
+
+/// What a fault takes hold of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hold {
+    Store,
+    StoreAndTargets,
+    StoreLink(usize),
+    Entry(usize),
+    Target(usize),
+    Key(usize),
+}
+
+impl Hold {
+    /// Whether two faults cannot be there at once.
+    pub(crate) fn excludes(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::StoreAndTargets, Self::Store | Self::StoreAndTargets | Self::Target(_))
+            | (Self::Store | Self::Target(_), Self::StoreAndTargets) => true,
+            _ => self == other,
+        }
+    }
+}
+
+fn draw_link(random: &mut ChaCha8Rng) -> Link {
+    match random.random_range(0..5) {
+        0 => Link::Slow(Duration::from_millis(random.random_range(SLOW))),
+        1 => Link::Silent,
+        2 => Link::CutUp,
+        3 => Link::CutDown,
+        _ => Link::Reset,
+    }
+}
+
+fn draw_mood(random: &mut ChaCha8Rng) -> Mood {
+    match random.random_range(0..3) {
+        0 => Mood::Errors,
+        1 => Mood::Full,
+        _ => Mood::BreaksOff,
+    }
+}
+
+/// The faults of a round of `length`; faults overlap.
+pub(crate) fn plan(random: &mut ChaCha8Rng, length: Duration) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(PAUSE));
+        let lasts = Duration::from_millis(random.random_range(LASTS));
+        if at + lasts >= length {
+            return planned;
+        }
+        let fault = Fault::draw(random);
+        planned.push(Planned { fault, at, lasts });
+    }
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/lib.rs
@@ -0,0 +1,25 @@
+//! A fault soak: the real entry programs as processes before stand-ins of targets and of a platform's store, with
+//! faults that a seed draws, and the promises to callers and targets checked from outside.
+//!
+//! Faults come from loopback proxies in front of the store and of each target, from signals to the processes, and from
+//! the stand-ins themselves. Links between the entries are harmed only by processes that stand still or die.
+
+mod caller;
+mod check;
+mod command;
+mod drive;
+mod fault;
+mod ledger;
+mod places;
+mod platform;
+mod proxy;
+mod records;
+mod round;
+mod server;
+mod stage;
+mod store;
+mod target;
+
+pub use command::run;
+pub use platform::{EntryPlace, Listed, Offer, Platform, Route, RouteKind};
+pub use records::{Record, Records};
--- /dev/null
+++ b/crates/sparscale_soak/src/places.rs
@@ -0,0 +1,121 @@
+//! Addresses, routes and spans of the soak.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use crate::platform::{Route, RouteKind};
+
+/// Entries of a round.
+pub(crate) const ENTRIES: usize = 3;
+/// Targets of a round.
+pub(crate) const TARGETS: usize = 4;
+/// Keys at the start; one is never taken away, and most outlast a round.
+pub(crate) const KEYS: usize = 12;
+/// Host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+/// Service of all targets.
+pub(crate) const SERVICE: &str = "soak";
+/// Events of a stream.
+pub(crate) const EVENTS: u64 = 12;
+/// Time that a caller waits, also told to the entry.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(3);
+
+/// The routes.
+pub(crate) const ROUTES: [Route; 4] = [
+    Route {
+        name: "calc",
+        prefix: "/calc/",
+        kind: RouteKind::Repeatable,
+    },
+    Route {
+        name: "once",
+        prefix: "/once/",
+        kind: RouteKind::Once,
+    },
+    Route {
+        name: "stream",
+        prefix: "/stream/",
+        kind: RouteKind::Stream,
+    },
+    Route {
+        name: "resume",
+        prefix: "/resume/",
+        kind: RouteKind::Resumable,
+    },
+];
+
+const CALLERS_PORT: u16 = 8_000;
+const READY_PORT: u16 = 8_001;
+const METRICS_PORT: u16 = 9_464;
+/// Port at which entries talk to each other.
+pub(crate) const PEER_PORT: u16 = 7_520;
+const STORE_PORT: u16 = 8_600;
+const TARGET_PORT: u16 = 8_080;
+
+/// First host number of the entries, of their ways to the store, of targets as they are listed and as they listen.
+const ENTRY_HOST: usize = 10;
+const STORE_HOST: usize = 100;
+const LISTED_HOST: usize = 130;
+const TARGET_HOST: usize = 160;
+
+/// The part of loopback that one round uses, so that rounds beside each other do not meet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Net {
+    high: u8,
+    low: u8,
+}
+
+impl Net {
+    /// A part for this process and round.
+    pub(crate) fn of(process: u32, round: u64) -> Self {
+        Self {
+            // 127.0 is left to everybody else.
+            high: (process % 250) as u8 + 1,
+            low: ((u64::from(process / 250) + round) % 250) as u8 + 1,
+        }
+    }
+
+    fn ip(self, host: usize) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.high, self.low, host as u8))
+    }
+
+    pub(crate) fn entry(self, index: usize) -> IpAddr {
+        self.ip(ENTRY_HOST + index)
+    }
+
+    pub(crate) fn callers(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.entry(index), CALLERS_PORT)
+    }
+
+    pub(crate) fn ready(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.entry(index), READY_PORT)
+    }
+
+    pub(crate) fn metrics(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.entry(index), METRICS_PORT)
+    }
+
+    pub(crate) fn peer(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.entry(index), PEER_PORT)
+    }
+
+    /// The store itself.
+    pub(crate) fn store(self) -> SocketAddr {
+        SocketAddr::new(self.ip(1), STORE_PORT)
+    }
+
+    /// Where entry `index` reaches the store.
+    pub(crate) fn store_for(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(STORE_HOST + index), STORE_PORT)
+    }
+
+    /// Where target `index` is listed.
+    pub(crate) fn listed(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(LISTED_HOST + index), TARGET_PORT)
+    }
+
+    /// Where target `index` listens.
+    pub(crate) fn target(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(TARGET_HOST + index), TARGET_PORT)
+    }
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/proxy.rs
@@ -0,0 +1,157 @@
+//! A TCP proxy on loopback that harms what passes through it.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Bytes taken up at once.
+const BUFFER: usize = 16 << 10;
+
+/// State of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Link {
+    /// Everything passes.
+    Open,
+    /// Everything passes this much later.
+    Slow(Duration),
+    /// Nothing passes, and nobody is told.
+    Silent,
+    /// Nothing passes towards the server.
+    CutUp,
+    /// Nothing passes towards the client.
+    CutDown,
+    /// Connections are reset.
+    Reset,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Up,
+    Down,
+}
+
+impl Link {
+    fn swallows(self, way: Way) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::CutUp => way == Way::Up,
+            Self::CutDown => way == Way::Down,
+            Self::Open | Self::Slow(_) | Self::Reset => false,
+        }
+    }
+
+    fn delay(self) -> Duration {
+        match self {
+            Self::Slow(delay) => delay,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// One proxy.
+#[derive(Debug)]
+pub(crate) struct Proxy {
+    link: watch::Sender<Link>,
+}
+
+impl Proxy {
+    /// Passes connections to `listen` on to `server`.
+    pub(crate) async fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let link = watch::Sender::new(Link::Open);
+        let state = link.subscribe();
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                tokio::spawn(pass(client, server, state.clone()));
+            }
+        });
+        Ok(Self { link })
+    }
+
+    /// Sets the state of the link.
+    pub(crate) fn set(&self, link: Link) {
+        self.link.send_replace(link);
+    }
+}
+
+async fn pass(client: TcpStream, server: SocketAddr, link: watch::Receiver<Link>) {
+    let state = *link.borrow();
+    if state == Link::Reset {
+        return reset(&client);
+    }
+    let Ok(upstream) = TcpStream::connect(server).await else {
+        return reset(&client);
+    };
+    let Ok(client_again) = socket(&client) else { return };
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = upstream.into_split();
+    let mut up = pin!(pump(client_read, server_write, Way::Up, link.clone()));
+    let mut down = pin!(pump(server_read, client_write, Way::Down, link));
+    // The rest of an answer is still passed on after its caller has stopped sending, and the other way round.
+    let broken = tokio::select! {
+        ended = &mut up => ended == Ended::Broken || down.await == Ended::Broken,
+        ended = &mut down => ended == Ended::Broken || up.await == Ended::Broken,
+    };
+    if broken {
+        // Zero linger makes the kernel send a reset when the last handle is gone.
+        let _unsupported = client_again.set_linger(Some(Duration::ZERO));
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    Closed,
+    Broken,
+}
+
+/// Passes bytes on one way. A connection that lost bytes is broken as soon as the link changes again.
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way, mut link: watch::Receiver<Link>) -> Ended {
+    let mut buffer = vec![0; BUFFER];
+    let mut lost = false;
+    loop {
+        let state = *link.borrow_and_update();
+        if state == Link::Reset || (lost && !state.swallows(way)) {
+            return Ended::Broken;
+        }
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            changed = link.changed() => match changed {
+                Ok(()) => continue,
+                Err(_gone) => return Ended::Broken,
+            },
+        };
+        let state = *link.borrow();
+        match read {
+            Err(_error) => return Ended::Broken,
+            Ok(_) if state.swallows(way) => lost = true,
+            Ok(0) => {
+                // The other side may have gone first.
+                let _gone = to.shutdown().await;
+                return Ended::Closed;
+            }
+            Ok(count) => {
+                tokio::time::sleep(state.delay()).await;
+                if to.write_all(&buffer[..count]).await.is_err() {
+                    return Ended::Broken;
+                }
+            }
+        }
+        if lost {
+            // Nothing more is read: what was lost cannot be made good.
+            let _gone = link.changed().await;
+        }
+    }
+}
+
+fn socket(stream: &TcpStream) -> std::io::Result<socket2::Socket> {
+    socket2::SockRef::from(stream).try_clone()
+}
+
+fn reset(stream: &TcpStream) {
+    let _unsupported = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/round.rs
@@ -0,0 +1,185 @@
+//! One round: everything starts, faults come while callers call, everything is mended, and the promises are checked.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::caller::{Caller, Habit};
+use crate::check::{self, Violation};
+use crate::drive;
+use crate::fault::{self, Hold, Planned};
+use crate::ledger::Outcome;
+use crate::places::{DEADLINE, ENTRIES, Net, ROUTES};
+use crate::platform::Platform;
+use crate::stage::Stage;
+
+/// Time in which entries have to be ready at the start.
+const START: Duration = Duration::from_secs(20);
+/// Time after the last fault in which every entry has to serve every route again: what the users' pages call being in
+/// touch, what a request may take, and some for a busy machine.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Pause between two looks at the processes.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time after the last request in which a promise that nothing will run may still be broken.
+const AFTERMATH: Duration = Duration::from_secs(2);
+/// Random numbers of callers are drawn apart from those of the plan.
+const CALLERS_STREAM: u64 = 1;
+
+/// What a round showed.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) requests: usize,
+    /// How many requests ended in each way.
+    pub(crate) outcomes: BTreeMap<String, usize>,
+    pub(crate) faults: usize,
+    pub(crate) violations: Vec<Violation>,
+}
+
+/// Plays the round of `seed` for `length`; files go to `folder`.
+pub(crate) async fn play(
+    platform: Arc<dyn Platform>,
+    seed: u64,
+    length: Duration,
+    folder: &Path,
+) -> Result<Report, String> {
+    let net = Net::of(std::process::id(), seed);
+    let stage = Arc::new(Stage::start(platform, net, folder).await?);
+    let report = play_on(&stage, seed, length).await;
+    stage.end().await;
+    report
+}
+
+async fn play_on(stage: &Arc<Stage>, seed: u64, length: Duration) -> Result<Report, String> {
+    await_service(stage, START)
+        .await
+        .map_err(|missing| format!("at the start {missing}"))?;
+    let over = watch::Sender::new(false);
+    let callers = call(stage, seed, &over);
+    let watching = tokio::spawn(watch_processes(Arc::clone(stage), over.subscribe()));
+    let planned = fault::plan(&mut ChaCha8Rng::seed_from_u64(seed), length);
+    let faults = harm(stage, planned).await;
+    let recovered = await_service(stage, RECOVERY).await;
+    over.send_replace(true);
+    for task in callers.into_iter().chain([watching]) {
+        task.await.map_err(|error| error.to_string())?;
+    }
+    tokio::time::sleep(AFTERMATH).await;
+    stage.look_at_logs();
+    let ledger = stage.book.open();
+    let mut violations = check::all(&ledger);
+    if let Err(what) = recovered {
+        violations.push(Violation {
+            promise: "recovery",
+            what: format!("{} s after the last fault {what}", RECOVERY.as_secs()),
+        });
+    }
+    let mut outcomes = BTreeMap::new();
+    for attempt in &ledger.attempts {
+        *outcomes.entry(attempt.outcome.name()).or_default() += 1;
+    }
+    Ok(Report {
+        requests: ledger.attempts.len(),
+        outcomes,
+        faults,
+        violations,
+    })
+}
+
+/// Starts callers at all entries, two habits at each.
+fn call(stage: &Arc<Stage>, seed: u64, over: &watch::Sender<bool>) -> Vec<JoinHandle<()>> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CALLERS_STREAM);
+    let each = [Habit::Keeps, Habit::Opens, Habit::Opens];
+    let places = (0..ENTRIES).flat_map(|entry| each.map(|habit| (entry, habit)));
+    places
+        .map(|(entry, habit)| {
+            let caller = caller(stage, entry, habit, ChaCha8Rng::from_rng(&mut random));
+            tokio::spawn(caller.run(over.subscribe()))
+        })
+        .collect()
+}
+
+fn caller(stage: &Stage, entry: usize, habit: Habit, random: ChaCha8Rng) -> Caller {
+    Caller {
+        entry,
+        address: stage.net.callers(entry),
+        habit,
+        dialect: stage.platform.dialect(),
+        book: Arc::clone(&stage.book),
+        random,
+        kept: None,
+    }
+}
+
+/// Plays faults at their times and waits until all are over; one whose thing is held by another is left out.
+async fn harm(stage: &Arc<Stage>, planned: Vec<Planned>) -> usize {
+    let began = tokio::time::Instant::now();
+    let mut ongoing: Vec<(Hold, JoinHandle<()>)> = Vec::new();
+    let mut played = 0;
+    for fault in planned {
+        tokio::time::sleep_until(began + fault.at).await;
+        ongoing.retain(|(_, task)| !task.is_finished());
+        let hold = fault.fault.holds();
+        if ongoing.iter().any(|(other, _)| hold.excludes(*other)) {
+            continue;
+        }
+        played += 1;
+        ongoing.push((hold, tokio::spawn(drive::play(Arc::clone(stage), fault))));
+    }
+    for (_, task) in ongoing {
+        // A panic of the soak's own shows in its output.
+        let _ended = task.await;
+    }
+    played
+}
+
+async fn watch_processes(stage: Arc<Stage>, over: watch::Receiver<bool>) {
+    while !*over.borrow() {
+        stage.look_at_processes().await;
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Waits until every entry has served every route.
+async fn await_service(stage: &Arc<Stage>, limit: Duration) -> Result<(), String> {
+    let began = Instant::now();
+    let mut asking = JoinSet::new();
+    for entry in 0..ENTRIES {
+        let random = ChaCha8Rng::from_os_rng();
+        let caller = caller(stage, entry, Habit::Opens, random);
+        asking.spawn(ask_until_served(caller, began + limit));
+    }
+    while let Some(served) = asking.join_next().await {
+        served.map_err(|error| error.to_string())??;
+    }
+    Ok(())
+}
+
+async fn ask_until_served(mut caller: Caller, until: Instant) -> Result<(), String> {
+    for (index, route) in ROUTES.iter().enumerate() {
+        loop {
+            let outcome = caller.ask(index, "key-0").await;
+            if is_served(&outcome) {
+                break;
+            }
+            if Instant::now() > until {
+                return Err(format!(
+                    "entry {} does not serve {}: {outcome:?}",
+                    caller.entry, route.name
+                ));
+            }
+            tokio::time::sleep(DEADLINE / 30).await;
+        }
+    }
+    Ok(())
+}
+
+fn is_served(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered(answer) if answer.status == 200 && answer.whole)
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/server.rs
@@ -0,0 +1,54 @@
+//! A small HTTP server for stand-ins; it can drop all its connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Why an answer breaks off.
+#[derive(Debug)]
+pub(crate) struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("broken off by the soak")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// Content of an answer.
+pub(crate) type Content = UnsyncBoxBody<Bytes, Broken>;
+
+/// Answers requests at `address` with `handle` until the task is aborted.
+pub(crate) async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<tokio::task::JoinHandle<()>>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Content>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let handle = Arc::new(handle);
+    Ok(tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handle = Arc::clone(&handle);
+            let service = service_fn(move |request| {
+                let answer = handle(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            tokio::spawn(async move {
+                // A caller that leaves ends the connection; callers' sides are judged elsewhere.
+                let _ended = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    }))
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/stage.rs
@@ -0,0 +1,281 @@
+//! All processes and stand-ins of a round.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use sparscale_fleet::Process;
+use tokio::sync::Mutex;
+
+use crate::ledger::{Book, Incident};
+use crate::places::{ENTRIES, HOST, KEYS, Net, PEER_PORT, ROUTES, SERVICE, TARGETS};
+use crate::platform::{EntryPlace, Listed, Offer, Platform};
+use crate::proxy::Proxy;
+use crate::store::Store;
+use crate::target::Target;
+
+/// Time in which a process has to end after it was asked to, as its settings say, and some for a busy machine.
+const GRACE: Duration = Duration::from_secs(10);
+/// Pause between two looks at a process.
+const LOOK: Duration = Duration::from_millis(20);
+/// Most memory that an entry may hold, in kilobytes: several times what it has at rest.
+const MEMORY_KB: u64 = 64 << 10;
+
+/// One target and what leads to it.
+pub(crate) struct TargetPlace {
+    pub(crate) target: Arc<Target>,
+    pub(crate) proxy: Proxy,
+    /// Incarnations so far.
+    incarnations: Mutex<u32>,
+}
+
+/// One entry: its process, while there is one.
+struct EntrySlot {
+    process: Mutex<Option<Process>>,
+    /// Whether the process was asked to end.
+    stopping: AtomicBool,
+    log: PathBuf,
+    settings: PathBuf,
+}
+
+/// Everything that runs in a round.
+pub(crate) struct Stage {
+    pub(crate) net: Net,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) book: Arc<Book>,
+    pub(crate) store: Arc<Store>,
+    /// For each entry, its way to the store.
+    pub(crate) store_proxies: Vec<Proxy>,
+    pub(crate) targets: Vec<TargetPlace>,
+    entries: Vec<EntrySlot>,
+    offer: Mutex<Offer>,
+}
+
+impl Stage {
+    /// Starts everything; files go to `folder`.
+    pub(crate) async fn start(platform: Arc<dyn Platform>, net: Net, folder: &Path) -> Result<Self, String> {
+        let book = Arc::new(Book::default());
+        let said = |error: std::io::Error| error.to_string();
+        let store = Store::start(Arc::clone(&platform), net.store()).await.map_err(said)?;
+        let mut store_proxies = Vec::new();
+        for entry in 0..ENTRIES {
+            let proxy = Proxy::start(net.store_for(entry), net.store()).await.map_err(said)?;
+            store_proxies.push(proxy);
+        }
+        let mut targets = Vec::new();
+        for index in 0..TARGETS {
+            let dialect = platform.dialect();
+            let id = incarnation(index, 0);
+            let target = Target::start(net.target(index), id, dialect, Arc::clone(&book));
+            targets.push(TargetPlace {
+                target: target.await.map_err(said)?,
+                proxy: Proxy::start(net.listed(index), net.target(index)).await.map_err(said)?,
+                incarnations: Mutex::new(0),
+            });
+        }
+        let offer = Offer {
+            version: 1,
+            host: HOST,
+            service: SERVICE,
+            routes: &ROUTES,
+            keys: (0..KEYS).map(|key| format!("key-{key}")).collect(),
+        };
+        let slot = |index: usize| EntrySlot {
+            process: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            log: folder.join(format!("entry-{index}.log")),
+            settings: folder.join(format!("entry-{index}.json")),
+        };
+        let stage = Self {
+            net,
+            platform,
+            book,
+            store,
+            store_proxies,
+            targets,
+            entries: (0..ENTRIES).map(slot).collect(),
+            offer: Mutex::new(offer),
+        };
+        stage.fill_store().await;
+        for entry in 0..ENTRIES {
+            stage.write_settings(entry)?;
+            stage.start_entry(entry).await?;
+        }
+        Ok(stage)
+    }
+
+    async fn fill_store(&self) {
+        let offer = self.offer.lock().await;
+        self.store.add(self.platform.offer(&offer));
+        for index in 0..self.targets.len() {
+            self.list(index, false);
+        }
+    }
+
+    fn write_settings(&self, entry: usize) -> Result<(), String> {
+        let others = (0..ENTRIES).filter(|other| *other != entry);
+        let place = EntryPlace {
+            name: format!("entry-{entry}"),
+            address: self.net.entry(entry),
+            callers: self.net.callers(entry),
+            ready: self.net.ready(entry),
+            metrics: self.net.metrics(entry),
+            peer_port: PEER_PORT,
+            seeds: others.map(|other| self.net.peer(other)).collect(),
+            store: self.net.store_for(entry),
+        };
+        let path = &self.entries[entry].settings;
+        std::fs::write(path, self.platform.settings(&place)).map_err(|error| format!("{}: {error}", path.display()))
+    }
+
+    /// Starts an entry's process.
+    pub(crate) async fn start_entry(&self, entry: usize) -> Result<(), String> {
+        let slot = &self.entries[entry];
+        let arguments = [slot.settings.display().to_string()];
+        let process = Process::start(self.platform.program(), &arguments, &slot.log)?;
+        slot.stopping.store(false, Ordering::SeqCst);
+        *slot.process.lock().await = Some(process);
+        Ok(())
+    }
+
+    /// Sends a signal to an entry's process, if it runs.
+    pub(crate) async fn signal(&self, entry: usize, signal: Signal) {
+        let process = self.entries[entry].process.lock().await;
+        let sent = process.as_ref().map(|process| process.signal(signal));
+        if let Some(Err(error)) = sent {
+            self.note(entry, format!("{signal} could not be sent: {error}"));
+        }
+    }
+
+    /// Ends an entry's process at once.
+    pub(crate) async fn kill(&self, entry: usize) {
+        if let Some(process) = self.entries[entry].process.lock().await.take() {
+            process.kill();
+        }
+    }
+
+    /// Asks an entry's process to end, and waits until it has.
+    pub(crate) async fn stop(&self, entry: usize) {
+        self.entries[entry].stopping.store(true, Ordering::SeqCst);
+        self.signal(entry, Signal::SIGTERM).await;
+        let asked = Instant::now();
+        while asked.elapsed() < GRACE {
+            if self.has_ended(entry).await {
+                self.kill(entry).await;
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        self.note(entry, format!("still there {} s after SIGTERM", GRACE.as_secs()));
+        self.kill(entry).await;
+    }
+
+    async fn has_ended(&self, entry: usize) -> bool {
+        let mut process = self.entries[entry].process.lock().await;
+        let Some(process) = process.as_mut() else { return true };
+        match process.exit_status() {
+            Some(status) if !status.success() => {
+                self.note(entry, format!("ended with {status} when asked to stop"));
+                true
+            }
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Notes processes that have ended by themselves, that hold too much, or whose log tells of a panic.
+    pub(crate) async fn look_at_processes(&self) {
+        for (index, slot) in self.entries.iter().enumerate() {
+            let mut process = slot.process.lock().await;
+            let Some(process) = process.as_mut() else { continue };
+            let asked = slot.stopping.load(Ordering::SeqCst);
+            if let Some(status) = process.exit_status().filter(|_| !asked) {
+                self.note(index, format!("ended by itself with {status}"));
+            }
+            let memory = resident_kb(process.id()).unwrap_or(0);
+            if memory > MEMORY_KB {
+                self.note(index, format!("holds {memory} kB"));
+            }
+        }
+    }
+
+    /// Notes panics that the logs tell of.
+    pub(crate) fn look_at_logs(&self) {
+        for (index, slot) in self.entries.iter().enumerate() {
+            match std::fs::read_to_string(&slot.log) {
+                Ok(text) if text.contains("panicked at") => self.note(index, "its log tells of a panic".to_owned()),
+                Ok(_) => {}
+                Err(error) => self.note(index, format!("its log cannot be read: {error}")),
+            }
+        }
+    }
+
+    /// Ends all processes.
+    pub(crate) async fn end(&self) {
+        for entry in 0..self.entries.len() {
+            self.kill(entry).await;
+        }
+    }
+
+    /// Lists target `index` in the store.
+    pub(crate) fn list(&self, index: usize, leaving: bool) {
+        let listed = Listed {
+            id: self.targets[index].target.incarnation(),
+            service: SERVICE,
+            address: self.net.listed(index),
+            leaving,
+        };
+        self.store.add(self.platform.listed(&listed));
+    }
+
+    /// Drops the entry of an incarnation.
+    pub(crate) fn unlist(&self, index: usize, id: String) {
+        let listed = Listed {
+            id,
+            service: SERVICE,
+            address: self.net.listed(index),
+            leaving: true,
+        };
+        let mut record = self.platform.listed(&listed);
+        record.value = None;
+        self.store.add(record);
+    }
+
+    /// Begins the next incarnation of target `index`.
+    pub(crate) async fn renew(&self, index: usize) {
+        let place = &self.targets[index];
+        let mut incarnations = place.incarnations.lock().await;
+        *incarnations += 1;
+        place.target.become_new(incarnation(index, *incarnations));
+    }
+
+    /// Takes a key away; tells whether it was there.
+    pub(crate) async fn revoke(&self, key: &str) -> bool {
+        let mut offer = self.offer.lock().await;
+        let before = offer.keys.len();
+        offer.keys.retain(|known| known != key);
+        if offer.keys.len() == before {
+            return false;
+        }
+        offer.version += 1;
+        self.store.add(self.platform.offer(&offer));
+        true
+    }
+
+    fn note(&self, entry: usize, what: String) {
+        self.book.open().incidents.push(Incident { entry, what });
+    }
+}
+
+fn incarnation(target: usize, number: u32) -> String {
+    format!("t{target}-{number}")
+}
+
+/// Resident memory of a process; none once it is gone.
+fn resident_kb(id: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/sparscale_soak/src/target.rs
@@ -0,0 +1,190 @@
+//! A stand-in of a target: runs requests, notes each run, and fails in several ways.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use sparscale_gateway::Dialect;
+
+use crate::ledger::{Book, Run};
+use crate::places::EVENTS;
+use crate::server::{self, Broken, Content};
+
+/// Shortest and longest time that a plain request runs.
+const RUN: std::ops::Range<u64> = 5..60;
+/// Time between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// Events after which a stream breaks off.
+const BROKEN_AFTER: u64 = 4;
+
+/// How a target behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mood {
+    /// It runs what it gets.
+    Well,
+    /// It runs, and answers 500.
+    Errors,
+    /// It runs nothing and says so.
+    Full,
+    /// It runs, and breaks its answers off.
+    BreaksOff,
+}
+
+/// One target; incarnations follow each other at its address.
+pub(crate) struct Target {
+    book: Arc<Book>,
+    dialect: Dialect,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    incarnation: String,
+    mood: Mood,
+}
+
+impl Target {
+    /// Starts it at `address`.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        incarnation: String,
+        dialect: Dialect,
+        book: Arc<Book>,
+    ) -> std::io::Result<Arc<Self>> {
+        let mood = Mood::Well;
+        let target = Arc::new(Self {
+            book,
+            dialect,
+            state: Mutex::new(State { incarnation, mood }),
+        });
+        let serving = Arc::clone(&target);
+        server::serve(address, move |request| {
+            let target = Arc::clone(&serving);
+            async move { target.answer(request).await }
+        })
+        .await?;
+        Ok(target)
+    }
+
+    pub(crate) fn set_mood(&self, mood: Mood) {
+        self.state().mood = mood;
+    }
+
+    /// The next incarnation begins.
+    pub(crate) fn become_new(&self, incarnation: String) {
+        self.state().incarnation = incarnation;
+    }
+
+    /// Name of the incarnation that runs.
+    pub(crate) fn incarnation(&self) -> String {
+        self.state().incarnation.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Content> {
+        let state = self.state().clone();
+        let (head, body) = request.into_parts();
+        let id = text(&head.headers, &self.dialect.request_id);
+        // A request that is not whole is not run.
+        let Ok(body) = body.collect().await else {
+            return self.refusal(StatusCode::BAD_REQUEST, &id);
+        };
+        if text(&head.headers, &self.dialect.expected_target) != state.incarnation {
+            return self.refusal(StatusCode::MISDIRECTED_REQUEST, &id);
+        }
+        if state.mood == Mood::Full {
+            return self.refusal(StatusCode::SERVICE_UNAVAILABLE, &id);
+        }
+        self.book.open().runs.push(Run {
+            request: id.clone(),
+            target: state.incarnation.clone(),
+            workspace: text(&head.headers, &self.dialect.workspace),
+            at: Instant::now(),
+        });
+        let after = text(&head.headers, &HeaderName::from_static("last-event-id"));
+        let content = match head.uri.path().split('/').nth(1) {
+            Some("stream" | "resume") => stream(after.parse().unwrap_or(0), state.mood),
+            _ => plain(&id, &body.to_bytes(), state.mood).await,
+        };
+        let status = match state.mood {
+            Mood::Errors => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        let mut answer = self.head(status, &id, content);
+        insert(&mut answer, &self.dialect.digest, &state.incarnation);
+        answer
+    }
+
+    fn refusal(&self, status: StatusCode, id: &str) -> Response<Content> {
+        let mut answer = self.head(status, id, whole(Bytes::new()));
+        insert(&mut answer, &self.dialect.not_run, "1");
+        answer
+    }
+
+    fn head(&self, status: StatusCode, id: &str, content: Content) -> Response<Content> {
+        let mut answer = Response::new(content);
+        *answer.status_mut() = status;
+        insert(&mut answer, &self.dialect.request_id, id);
+        answer
+    }
+}
+
+/// Content of a plain answer: the id and the body of its request.
+pub(crate) fn expected(id: &str, body: &str) -> String {
+    format!("{id} {body}")
+}
+
+/// One event of a stream.
+pub(crate) fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+async fn plain(id: &str, body: &[u8], mood: Mood) -> Content {
+    let time = rand::random_range(RUN);
+    tokio::time::sleep(Duration::from_millis(time)).await;
+    let text = expected(id, &String::from_utf8_lossy(body));
+    if mood != Mood::BreaksOff {
+        return whole(Bytes::from(text));
+    }
+    let half = text.len() / 2;
+    let pieces = [Ok(Frame::data(Bytes::from(text[..half].to_owned()))), Err(Broken)];
+    StreamBody::new(futures::stream::iter(pieces)).boxed_unsync()
+}
+
+fn stream(after: u64, mood: Mood) -> Content {
+    let pieces = futures::stream::iter(after + 1..=EVENTS).then(move |id| async move {
+        tokio::time::sleep(EVENT_PAUSE).await;
+        if mood == Mood::BreaksOff && id > BROKEN_AFTER {
+            return Err(Broken);
+        }
+        Ok(Frame::data(Bytes::from(event(id))))
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+fn whole(bytes: Bytes) -> Content {
+    Full::new(bytes)
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// A value that cannot stand in a header is left out; checks then miss it.
+fn insert(answer: &mut Response<Content>, name: &HeaderName, value: &str) {
+    if let Ok(value) = value.parse() {
+        answer.headers_mut().insert(name.clone(), value);
+    }
+}
