Soak: streams are streams, and a budget that a round can exceed

Cause: targets of the soak sent events without their media type, so entries collected them whole (read in attempt.rs); and the sheets' slack of 88 further sends is more than a round's requests spend, so the check could not fail. Change: the media type; one record of bounds for settings and checks, with 0.05 and 10 for the budget. Conclusion: the streams' path is in the soak now.

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -7,23 +7,15 @@
 use crate::fault::Fault;
 use crate::ledger::{Acknowledged, Answer, Attempt, Change, Ledger, Outcome, Run, Trouble};
 use crate::places::{DEADLINE, EVENTS};
-use crate::platform::RouteKind;
+use crate::platform::{BOUNDS, RouteKind};
 use crate::target;
 
-/// Time after the acknowledgement of a revocation after which the key runs nowhere (the users' `revoke_ms`).
-const REVOKED: Duration = Duration::from_secs(5);
-/// Time after which a leaving target gets nothing new (the users' `drain_ms`).
-const LEFT: Duration = Duration::from_secs(2);
 /// Time without trouble after which an entry and the store count as in touch (the users' `contact_ms`).
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time that a request may be on its way through a slow link.
 const ON_THE_WAY: Duration = Duration::from_millis(400);
 /// Time beyond its deadline in which a final answer has to have come: some for a busy machine.
 const LATE: Duration = Duration::from_secs(1);
-/// Share of the requests that may be sent once more, and how many in any case, in any window.
-const BUDGET_RATIO: f64 = 0.2;
-const BUDGET_SLACK: f64 = 88.0;
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
 /// A broken promise.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -170,7 +162,8 @@
 fn sent_to_leaving(attempt: &Attempt, runs: &[&Run], ledger: &Ledger) -> Option<String> {
     let run = runs.iter().find(|run| {
         ledger.acknowledged.iter().any(|acknowledged| {
-            acknowledged.what == Change::Leaving(run.target.clone()) && run.at > acknowledged.at + LEFT + ON_THE_WAY
+            acknowledged.what == Change::Leaving(run.target.clone())
+                && run.at > acknowledged.at + BOUNDS.left + ON_THE_WAY
         })
     })?;
     let out_of_touch = ledger.troubles.iter().any(|trouble| {
@@ -179,7 +172,7 @@
             Fault::StoreBusy | Fault::StoreSilent | Fault::StoreLapse | Fault::StoreLink { .. }
         );
         let own = entry_of(trouble.fault) == Some(attempt.entry);
-        (store || own) && overlaps(trouble, run.at, run.at, CONTACT + LEFT)
+        (store || own) && overlaps(trouble, run.at, run.at, CONTACT + BOUNDS.left)
     });
     (!out_of_touch).then(|| format!("ran on {} which had left", run.target))
 }
@@ -191,7 +184,7 @@
         Change::Leaving(_) => None,
     });
     let broken = revoked.flat_map(|(key, at)| {
-        let late = move |run: &&Run| run.workspace == *key && run.at > at + REVOKED + ON_THE_WAY;
+        let late = move |run: &&Run| run.workspace == *key && run.at > at + BOUNDS.revoked + ON_THE_WAY;
         ledger.runs.iter().filter(late).map(move |run| Violation {
             promise: "revocation",
             what: format!(
@@ -211,12 +204,14 @@
     let further = runs.values().flat_map(|runs| runs.iter().skip(1));
     let further: Vec<Instant> = further.map(|run| run.at).collect();
     let within = |times: &[Instant], from: Instant| {
-        let inside = times.iter().filter(|at| **at >= from && **at < from + BUDGET_WINDOW);
+        let inside = times
+            .iter()
+            .filter(|at| **at >= from && **at < from + BOUNDS.budget_window);
         inside.count() as f64
     };
     further.iter().find_map(|from| {
         let (spent, requests) = (within(&further, *from), within(&firsts, *from));
-        (spent > requests * BUDGET_RATIO + BUDGET_SLACK).then(|| Violation {
+        (spent > requests * BOUNDS.budget_ratio + BOUNDS.budget_slack).then(|| Violation {
             promise: "budget",
             what: format!("{spent} further runs beside {requests} requests"),
         })
--- a/crates/sparscale_soak/src/platform.rs
+++ b/crates/sparscale_soak/src/platform.rs
@@ -1,6 +1,7 @@
 //! What the soak asks of a platform, whose wire it does not know.
 
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -9,6 +10,37 @@
 
 use crate::records::{Record, Records};
 
+/// What the platform holds the system to, for settings files and for the checks.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Time after the acknowledgement of a revocation after which the key runs nowhere.
+    pub revoked: Duration,
+    /// Time after which a leaving target gets nothing new.
+    pub left: Duration,
+    /// Time in which a new configuration is in force.
+    pub applied: Duration,
+    /// Time that an entry has to end after it was asked to.
+    pub grace: Duration,
+    /// Further sends for each request.
+    pub budget_ratio: f64,
+    /// Further sends in any case, in each window.
+    pub budget_slack: f64,
+    /// The window of that budget.
+    pub budget_window: Duration,
+}
+
+/// Times are those of both of the users' sheets. The budget is far below theirs, so that the few requests of a round
+/// can exceed it.
+pub const BOUNDS: Bounds = Bounds {
+    revoked: Duration::from_secs(5),
+    left: Duration::from_secs(2),
+    applied: Duration::from_secs(2),
+    grace: Duration::from_secs(8),
+    budget_ratio: 0.05,
+    budget_slack: 10.0,
+    budget_window: Duration::from_secs(10),
+};
+
 /// Where one entry runs.
 #[derive(Debug, Clone)]
 pub struct EntryPlace {
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -11,13 +11,13 @@
 
 use crate::ledger::{Book, Incident};
 use crate::places::{ENTRIES, HOST, KEYS, Net, PEER_PORT, ROUTES, SERVICE, TARGETS};
-use crate::platform::{EntryPlace, Listed, Offer, Platform};
+use crate::platform::{BOUNDS, EntryPlace, Listed, Offer, Platform};
 use crate::proxy::Proxy;
 use crate::store::Store;
 use crate::target::Target;
 
-/// Time in which a process has to end after it was asked to, as its settings say, and some for a busy machine.
-const GRACE: Duration = Duration::from_secs(10);
+/// Time beyond its grace in which a process has to have ended: some for a busy machine.
+const LATE: Duration = Duration::from_secs(2);
 /// Pause between two looks at a process.
 const LOOK: Duration = Duration::from_millis(20);
 /// Most memory that an entry may hold, in kilobytes: several times what it has at rest.
@@ -161,14 +161,17 @@
         self.entries[entry].stopping.store(true, Ordering::SeqCst);
         self.signal(entry, Signal::SIGTERM).await;
         let asked = Instant::now();
-        while asked.elapsed() < GRACE {
+        while asked.elapsed() < BOUNDS.grace + LATE {
             if self.has_ended(entry).await {
                 self.kill(entry).await;
                 return;
             }
             tokio::time::sleep(LOOK).await;
         }
-        self.note(entry, format!("still there {} s after SIGTERM", GRACE.as_secs()));
+        self.note(
+            entry,
+            format!("still there {} s after SIGTERM", asked.elapsed().as_secs()),
+        );
         self.kill(entry).await;
     }
 
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt as _;
+use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -111,9 +112,11 @@
             at: Instant::now(),
         });
         let after = text(&head.headers, &HeaderName::from_static("last-event-id"));
-        let content = match head.uri.path().split('/').nth(1) {
-            Some("stream" | "resume") => stream(after.parse().unwrap_or(0), state.mood),
-            _ => plain(&id, &body.to_bytes(), state.mood).await,
+        let streams = matches!(head.uri.path().split('/').nth(1), Some("stream" | "resume"));
+        let content = if streams {
+            stream(after.parse().unwrap_or(0), state.mood)
+        } else {
+            plain(&id, &body.to_bytes(), state.mood).await
         };
         let status = match state.mood {
             Mood::Errors => StatusCode::INTERNAL_SERVER_ERROR,
@@ -121,6 +124,9 @@
         };
         let mut answer = self.head(status, &id, content);
         insert(&mut answer, &self.dialect.digest, &state.incarnation);
+        if streams {
+            insert(&mut answer, &CONTENT_TYPE, "text/event-stream");
+        }
         answer
     }
 
