Soak: keys that are taken away unseen, and a budget that binds

Change: RevokeUnseen; budget 3 and 0.02; faults of the whole store and of one way to it exclude each other.

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -169,7 +169,11 @@
     let out_of_touch = ledger.troubles.iter().any(|trouble| {
         let store = matches!(
             trouble.fault,
-            Fault::StoreBusy | Fault::StoreSilent | Fault::StoreLapse | Fault::StoreLink { .. }
+            Fault::StoreBusy
+                | Fault::StoreSilent
+                | Fault::StoreLapse
+                | Fault::StoreLink { .. }
+                | Fault::RevokeUnseen { .. }
         );
         let own = entry_of(trouble.fault) == Some(attempt.entry);
         (store || own) && overlaps(trouble, run.at, run.at, CONTACT + BOUNDS.left)
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -7,6 +7,7 @@
 
 use crate::fault::{Fault, Planned};
 use crate::ledger::{Change, Trouble};
+use crate::platform::BOUNDS;
 use crate::proxy::Link;
 use crate::stage::Stage;
 use crate::target::Mood;
@@ -75,15 +76,21 @@
         }
         Fault::Leave { target } => leave(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
-        Fault::Revoke { key } => {
-            let key = format!("key-{key}");
-            if stage.revoke(&key).await {
-                stage.book.acknowledge(Change::Revoked(key));
-            }
+        Fault::Revoke { key } => revoke(stage, key).await,
+        Fault::RevokeUnseen { key } => {
+            let unseen = silence_store(stage, BOUNDS.revoked + lasts);
+            tokio::join!(unseen, revoke(stage, key));
         }
     }
 }
 
+async fn revoke(stage: &Stage, key: usize) {
+    let key = format!("key-{key}");
+    if stage.revoke(&key).await {
+        stage.book.acknowledge(Change::Revoked(key));
+    }
+}
+
 async fn restart(stage: &Stage, entry: usize) {
     if let Err(what) = stage.start_entry(entry).await {
         stage
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -38,6 +38,8 @@
     Die { target: usize },
     /// A key is taken away; the first key stays.
     Revoke { key: usize },
+    /// The same while no entry reaches the store, for longer than a key may be believed in.
+    RevokeUnseen { key: usize },
 }
 
 /// A fault and when it comes.
@@ -61,7 +63,7 @@
     fn draw(random: &mut ChaCha8Rng) -> Self {
         let entry = random.random_range(0..ENTRIES);
         let target = random.random_range(0..TARGETS);
-        match random.random_range(0..14) {
+        match random.random_range(0..15) {
             0 => Self::StoreBusy,
             1 => Self::StoreSilent,
             2 => Self::StoreLapse,
@@ -83,7 +85,10 @@
             },
             11 => Self::Leave { target },
             12 => Self::Die { target },
-            _ => Self::Revoke {
+            13 => Self::Revoke {
+                key: random.random_range(1..KEYS),
+            },
+            _ => Self::RevokeUnseen {
                 key: random.random_range(1..KEYS),
             },
         }
@@ -92,7 +97,7 @@
     /// What it takes hold of; two faults do not hold the same thing at once.
     pub(crate) fn holds(self) -> Hold {
         match self {
-            Self::StoreBusy | Self::StoreSilent => Hold::Store,
+            Self::StoreBusy | Self::StoreSilent | Self::RevokeUnseen { .. } => Hold::Store,
             Self::StoreLapse => Hold::StoreAndTargets,
             Self::StoreLink { entry, .. } => Hold::StoreLink(entry),
             Self::Kill { entry } | Self::Freeze { entry } | Self::Stop { entry } | Self::HangUp { entry } => {
@@ -123,7 +128,9 @@
     pub(crate) fn excludes(self, other: Self) -> bool {
         match (self, other) {
             (Self::StoreAndTargets, Self::Store | Self::StoreAndTargets | Self::Target(_))
-            | (Self::Store | Self::Target(_), Self::StoreAndTargets) => true,
+            | (Self::Store | Self::Target(_), Self::StoreAndTargets)
+            | (Self::Store, Self::StoreLink(_))
+            | (Self::StoreLink(_), Self::Store) => true,
             _ => self == other,
         }
     }
--- a/crates/sparscale_soak/src/platform.rs
+++ b/crates/sparscale_soak/src/platform.rs
@@ -36,8 +36,8 @@
     left: Duration::from_secs(2),
     applied: Duration::from_secs(2),
     grace: Duration::from_secs(8),
-    budget_ratio: 0.05,
-    budget_slack: 10.0,
+    budget_ratio: 0.02,
+    budget_slack: 3.0,
     budget_window: Duration::from_secs(10),
 };
 
