--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -8,9 +8,8 @@
 use sparscale_belief::{Board, Pace, ReadFigures, Source, read_catalog, read_roster};
 use sparscale_catalog::{Catalog, Roster};
 use sparscale_mesh::Mesh;
-use sparscale_telemetry::{DECISION, Registry};
+use sparscale_telemetry::{DECISION, Registry, wait_for_stop};
 use sparscale_wire::{Endpoint, EndpointError, FEW_STREAMS, Identity, Role};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::claims::Claims;
 use crate::duty;
@@ -81,9 +80,9 @@
 }
 
 /// Runs an agent until SIGTERM.
-pub async fn run(settings: Settings, parts: Parts) -> Result<(), Error> {
+pub async fn run(settings: Settings, parts: Parts, reload: impl FnMut()) -> Result<(), Error> {
     start(&settings, parts)?;
-    wait_for_stop().await?;
+    wait_for_stop(reload).await.context(SignalSnafu)?;
     log::info!(target: DECISION, decision = "stopped"; "stopped");
     Ok(())
 }
@@ -127,16 +126,3 @@
     log::info!(target: DECISION, decision = "start", name = settings.name.as_str(), address = settings.address.to_string().as_str(); "agent started");
     Ok(())
 }
-
-async fn wait_for_stop() -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
-    let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!(target: DECISION, decision = "reload"; "settings may have changed"),
-        }
-    }
-}
--- a/crates/sparscale_control/src/process.rs
+++ b/crates/sparscale_control/src/process.rs
@@ -12,7 +12,6 @@
 use sparscale_settings::Problem;
 use sparscale_telemetry::{ALARM, Metrics};
 use sparscale_wire::{Endpoint, EndpointError, Files, Identity};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::boxes::{HttpBoxes, Listing, watch_boxes};
@@ -213,16 +212,7 @@
 
 /// Waits for SIGTERM or SIGINT; SIGHUP reads the certificates again without closing connections.
 pub async fn wait_for_stop(endpoint: &Endpoint) -> Result<(), std::io::Error> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(endpoint),
-        }
-    }
+    sparscale_telemetry::wait_for_stop(|| reload(endpoint)).await
 }
 
 fn reload(endpoint: &Endpoint) {
--- a/crates/sparscale_gateway/src/program.rs
+++ b/crates/sparscale_gateway/src/program.rs
@@ -7,9 +7,8 @@
 use snafu::{ResultExt as _, Snafu};
 use sparscale_belief::Source;
 use sparscale_catalog::{Catalog, Roster};
-use sparscale_telemetry::{DECISION, Registry};
+use sparscale_telemetry::{Registry, wait_for_stop};
 use sparscale_wire::EndpointError;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::admission::Freshness;
 use crate::budget::Allowance;
@@ -100,22 +99,9 @@
 }
 
 /// Runs a gateway until SIGTERM, then finishes what is in progress.
-pub async fn run(settings: Settings, parts: Parts) -> Result<(), Error> {
+pub async fn run(settings: Settings, parts: Parts, reload: impl FnMut()) -> Result<(), Error> {
     let entry = Entry::start(settings, parts).await?;
-    wait_for_stop().await?;
+    wait_for_stop(reload).await.context(SignalSnafu)?;
     entry.stop().await;
     Ok(())
 }
-
-async fn wait_for_stop() -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
-    let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!(target: DECISION, decision = "reload"; "settings may have changed"),
-        }
-    }
-}
--- a/crates/sparscale_settings/src/lib.rs
+++ b/crates/sparscale_settings/src/lib.rs
@@ -4,8 +4,10 @@
 //! problems of a file are reported together, so that one run of `settings check` is enough to mend it.
 
 mod problem;
+mod watched;
 
 pub use problem::{Problem, Problems};
+pub use watched::{Change, Watched};
 
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/crates/sparscale_settings/tests/settings_errors.rs
+++ b/crates/sparscale_settings/tests/settings_errors.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
-use sparscale_settings::{Check, Problem, parse};
+use sparscale_settings::{Change, Check, Problem, Watched, parse};
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,3 +72,23 @@
     let text = "{\n  // name and limit\n  name: 'http://x', limit: 0, // the limit\n}";
     assert_eq!(message(text), "box.json:3: limit: is 0; use 1 or more");
 }
+
+/// A file that changes while its process runs: what the next start would make of it.
+#[test]
+fn looked_at_again() {
+    let path = std::env::temp_dir().join(format!("sparscale-watched-{}.json", std::process::id()));
+    let write = |text: &str| std::fs::write(&path, text).expect("a file");
+    write("{\"name\": \"a\", \"limit\": 1}");
+    let (name, file) = Watched::<Raw>::read(&path).expect("good settings");
+    assert_eq!(name, "a");
+    assert!(matches!(file.look_again(), Change::Same));
+    write("{\"name\": \"b\", \"limit\": 1}");
+    assert!(matches!(file.look_again(), Change::Other));
+    write("{\"name\": \"b\", \"limit\": 0}");
+    let Change::Unusable(error) = file.look_again() else {
+        panic!("a limit of 0 was taken")
+    };
+    assert!(error.to_string().contains("use 1 or more"), "{error}");
+    std::fs::remove_file(&path).expect("the file");
+    assert!(matches!(file.look_again(), Change::Unusable(_)));
+}
--- a/crates/sparscale_telemetry/src/lib.rs
+++ b/crates/sparscale_telemetry/src/lib.rs
@@ -7,12 +7,14 @@
 mod main_run;
 mod metrics;
 mod registry;
+mod stop;
 mod writer;
 
 pub use exposition::expose;
 pub use main_run::run_logged;
 pub use metrics::Metrics;
 pub use registry::{Counter, Gauge, Histogram, Registry};
+pub use stop::wait_for_stop;
 pub use writer::Flush;
 
 use logforth::record::{Level, LevelFilter};
