Mesh: loads go over a link once, and entries are told when there is news

Cause: whenever loads of any group changed, an entry sent the loads of its own groups again over all its links, also those that had not changed; and each message named all live entries. Ruled out: sparser links and a tree (the next step; needs liveness over several hops); longer intervals (ages are told in them). Change: a link notes the order of the loads that it sent; entries are told when they changed, or after 16 messages. Conclusion: the square stays in the number of links; what each carries is no longer multiplied.

--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -9,4 +9,4 @@
 mod mesh;
 
 pub use clock::Clock;
-pub use mesh::{Line, Mesh, Settings};
+pub use mesh::{Line, Mesh, Settings, Traffic};
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -1,5 +1,6 @@
 //! One link: a stream over which two processes tell each other what they believe.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,7 +9,7 @@
 use sparscale_belief::Belief;
 use sparscale_catalog::{Catalog, Document, Roster};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Channel, Exchange, Frame, Known, Receiver, Role, Sender};
+use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, Receiver, Role, Sender};
 use tokio::time::Instant;
 
 use crate::clock::{Clock, millis};
@@ -18,6 +19,12 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// A link on which nothing was heard for this many intervals is given up.
 const SILENT_INTERVALS: u32 = 8;
+/// Messages on a link after which the entries are told again without news of them: about five seconds' worth, which is
+/// well inside the time after which a silent entry is forgotten.
+const MESSAGES_WITHOUT_ENTRIES: u32 = 16;
+
+/// Place of one message about a group's loads among all of them.
+type LoadOrder = (u64, u64);
 
 /// One side of a link.
 pub(crate) struct Link {
@@ -34,6 +41,11 @@
     /// Whether to ask the other side for its catalog.
     wants_catalog: bool,
     sent_roster: Option<Arc<Roster>>,
+    /// Order of the loads of each group that the other side was told last.
+    sent_loads: BTreeMap<String, LoadOrder>,
+    sent_entries: Vec<SocketAddr>,
+    /// Messages since the entries were told.
+    since_entries: u32,
     pending_catalog: Option<Arc<Catalog>>,
     pending_roster: Option<Arc<Roster>>,
 }
@@ -50,6 +62,9 @@
             owes_catalog: false,
             wants_catalog: false,
             sent_roster: None,
+            sent_loads: BTreeMap::new(),
+            sent_entries: Vec::new(),
+            since_entries: 0,
             pending_catalog: None,
             pending_roster: None,
         }
@@ -129,11 +144,24 @@
             catalog: catalog.as_ref().map(|belief| known(belief, now)),
             wants_catalog: std::mem::take(&mut self.wants_catalog),
             roster: roster.as_ref().map(|belief| known(belief, now)),
-            entries: self.mesh.live_entries(),
+            entries: self.news_of_entries(),
         };
         send(sender, &Frame::Exchange(exchange)).await
     }
 
+    /// Live entries if there is news of them, or nobody was told for a while: the other side forgets whom it does not
+    /// reach, and learns of them again only here. Else nothing.
+    fn news_of_entries(&mut self) -> Vec<SocketAddr> {
+        let entries = self.mesh.live_entries();
+        self.since_entries += 1;
+        if entries == self.sent_entries && self.since_entries < MESSAGES_WITHOUT_ENTRIES {
+            return Vec::new();
+        }
+        self.since_entries = 0;
+        self.sent_entries.clone_from(&entries);
+        entries
+    }
+
     /// The value goes only to a peer that has an older one, and once; to an entry only if it asks for it. All entries
     /// hear of a new catalog from all others, and a catalog with many routes is long: if each sent it to each, their
     /// links would be full of it, and answers late.
@@ -165,7 +193,7 @@
         send(sender, &Frame::Roster(belief.value.as_ref().clone())).await
     }
 
-    /// Loads go from a conductor's agent to its entry, and from that entry to the others.
+    /// Loads go from a conductor's agent to its entry, and from that entry to the others, each once.
     async fn tell_groups(&mut self, sender: &mut Sender) -> Option<()> {
         if self.role != Role::Entry {
             return Some(());
@@ -173,9 +201,11 @@
         let direct: Vec<_> = {
             let groups = self.mesh.groups.borrow();
             let direct = groups.values().filter(|told| told.direct);
-            direct.map(|told| Arc::clone(&told.load)).collect()
+            let new = direct.filter(|told| self.sent_loads.get(&told.load.group) < Some(&told.load.order));
+            new.map(|told| Arc::clone(&told.load)).collect()
         };
         for load in direct {
+            self.sent_loads.insert(load.group.clone(), load.order);
             send(sender, &Frame::Group(load.as_ref().clone())).await?;
         }
         Some(())
@@ -186,13 +216,18 @@
             Frame::Exchange(exchange) => self.exchange(&exchange),
             Frame::Catalog(document) => self.take_catalog(*document),
             Frame::Roster(roster) => self.pending_roster = Some(Arc::new(roster)),
-            Frame::Group(load) => self.mesh.offer_group(load, self.role == Role::Agent),
+            Frame::Group(load) => self.take_group(load),
             _ => log::warn!("a frame that has no place on a link was left out"),
         }
     }
 
+    fn take_group(&mut self, load: GroupLoad) {
+        self.mesh.heard.loads.fetch_add(1, Ordering::Relaxed);
+        self.mesh.offer_group(load, self.role == Role::Agent);
+    }
+
     fn take_catalog(&mut self, document: Document) {
-        self.mesh.catalogs_heard.fetch_add(1, Ordering::Relaxed);
+        self.mesh.heard.catalogs.fetch_add(1, Ordering::Relaxed);
         match Catalog::try_from(document) {
             Ok(catalog) => self.pending_catalog = Some(Arc::new(catalog)),
             Err(error) => {
@@ -209,6 +244,8 @@
             if self.peer.is_none() {
                 self.mesh.count_link(exchange.sender, 1);
             }
+            let addresses = exchange.entries.len() as u64;
+            self.mesh.heard.addresses.fetch_add(addresses, Ordering::Relaxed);
             self.mesh.learn(&exchange.entries);
         }
         self.peer = Some(exchange.sender);
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -62,6 +62,25 @@
     met: Instant,
 }
 
+/// Counts of what other processes sent.
+#[derive(Debug, Default)]
+pub(crate) struct Heard {
+    pub(crate) catalogs: AtomicU64,
+    pub(crate) loads: AtomicU64,
+    pub(crate) addresses: AtomicU64,
+}
+
+/// What other processes sent to one, since its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Traffic {
+    /// Whole catalogs.
+    pub catalogs: u64,
+    /// Loads of a group.
+    pub loads: u64,
+    /// Addresses of entries.
+    pub addresses: u64,
+}
+
 /// This process among the others.
 #[derive(Debug)]
 pub struct Mesh {
@@ -73,8 +92,7 @@
     line: watch::Sender<Line>,
     /// Version that an entry was asked for last, and when.
     asked: Mutex<Option<(u64, Instant)>>,
-    /// Catalogs that other processes sent.
-    pub(crate) catalogs_heard: AtomicU64,
+    pub(crate) heard: Heard,
     /// Latest loads of each group, and whether its conductor told them to this process itself.
     pub(crate) groups: watch::Sender<BTreeMap<String, Told>>,
 }
@@ -97,7 +115,7 @@
             entries: Mutex::default(),
             line: watch::Sender::new(Line { place: 0, entries: 1 }),
             asked: Mutex::default(),
-            catalogs_heard: AtomicU64::new(0),
+            heard: Heard::default(),
             groups: watch::Sender::new(BTreeMap::new()),
             settings,
         };
@@ -105,9 +123,13 @@
         Arc::new(mesh)
     }
 
-    /// Catalogs that other processes sent to this one.
-    pub fn catalogs_heard(&self) -> u64 {
-        self.catalogs_heard.load(Ordering::Relaxed)
+    /// What other processes sent to this one.
+    pub fn traffic(&self) -> Traffic {
+        Traffic {
+            catalogs: self.heard.catalogs.load(Ordering::Relaxed),
+            loads: self.heard.loads.load(Ordering::Relaxed),
+            addresses: self.heard.addresses.load(Ordering::Relaxed),
+        }
     }
 
     /// This entry's place among the live ones.
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -43,8 +43,12 @@
 }
 
 fn group(message: u64) -> GroupLoad {
+    load_of("g", message)
+}
+
+fn load_of(group: &str, message: u64) -> GroupLoad {
     GroupLoad {
-        group: "g".to_owned(),
+        group: group.to_owned(),
         order: (1, message),
         open: true,
         skew: 1.0,
@@ -98,11 +102,58 @@
         // What is still on its way arrives.
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    let heard: u64 = others.iter().map(|other| other.mesh.catalogs_heard()).sum();
+    let heard: u64 = others.iter().map(|other| other.mesh.traffic().catalogs).sum();
     // Each once, and as many again if some did not come at once.
     assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} catalogs for {OTHERS} entries");
 }
 
+/// An entry's own loads go out when they are new, not whenever another entry's are.
+#[tokio::test]
+async fn loads_sent_once() {
+    const NEWS: u64 = 40;
+    let first = process(Role::Entry, &[]);
+    let second = process(Role::Entry, &[first.address]);
+    let third = process(Role::Entry, &[first.address]);
+    for entry in [&first, &second, &third] {
+        let mut line = entry.mesh.line();
+        drop(line.wait_for(|line| line.entries == 3).await.expect("a mesh"));
+    }
+    first.mesh.offer_group(load_of("g", 1), true);
+    let mut news = third.mesh.group_news();
+    for message in 1..=NEWS {
+        second.mesh.offer_group(load_of("h", message), true);
+        while third.mesh.group("h").is_none_or(|load| load.order.1 < message) {
+            assert!(news.next().await);
+        }
+        // What the first entry says on hearing it arrives.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let heard = third.mesh.traffic().loads;
+    // Some more, if a link was dialled from both sides.
+    assert!(heard <= NEWS + NEWS / 4, "{heard} messages about {} loads", NEWS + 1);
+    assert!(third.mesh.group("g").is_some());
+}
+
+/// Who else there is is told when it changes, and seldom otherwise.
+#[tokio::test]
+async fn addresses_seldom() {
+    const OTHERS: usize = 6;
+    let first = process(Role::Entry, &[]);
+    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
+    for other in &others {
+        let mut line = other.mesh.line();
+        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
+        drop(all.expect("a mesh"));
+    }
+    // Links that were dialled from both sides end.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = first.mesh.traffic().addresses;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let heard = first.mesh.traffic().addresses - before;
+    // 40 messages from each; all of them with all addresses would be 1,680.
+    assert!(heard <= 400, "{heard} addresses without news");
+}
+
 /// An agent's catalog has no routes. An entry that took it over would answer 404 to everyone.
 #[tokio::test]
 async fn agent_keeps_catalog() {
