Mesh: rosters are asked for, and known by a digest

Cause: after each change of the roster every entry sent the whole of it to every other one that had not told a later position yet: all to all. At 1,300 targets one is some 130 KB (worked out), at 400 entries that is 400 x 400 of them for each target that comes or goes. Ruled out: asking by position alone, as for catalogs (heartbeats move the position all the time; each would ask for the same roster again); changes instead of whole rosters (the next step, if one transfer each is too much). Change: messages carry a digest of the roster. One that is known is taken as it is with the new position; another one is asked for, once in 400 ms. Agents are still told without asking. After: at most 60 (belief_exchange::rosters_asked_once); the same roster at five positions goes once (same_roster_stays). Conclusion: one transfer an entry and change.

--- a/crates/sparscale_catalog/src/roster.rs
+++ b/crates/sparscale_catalog/src/roster.rs
@@ -1,11 +1,12 @@
 //! The targets that are there now.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 /// Whether a target takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// It takes work.
     Ready,
@@ -14,7 +15,7 @@
 }
 
 /// A target's place in a group of ranks.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Membership {
     /// Name of the group.
     pub group: String,
@@ -27,7 +28,7 @@
 }
 
 /// One incarnation of one target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Target {
     /// Name of this incarnation, never used twice.
     pub id: String,
@@ -46,17 +47,46 @@
 }
 
 /// All targets, as one reading of the platform's list gave them.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Target>", into = "Vec<Target>")]
 pub struct Roster {
     /// Targets, ordered by id.
     pub targets: Vec<Target>,
+    digest: u64,
+}
+
+impl Default for Roster {
+    fn default() -> Self {
+        Self::new(Vec::new())
+    }
+}
+
+impl From<Vec<Target>> for Roster {
+    fn from(targets: Vec<Target>) -> Self {
+        Self::new(targets)
+    }
+}
+
+impl From<Roster> for Vec<Target> {
+    fn from(roster: Roster) -> Self {
+        roster.targets
+    }
 }
 
 impl Roster {
     /// A roster of `targets`, put into order.
     pub fn new(mut targets: Vec<Target>) -> Self {
         targets.sort_by(|left, right| left.id.cmp(&right.id));
-        Self { targets }
+        let mut hasher = DefaultHasher::new();
+        targets.hash(&mut hasher);
+        let digest = hasher.finish();
+        Self { targets, digest }
+    }
+
+    /// A digest of all of it: processes tell each other by it whether they have the same roster. Programs of different
+    /// builds may differ in it; they then send more than they need to.
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// The target with this id.
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -9,7 +9,7 @@
 use sparscale_belief::Belief;
 use sparscale_catalog::{Catalog, Document, Roster};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, Receiver, Role, Sender};
+use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, KnownRoster, Receiver, Role, Sender};
 use tokio::time::Instant;
 
 use crate::clock::{Clock, millis};
@@ -26,6 +26,19 @@
 /// Place of one message about a group's loads among all of them.
 type LoadOrder = (u64, u64);
 
+/// Values that one side asks the other for.
+#[derive(Debug, Default)]
+struct Request {
+    catalog: bool,
+    roster: bool,
+}
+
+impl Request {
+    fn is_any(&self) -> bool {
+        self.catalog || self.roster
+    }
+}
+
 /// One side of a link.
 pub(crate) struct Link {
     mesh: Arc<Mesh>,
@@ -36,11 +49,12 @@
     peer: Option<SocketAddr>,
     their_catalog: u64,
     their_roster: u64,
-    /// Whether the other side asked for the catalog.
-    owes_catalog: bool,
-    /// Whether to ask the other side for its catalog.
-    wants_catalog: bool,
-    sent_roster: Option<Arc<Roster>>,
+    /// What the other side asked for.
+    owes: Request,
+    /// What to ask the other side for.
+    wants: Request,
+    /// Digest of the roster that the other side was sent last.
+    sent_roster: Option<u64>,
     /// Order of the loads of each group that the other side was told last.
     sent_loads: BTreeMap<String, LoadOrder>,
     sent_entries: Vec<SocketAddr>,
@@ -59,8 +73,8 @@
             peer: None,
             their_catalog: 0,
             their_roster: 0,
-            owes_catalog: false,
-            wants_catalog: false,
+            owes: Request::default(),
+            wants: Request::default(),
             sent_roster: None,
             sent_loads: BTreeMap::new(),
             sent_entries: Vec::new(),
@@ -110,7 +124,7 @@
                         self.take_in(frame);
                         // The first answer goes at once, so that ages can be told after one round trip.
                         let first = first && self.peer.is_some();
-                        if first || self.owes_catalog || self.wants_catalog {
+                        if first || self.has_request() {
                             self.tell(sender).await
                         } else {
                             Some(())
@@ -126,6 +140,11 @@
         }
     }
 
+    /// Whether either side waits for something that only the other one has.
+    fn has_request(&self) -> bool {
+        self.owes.is_any() || self.wants.is_any()
+    }
+
     /// Sends what this process believes; none if the other side is gone.
     async fn tell(&mut self, sender: &mut Sender) -> Option<()> {
         let now = Instant::now();
@@ -142,8 +161,12 @@
             stamp_ms: self.clock.stamp(now),
             echo: self.clock.echo(now),
             catalog: catalog.as_ref().map(|belief| known(belief, now)),
-            wants_catalog: std::mem::take(&mut self.wants_catalog),
-            roster: roster.as_ref().map(|belief| known(belief, now)),
+            wants_catalog: std::mem::take(&mut self.wants.catalog),
+            roster: roster.as_ref().map(|belief| KnownRoster {
+                known: known(belief, now),
+                digest: belief.value.digest(),
+            }),
+            wants_roster: std::mem::take(&mut self.wants.roster),
             entries: self.news_of_entries(),
         };
         send(sender, &Frame::Exchange(exchange)).await
@@ -166,7 +189,7 @@
     /// hear of a new catalog from all others, and a catalog with many routes is long: if each sent it to each, their
     /// links would be full of it, and answers late.
     async fn send_catalog(&mut self, sender: &mut Sender, catalog: Option<&Belief<Catalog>>) -> Option<()> {
-        if self.role == Role::Entry && !std::mem::take(&mut self.owes_catalog) {
+        if self.role == Role::Entry && !std::mem::take(&mut self.owes.catalog) {
             return Some(());
         }
         let Some(belief) = catalog.filter(|belief| belief.position > self.their_catalog) else {
@@ -177,22 +200,26 @@
         send(sender, &Frame::Catalog(Box::new(document))).await
     }
 
+    /// To an agent without being asked, once; to an entry only if it asks.
     async fn send_roster(&mut self, sender: &mut Sender, roster: Option<&Belief<Roster>>) -> Option<()> {
-        let Some(belief) = roster.filter(|belief| belief.position > self.their_roster) else {
-            return Some(());
+        let Some(belief) = roster else { return Some(()) };
+        let due = match self.role {
+            Role::Entry => std::mem::take(&mut self.owes.roster),
+            Role::Agent => self.is_new_to_agent(belief),
         };
-        self.their_roster = belief.position;
-        if self
-            .sent_roster
-            .as_ref()
-            .is_some_and(|sent| Arc::ptr_eq(sent, &belief.value))
-        {
+        if !due {
             return Some(());
         }
-        self.sent_roster = Some(Arc::clone(&belief.value));
+        self.sent_roster = Some(belief.value.digest());
         send(sender, &Frame::Roster(belief.value.as_ref().clone())).await
     }
 
+    fn is_new_to_agent(&mut self, belief: &Belief<Roster>) -> bool {
+        let later = belief.position > self.their_roster;
+        self.their_roster = self.their_roster.max(belief.position);
+        later && self.sent_roster != Some(belief.value.digest())
+    }
+
     /// Loads go from a conductor's agent to its entry, and from that entry to the others, each once.
     async fn tell_groups(&mut self, sender: &mut Sender) -> Option<()> {
         if self.role != Role::Entry {
@@ -215,7 +242,10 @@
         match frame {
             Frame::Exchange(exchange) => self.exchange(&exchange),
             Frame::Catalog(document) => self.take_catalog(*document),
-            Frame::Roster(roster) => self.pending_roster = Some(Arc::new(roster)),
+            Frame::Roster(roster) => {
+                self.mesh.heard.rosters.fetch_add(1, Ordering::Relaxed);
+                self.pending_roster = Some(Arc::new(roster));
+            }
             Frame::Group(load) => self.take_group(load),
             _ => log::warn!("a frame that has no place on a link was left out"),
         }
@@ -249,13 +279,14 @@
             self.mesh.learn(&exchange.entries);
         }
         self.peer = Some(exchange.sender);
-        self.owes_catalog |= exchange.wants_catalog;
+        self.owes.catalog |= exchange.wants_catalog;
         if let Some(catalog) = exchange.catalog {
             self.their_catalog = self.their_catalog.max(catalog.position);
-            self.wants_catalog |= self.mesh.may_ask(catalog.position);
+            self.wants.catalog |= self.mesh.may_ask_catalog(catalog.position);
         }
+        self.owes.roster |= exchange.wants_roster;
         if let Some(roster) = exchange.roster {
-            self.their_roster = self.their_roster.max(roster.position);
+            self.their_roster = self.their_roster.max(roster.known.position);
         }
         let Some(echo) = exchange.echo else { return };
         let source = exchange.sender.to_string();
@@ -265,7 +296,7 @@
             self.offer_catalog(known, as_of, &source);
         }
         if let Some(known) = exchange.roster
-            && let Some(as_of) = self.clock.as_of(echo, known.age_ms)
+            && let Some(as_of) = self.clock.as_of(echo, known.known.age_ms)
         {
             self.offer_roster(known, as_of, &source);
         }
@@ -279,12 +310,14 @@
         };
     }
 
-    /// A later position whose roster was not sent again has the roster that was sent last.
-    fn offer_roster(&mut self, known: Known, as_of: Instant, source: &str) {
-        if let Some(roster) = &self.pending_roster {
-            self.mesh
-                .board
-                .offer_roster(Arc::clone(roster), known.position, as_of, source);
+    /// A roster with a later position is often the same; another one is asked for.
+    fn offer_roster(&mut self, told: KnownRoster, as_of: Instant, source: &str) {
+        let KnownRoster { known, digest } = told;
+        let own = self.mesh.board.told_roster().map(|belief| belief.value);
+        let mut values = [self.pending_roster.clone(), own].into_iter().flatten();
+        match values.find(|value| value.digest() == digest) {
+            Some(value) => drop(self.mesh.board.offer_roster(value, known.position, as_of, source)),
+            None => self.wants.roster |= self.mesh.may_ask_roster(known.position),
         }
     }
 }
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -23,7 +23,7 @@
 const POLITENESS: Duration = Duration::from_millis(600);
 /// Time that opening a link may take.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time after which another entry is asked for a catalog that did not come.
+/// Time after which another entry is asked for a catalog or roster that did not come.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// An entry that was not heard for this long is forgotten, unless the settings name it.
 const FORGET: Duration = Duration::from_mins(1);
@@ -62,10 +62,28 @@
     met: Instant,
 }
 
+/// Position that an entry was asked for last, and when.
+#[derive(Debug, Default)]
+struct Asked(Mutex<Option<(u64, Instant)>>);
+
+impl Asked {
+    /// Notes a question, unless an entry was asked for this position or a later one a moment ago.
+    fn ask(&self, position: u64) -> bool {
+        let now = Instant::now();
+        let mut asked = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if asked.is_some_and(|(of, at)| of >= position && now < at + ASK_TIMEOUT) {
+            return false;
+        }
+        *asked = Some((position, now));
+        true
+    }
+}
+
 /// Counts of what other processes sent.
 #[derive(Debug, Default)]
 pub(crate) struct Heard {
     pub(crate) catalogs: AtomicU64,
+    pub(crate) rosters: AtomicU64,
     pub(crate) loads: AtomicU64,
     pub(crate) addresses: AtomicU64,
 }
@@ -75,6 +93,8 @@
 pub struct Traffic {
     /// Whole catalogs.
     pub catalogs: u64,
+    /// Whole rosters.
+    pub rosters: u64,
     /// Loads of a group.
     pub loads: u64,
     /// Addresses of entries.
@@ -90,8 +110,8 @@
     endpoint: Arc<Endpoint>,
     entries: Mutex<BTreeMap<SocketAddr, Known>>,
     line: watch::Sender<Line>,
-    /// Version that an entry was asked for last, and when.
-    asked: Mutex<Option<(u64, Instant)>>,
+    asked_catalog: Asked,
+    asked_roster: Asked,
     pub(crate) heard: Heard,
     /// Latest loads of each group, and whether its conductor told them to this process itself.
     pub(crate) groups: watch::Sender<BTreeMap<String, Told>>,
@@ -114,7 +134,8 @@
             endpoint,
             entries: Mutex::default(),
             line: watch::Sender::new(Line { place: 0, entries: 1 }),
-            asked: Mutex::default(),
+            asked_catalog: Asked::default(),
+            asked_roster: Asked::default(),
             heard: Heard::default(),
             groups: watch::Sender::new(BTreeMap::new()),
             settings,
@@ -127,6 +148,7 @@
     pub fn traffic(&self) -> Traffic {
         Traffic {
             catalogs: self.heard.catalogs.load(Ordering::Relaxed),
+            rosters: self.heard.rosters.load(Ordering::Relaxed),
             loads: self.heard.loads.load(Ordering::Relaxed),
             addresses: self.heard.addresses.load(Ordering::Relaxed),
         }
@@ -231,20 +253,16 @@
         }
     }
 
-    /// Whether to ask an entry for its catalog, of this version: it is newer, and nobody else was asked for it a moment
-    /// ago. An agent is told without asking.
-    pub(crate) fn may_ask(&self, version: u64) -> bool {
+    /// Whether to ask an entry for its catalog, of this version. An agent is told without asking.
+    pub(crate) fn may_ask_catalog(&self, version: u64) -> bool {
         let known = self.board.catalog().map(|belief| belief.position);
-        if self.settings.role != Role::Entry || known >= Some(version) {
-            return false;
-        }
-        let now = Instant::now();
-        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        if asked.is_some_and(|(of, at)| of >= version && now < at + ASK_TIMEOUT) {
-            return false;
-        }
-        *asked = Some((version, now));
-        true
+        self.settings.role == Role::Entry && known < Some(version) && self.asked_catalog.ask(version)
+    }
+
+    /// The same for its roster, at this position.
+    pub(crate) fn may_ask_roster(&self, position: u64) -> bool {
+        let known = self.board.told_roster().map(|belief| belief.position);
+        self.settings.role == Role::Entry && known < Some(position) && self.asked_roster.ask(position)
     }
 
     /// Notes that an entry was heard.
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -6,7 +6,7 @@
 
 use quickcheck::{Gen, QuickCheck};
 use sparscale_belief::Board;
-use sparscale_catalog::{Catalog, Document};
+use sparscale_catalog::{Catalog, Document, Roster};
 use sparscale_mesh::{Clock, Mesh, Settings};
 use sparscale_samples as samples;
 use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
@@ -107,6 +107,49 @@
     assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} catalogs for {OTHERS} entries");
 }
 
+/// So does a long roster.
+#[tokio::test]
+async fn rosters_asked_once() {
+    const OTHERS: usize = 6;
+    let first = process(Role::Entry, &[]);
+    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
+    for other in &others {
+        let mut line = other.mesh.line();
+        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
+        drop(all.expect("a mesh"));
+    }
+    for position in 1..=5 {
+        let target = samples::target("m-1", samples::MODEL, 9_000 + position as u16);
+        let roster = Arc::new(Roster::new(vec![target]));
+        first.board.offer_roster(roster, position, Instant::now(), "test");
+        for other in &others {
+            let mut rosters = other.board.rosters();
+            let told = rosters.wait_for(|known| known.as_ref().is_some_and(|known| known.position == position));
+            drop(told.await.expect("a board"));
+        }
+        // What is still on its way arrives.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let heard: u64 = others.iter().map(|other| other.mesh.traffic().rosters).sum();
+    assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} rosters for {OTHERS} entries");
+}
+
+/// Heartbeats move the place in the store's history, and nothing else: the roster does not go again.
+#[tokio::test]
+async fn same_roster_stays() {
+    let first = process(Role::Entry, &[]);
+    let second = process(Role::Entry, &[first.address]);
+    for position in 1..=5 {
+        first
+            .board
+            .offer_roster(Arc::new(samples::roster()), position, Instant::now(), "test");
+        while second.board.roster().is_none_or(|known| known.position < position) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    assert_eq!(second.mesh.traffic().rosters, 1);
+}
+
 /// An entry's own loads go out when they are new, not whenever another entry's are.
 #[tokio::test]
 async fn loads_sent_once() {
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -12,6 +12,8 @@
     Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Part, Refusal, RefusalReason, Relayed,
     Settlement,
 };
-pub use peer::{Base, Echo, Exchange, GroupLoad, Known, MapUpdate, Placement, RankLoad, RankNews, RankOrder};
+pub use peer::{
+    Base, Echo, Exchange, GroupLoad, Known, KnownRoster, MapUpdate, Placement, RankLoad, RankNews, RankOrder,
+};
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
 pub use tls::{Error as TlsError, Files, Identity, Role};
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -25,8 +25,10 @@
     /// Whether the receiver is to send its catalog: it told of a newer one than the sender has.
     pub wants_catalog: bool,
     /// The sender's roster.
-    pub roster: Option<Known>,
-    /// Entries that the sender knows, itself included if it is one.
+    pub roster: Option<KnownRoster>,
+    /// Whether the receiver is to send its roster: it told of one that the sender has not.
+    pub wants_roster: bool,
+    /// Entries that the sender knows, itself included if it is one; empty if there is no news of them.
     pub entries: Vec<SocketAddr>,
 }
 
@@ -48,6 +50,15 @@
     pub age_ms: u64,
 }
 
+/// What is known of a roster. Its place in the store's history moves with each heartbeat, its digest when it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownRoster {
+    /// Place and age.
+    pub known: Known,
+    /// Digest of the value.
+    pub digest: u64,
+}
+
 /// What a conductor tells a rank's agent.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RankOrder {
