--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -1,24 +1,25 @@
 //! Leads one group: gathers counts, decides, and takes the ranks from map to map.
 
-use std::net::SocketAddr;
+mod talk;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use sparscale_belief::Board;
 use sparscale_mesh::Mesh;
 use sparscale_place::Map;
-use sparscale_place::barrier::{Conductor, Order, Progress};
+use sparscale_place::barrier::{Conductor, Progress};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Base, Endpoint, GroupLoad, MapUpdate, RankNews, RankOrder};
+use sparscale_wire::{Base, Endpoint, RankNews};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
 use crate::decision::Decider;
 use crate::engine::Engines;
 use crate::figures::Figures;
-use crate::link::{DIALS, Event, Place};
+use crate::link::{DIALS, Event};
 use crate::maps::Offer;
-use crate::member::{Change, Errand, Member, Proof, assemble, is_stage, member};
+use crate::member::{Change, Errand, Member, Proof, assemble, member};
 use crate::rank::Handle;
 
 /// Fences of one claim: each change uses two at most.
@@ -28,17 +29,6 @@
 const CALM_TICK: Duration = Duration::from_millis(50);
 /// Time between two rounds of looking at ranks that do not make up an open group.
 const SURVEY_PAUSE: Duration = Duration::from_millis(60);
-/// Time that staging may take beyond the loading itself.
-const STAGE_SLACK: Duration = Duration::from_millis(700);
-/// What each agent that is sent a whole map adds to it: 4 KB take 4 ms of the slimmest link, which carries counts and
-/// loads as well.
-const WHOLE_SLACK: Duration = Duration::from_millis(15);
-/// Time for which the group may be held before a change is taken back.
-const HOLD_LIMIT: Duration = Duration::from_millis(220);
-/// Time after which an order without an answer is given up.
-const ORDER_LIMIT: Duration = Duration::from_millis(500);
-/// Time between two messages about loads to the entries.
-const LOADS_PAUSE: Duration = Duration::from_millis(100);
 /// Span over which passes are timed.
 const PASS_SPAN: Duration = Duration::from_millis(300);
 /// A load that is older than this is not told any more.
@@ -417,128 +407,4 @@
         };
         log::info!(target: DECISION, decision = "stalled", group = self.charge.group.as_str(), reason, progress:? = self.conductor.progress(), unheard:? = unheard; "nothing can be decided");
     }
-
-    fn send_orders(&mut self) {
-        if self.conductor.progress() == Progress::Surveying {
-            if self.surveyed.elapsed() < SURVEY_PAUSE {
-                return;
-            }
-            self.surveyed = Instant::now();
-        }
-        for (rank, order) in self.conductor.orders() {
-            self.members[rank].ordered = Some((order.serial, Instant::now()));
-            if !self.send_errand(rank, order) {
-                self.send_own(rank, order);
-            }
-        }
-    }
-
-    pub(crate) fn send_own(&mut self, rank: usize, order: Order) {
-        let change = self.change.as_ref().filter(|_| is_stage(&order));
-        let map = change.map(|change| change.offer.update(&self.members[rank].sent));
-        if let (Some(change), Some(map)) = (&mut self.change, &map) {
-            let base = match map {
-                MapUpdate::Whole(_) => None,
-                MapUpdate::Change { base, .. } => Some(*base),
-            };
-            change.wholes += u32::from(base.is_none());
-            self.members[rank].sending = Some((change.offer.number, base));
-        }
-        let sent = self.members[rank].orders.try_send(RankOrder::Own { order, map });
-        if sent.is_err() {
-            self.members[rank].ordered = None;
-            self.conductor.lost(rank);
-        }
-    }
-
-    /// Agents take a silent conductor for dead.
-    fn send_heartbeats(&mut self) {
-        if self.beaten.elapsed() < HEARTBEAT {
-            return;
-        }
-        self.beaten = Instant::now();
-        for member in &self.members {
-            // A full queue has orders in it, which say as much.
-            let _full = member.orders.try_send(RankOrder::Heartbeat);
-        }
-    }
-
-    /// Gives up what takes too long.
-    fn check_times(&mut self) {
-        let wholes = self.change.as_ref().map_or(0, |change| change.wholes);
-        let limit = ORDER_LIMIT + WHOLE_SLACK * wholes;
-        for rank in 0..self.members.len() {
-            if self.members[rank].ordered.is_some_and(|(_, at)| at.elapsed() > limit) {
-                self.members[rank].ordered = None;
-                self.conductor.lost(rank);
-            }
-        }
-        let Some(change) = &self.change else { return };
-        let load_ms = self.context.board.catalog().map_or(0.0, |catalog| {
-            let service = catalog.value.find_service(&self.charge.service);
-            let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
-            engine
-                .and_then(|engine| engine.experts)
-                .map_or(0.0, |experts| experts.load_ms())
-        });
-        let staging =
-            Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + STAGE_SLACK + WHOLE_SLACK * wholes;
-        let over = match self.conductor.progress() {
-            Progress::Staging => change.began.elapsed() > staging,
-            Progress::Holding | Progress::Arming => change.held.is_some_and(|held| held.elapsed() > HOLD_LIMIT),
-            _ => false,
-        };
-        if over {
-            log::warn!(target: DECISION, decision = "abandon", group = self.charge.group.as_str(), number = change.offer.number, progress:? = self.conductor.progress(); "a map switch took too long");
-            self.conductor.abandon();
-        }
-    }
-
-    fn place_members(&self) {
-        let Some(roster) = self.context.board.roster() else {
-            return;
-        };
-        for (rank, member) in self.members.iter().enumerate() {
-            // A rank that is not listed now may only have lapsed; where it was is the best guess.
-            let Some(target) = roster.value.rank(&self.charge.group, rank) else {
-                continue;
-            };
-            let place = Place {
-                engine: target.address,
-                agent: SocketAddr::new(target.address.ip(), self.context.port),
-            };
-            member.place.send_if_modified(|known| {
-                let changed = *known != Some(place);
-                *known = Some(place);
-                changed
-            });
-        }
-    }
-
-    fn tell_loads(&mut self) {
-        if self.told.elapsed() < LOADS_PAUSE {
-            return;
-        }
-        self.told = Instant::now();
-        self.messages += 1;
-        let skew = match (&self.decider, &self.map) {
-            (Some(decider), Some((_, _, map))) if decider.knows() => decider.skew(map),
-            _ => 0.0,
-        };
-        let fresh = |member: &Member| {
-            let load = member.load.filter(|(_, at)| at.elapsed() < LOAD_AGE);
-            load.map(|(load, _)| load)
-        };
-        self.context.figures.skew.set(skew);
-        self.context.figures.pass_seconds.set(self.pass_micros / 1.0e6);
-        let load = GroupLoad {
-            group: self.charge.group.clone(),
-            order: (self.charge.claim, self.messages),
-            open: self.conductor.progress() != Progress::Surveying,
-            skew,
-            pass_micros: self.pass_micros as u64,
-            ranks: self.members.iter().map(fresh).collect(),
-        };
-        self.context.mesh.offer_group(load, true);
-    }
 }
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -10,12 +10,17 @@
 use crate::platform::Platform;
 use crate::round::{self, Report};
 
+/// Name of the program.
+const NAME: &str = "soak";
 /// Violations of one round that are printed.
 const PRINTED: usize = 8;
 
 /// Plays the rounds that the command line names; fails if a promise was broken or a round could not be played.
 pub async fn run(platform: Arc<dyn Platform>) -> ExitCode {
     let matches = command().get_matches();
+    if !is_meant(&matches) {
+        return ExitCode::SUCCESS;
+    }
     let first = number(&matches, "seed", 1);
     let rounds = number(&matches, "rounds", 1);
     let length = Duration::from_secs(number(&matches, "seconds", 12));
@@ -29,14 +34,26 @@
 fn command() -> Command {
     let count =
         |name: &'static str, help: &'static str| Arg::new(name).long(name).value_parser(value_parser!(u64)).help(help);
-    // The test runner hands its own options to every test program.
-    let ignored = Arg::new("ignored").num_args(0..).action(ArgAction::Append).hide(true);
-    Command::new("soak")
+    // `cargo test NAME` hands names to every test program.
+    let names = Arg::new("names")
+        .num_args(0..)
+        .help("Names of tests; rounds are played if there are none, or if this program's is meant");
+    let nocapture = Arg::new("nocapture")
+        .long("nocapture")
+        .action(ArgAction::SetTrue)
+        .help("Taken, as by other test programs; nothing is captured here");
+    Command::new(NAME)
         .about("Plays rounds of faults against real processes and checks the promises from outside")
         .arg(count("seed", "Seed of the first round [1]"))
         .arg(count("rounds", "Number of rounds, each with the next seed [1]"))
         .arg(count("seconds", "Time in which faults come in a round [12]"))
-        .arg(ignored)
+        .arg(names)
+        .arg(nocapture)
+}
+
+fn is_meant(matches: &ArgMatches) -> bool {
+    let mut names = matches.get_many::<String>("names").unwrap_or_default().peekable();
+    names.peek().is_none() || names.any(|name| NAME.contains(name.as_str()))
 }
 
 fn number(matches: &ArgMatches, name: &str, usual: u64) -> u64 {
