Mesh: among many entries loads are passed on at a pace

Cause: an entry that a conductor tells loads to passed each on to every other entry at once, ten a second for each group. Ruled out: fewer messages from conductors (few entries want them fresh); loads only to entries that use the group (all do). Change: beyond 16 entries, each link waits 0.1 s between two messages about loads for each 16 entries, 0.5 s at most, and sends the latest. Up to 16, which the four sites have, nothing changes.

--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -98,6 +98,7 @@
             role: Role::Agent,
             seeds: settings.seeds.clone(),
             interval: settings.interval,
+            few_entries: sparscale_mesh::FEW_ENTRIES,
         },
         Arc::clone(&board),
         Arc::clone(&endpoint),
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -137,6 +137,7 @@
         role: Role::Entry,
         seeds: settings.seeds.clone(),
         interval: settings.interval,
+        few_entries: sparscale_mesh::FEW_ENTRIES,
     };
     let mesh = Mesh::new(settings, Arc::clone(board), Arc::new(endpoint));
     tokio::spawn(Arc::clone(&mesh).link_entries());
--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -9,4 +9,4 @@
 mod mesh;
 
 pub use clock::Clock;
-pub use mesh::{Line, Mesh, Settings, Traffic};
+pub use mesh::{FEW_ENTRIES, LOADS_PAUSE, Line, Mesh, Settings, Traffic};
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -107,8 +107,10 @@
         let interval = mesh.settings.interval;
         let mut next = Instant::now();
         let mut heard = Instant::now();
+        let mut loads_due = heard;
         loop {
             let silent = heard + interval * SILENT_INTERVALS;
+            let pausing = Instant::now() < loads_due;
             let sent = tokio::select! {
                 () = tokio::time::sleep_until(next) => {
                     next = Instant::now() + interval;
@@ -116,7 +118,11 @@
                 }
                 Ok(()) = catalogs.changed() => self.tell(sender).await,
                 Ok(()) = rosters.changed() => self.tell(sender).await,
-                Ok(()) = groups.changed() => self.tell_groups(sender).await,
+                Ok(()) = groups.changed(), if !pausing => {
+                    loads_due = Instant::now() + mesh.loads_pause();
+                    self.tell_groups(sender).await
+                }
+                () = tokio::time::sleep_until(loads_due), if pausing => Some(()),
                 frame = receiver.receive() => match frame {
                     Ok(frame) => {
                         heard = Instant::now();
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -41,8 +41,19 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two messages on a link without news.
     pub interval: Duration,
+    /// Entries up to which each passes loads on to all others as soon as it has them. Beyond, they wait for
+    /// [`LOADS_PAUSE`] on each link for each so many entries: all links together carry about as much as they would among
+    /// twice so many.
+    pub few_entries: usize,
 }
 
+/// Usual [`Settings::few_entries`]: the deployments that were measured have 15 at most.
+pub const FEW_ENTRIES: usize = 16;
+/// Pause between two messages about loads on a link, for each `few_entries` beyond the first.
+pub const LOADS_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause: what is known of a group's loads is used for about a second.
+const MAX_LOADS_PAUSE: Duration = Duration::from_millis(500);
+
 /// Place of this entry among those that are live.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Line {
@@ -265,6 +276,13 @@
         self.settings.role == Role::Entry && known < Some(position) && self.asked_roster.ask(position)
     }
 
+    /// Pause between two messages about loads on a link.
+    pub(crate) fn loads_pause(&self) -> Duration {
+        let beyond = (self.line.borrow().entries.saturating_sub(1)) / self.settings.few_entries.max(1);
+        let factor = u32::try_from(beyond).unwrap_or(u32::MAX);
+        LOADS_PAUSE.saturating_mul(factor).min(MAX_LOADS_PAUSE)
+    }
+
     /// Notes that an entry was heard.
     pub(crate) fn heard(&self, address: SocketAddr) {
         self.learn(&[address]);
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -7,7 +7,7 @@
 use quickcheck::{Gen, QuickCheck};
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Document, Roster};
-use sparscale_mesh::{Clock, Mesh, Settings};
+use sparscale_mesh::{Clock, LOADS_PAUSE, Mesh, Settings};
 use sparscale_samples as samples;
 use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
 use tokio::time::Instant;
@@ -19,6 +19,10 @@
 }
 
 fn process(role: Role, seeds: &[SocketAddr]) -> Process {
+    process_among(role, seeds, 16)
+}
+
+fn process_among(role: Role, seeds: &[SocketAddr], few_entries: usize) -> Process {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let endpoint = Endpoint::bind(any, Identity::Made(role)).expect("a free port");
     let address = endpoint.local_address().expect("an address");
@@ -28,6 +32,7 @@
         role,
         seeds: seeds.to_vec(),
         interval: Duration::from_millis(20),
+        few_entries,
     };
     let mesh = Mesh::new(settings, Arc::clone(&board), Arc::new(endpoint));
     match role {
@@ -177,6 +182,28 @@
     assert!(third.mesh.group("g").is_some());
 }
 
+/// Among many entries loads are passed on less often, the latest ones only.
+#[tokio::test]
+async fn crowd_waits() {
+    let first = process_among(Role::Entry, &[], 1);
+    let second = process_among(Role::Entry, &[first.address], 1);
+    for entry in [&first, &second] {
+        let mut line = entry.mesh.line();
+        drop(line.wait_for(|line| line.entries == 2).await.expect("a mesh"));
+    }
+    let began = Instant::now();
+    for message in 1..=30 {
+        first.mesh.offer_group(load_of("g", message), true);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    while second.mesh.group("g").is_none_or(|load| load.order.1 < 30) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let pauses = began.elapsed().as_millis() / LOADS_PAUSE.as_millis();
+    let heard = u128::from(second.mesh.traffic().loads);
+    assert!(heard <= pauses + 2, "{heard} messages in {pauses} pauses");
+}
+
 /// Who else there is is told when it changes, and seldom otherwise.
 #[tokio::test]
 async fn addresses_seldom() {
