--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -6,8 +6,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use sparscale_belief::Board;
-use sparscale_catalog::{Catalog, Document};
-use sparscale_mesh::{Clock, Mesh, Settings};
+use sparscale_catalog::{Catalog, Document, Roster};
+use sparscale_mesh::{Clock, LOADS_PAUSE, Mesh, Settings};
 use sparscale_samples as samples;
 use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
 use tokio::time::Instant;
@@ -19,6 +19,10 @@
 }
 
 fn process(role: Role, seeds: &[SocketAddr]) -> Process {
+    process_among(role, seeds, 16)
+}
+
+fn process_among(role: Role, seeds: &[SocketAddr], few_entries: usize) -> Process {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let endpoint = Endpoint::bind(any, Identity::Made(role)).expect("a free port");
     let address = endpoint.local_address().expect("an address");
@@ -28,6 +32,7 @@
         role,
         seeds: seeds.to_vec(),
         interval: Duration::from_millis(20),
+        few_entries,
     };
     let mesh = Mesh::new(settings, Arc::clone(&board), Arc::new(endpoint));
     match role {
@@ -107,6 +112,49 @@
     assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} catalogs for {OTHERS} entries");
 }
 
+/// So does a long roster.
+#[tokio::test]
+async fn rosters_asked_once() {
+    const OTHERS: usize = 6;
+    let first = process(Role::Entry, &[]);
+    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
+    for other in &others {
+        let mut line = other.mesh.line();
+        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
+        drop(all.expect("a mesh"));
+    }
+    for position in 1..=5 {
+        let target = samples::target("m-1", samples::MODEL, 9_000 + position as u16);
+        let roster = Arc::new(Roster::new(vec![target]));
+        first.board.offer_roster(roster, position, Instant::now(), "test");
+        for other in &others {
+            let mut rosters = other.board.rosters();
+            let told = rosters.wait_for(|known| known.as_ref().is_some_and(|known| known.position == position));
+            drop(told.await.expect("a board"));
+        }
+        // What is still on its way arrives.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let heard: u64 = others.iter().map(|other| other.mesh.traffic().rosters).sum();
+    assert!(heard <= 2 * 5 * OTHERS as u64, "{heard} rosters for {OTHERS} entries");
+}
+
+/// Heartbeats move the place in the store's history, and nothing else: the roster does not go again.
+#[tokio::test]
+async fn same_roster_stays() {
+    let first = process(Role::Entry, &[]);
+    let second = process(Role::Entry, &[first.address]);
+    for position in 1..=5 {
+        first
+            .board
+            .offer_roster(Arc::new(samples::roster()), position, Instant::now(), "test");
+        while second.board.roster().is_none_or(|known| known.position < position) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    assert_eq!(second.mesh.traffic().rosters, 1);
+}
+
 /// An entry's own loads go out when they are new, not whenever another entry's are.
 #[tokio::test]
 async fn loads_sent_once() {
@@ -134,6 +182,28 @@
     assert!(third.mesh.group("g").is_some());
 }
 
+/// Among many entries loads are passed on less often, the latest ones only.
+#[tokio::test]
+async fn crowd_waits() {
+    let first = process_among(Role::Entry, &[], 1);
+    let second = process_among(Role::Entry, &[first.address], 1);
+    for entry in [&first, &second] {
+        let mut line = entry.mesh.line();
+        drop(line.wait_for(|line| line.entries == 2).await.expect("a mesh"));
+    }
+    let began = Instant::now();
+    for message in 1..=30 {
+        first.mesh.offer_group(load_of("g", message), true);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    while second.mesh.group("g").is_none_or(|load| load.order.1 < 30) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let pauses = began.elapsed().as_millis() / LOADS_PAUSE.as_millis();
+    let heard = u128::from(second.mesh.traffic().loads);
+    assert!(heard <= pauses + 2, "{heard} messages in {pauses} pauses");
+}
+
 /// Who else there is is told when it changes, and seldom otherwise.
 #[tokio::test]
 async fn addresses_seldom() {
