Soak: keys that come into force unseen

Ruled out: routes that are added (the same mechanism, more to check). Change: GrantUnseen; callers use three keys that come into force during a round, if they do; 401 for a key that has been in force for the bound, and was not taken away, breaks a promise.

--- a/crates/sparscale_soak/src/caller.rs
+++ b/crates/sparscale_soak/src/caller.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 use crate::ledger::{Answer, Attempt, Book, Outcome};
-use crate::places::{DEADLINE, HOST, KEYS, ROUTES};
+use crate::places::{DEADLINE, HOST, KEYS, LATER_KEYS, ROUTES};
 use crate::platform::RouteKind;
 
 /// Time that a caller waits beyond the deadline that it told, before it notes that nothing came.
@@ -55,7 +55,7 @@
             let pause = Duration::from_millis(self.random.random_range(PAUSE));
             tokio::time::sleep(pause).await;
             let route = self.random.random_range(0..ROUTES.len());
-            let key = format!("key-{}", self.random.random_range(0..KEYS));
+            let key = format!("key-{}", self.random.random_range(0..KEYS + LATER_KEYS));
             self.ask(route, &key).await;
         }
     }
--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -6,7 +6,7 @@
 use crate::caller::{self, PATIENCE};
 use crate::fault::Fault;
 use crate::ledger::{Acknowledged, Answer, Attempt, Change, Ledger, Outcome, Run, Trouble};
-use crate::places::{DEADLINE, EVENTS};
+use crate::places::{DEADLINE, EVENTS, KEYS};
 use crate::platform::{BOUNDS, RouteKind};
 use crate::target;
 
@@ -107,17 +107,27 @@
     }
 }
 
-/// Nobody is told that a route is not there, or that a key is not in force, which nobody has taken away.
+/// Nobody is told that a route is not there which always was, or that a key is not in force which is.
 fn denied(attempt: &Attempt, acknowledged: &[Acknowledged]) -> Option<String> {
     let Outcome::Answered(answer) = &attempt.outcome else {
         return None;
     };
+    let denied = answer.status == 404 || (answer.status == 401 && is_in_force(attempt, acknowledged));
+    denied.then(|| format!("{} for {}", answer.status, attempt.key))
+}
+
+/// Whether the key of an attempt was in force all the time, for long enough that every entry either knew it or knew
+/// that it did not know the newest configuration.
+fn is_in_force(attempt: &Attempt, acknowledged: &[Acknowledged]) -> bool {
+    let at_start = (0..KEYS).any(|key| attempt.key == format!("key-{key}"));
+    let granted = acknowledged
+        .iter()
+        .any(|known| known.what == Change::Granted(attempt.key.clone()) && attempt.began > known.at + BOUNDS.applied);
     let revoked = Change::Revoked(attempt.key.clone());
     let taken = acknowledged
         .iter()
         .any(|known| known.what == revoked && known.at < attempt.ended);
-    let denied = answer.status == 404 || (answer.status == 401 && !taken);
-    denied.then(|| format!("{} for {}", answer.status, attempt.key))
+    (at_start || granted) && !taken
 }
 
 /// A request gets its final answer by its deadline from an entry that runs.
@@ -174,6 +184,7 @@
                 | Fault::StoreLapse
                 | Fault::StoreLink { .. }
                 | Fault::RevokeUnseen { .. }
+                | Fault::GrantUnseen { .. }
         );
         let own = entry_of(trouble.fault) == Some(attempt.entry);
         (store || own) && overlaps(trouble, run.at, run.at, CONTACT + BOUNDS.left)
@@ -185,7 +196,7 @@
 fn ran_after_revocation(ledger: &Ledger) -> Vec<Violation> {
     let revoked = ledger.acknowledged.iter().filter_map(|known| match &known.what {
         Change::Revoked(key) => Some((key, known.at)),
-        Change::Leaving(_) => None,
+        Change::Leaving(_) | Change::Granted(_) => None,
     });
     let broken = revoked.flat_map(|(key, at)| {
         let late = move |run: &&Run| run.workspace == *key && run.at > at + BOUNDS.revoked + ON_THE_WAY;
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -81,6 +81,10 @@
             let unseen = silence_store(stage, BOUNDS.revoked + lasts);
             tokio::join!(unseen, revoke(stage, key));
         }
+        Fault::GrantUnseen { key } => {
+            let unseen = silence_store(stage, BOUNDS.applied + lasts);
+            tokio::join!(unseen, grant(stage, key));
+        }
     }
 }
 
@@ -91,6 +95,13 @@
     }
 }
 
+async fn grant(stage: &Stage, key: usize) {
+    let key = format!("key-{key}");
+    if stage.grant(&key).await {
+        stage.book.acknowledge(Change::Granted(key));
+    }
+}
+
 async fn restart(stage: &Stage, entry: usize) {
     if let Err(what) = stage.start_entry(entry).await {
         stage
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -5,7 +5,7 @@
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
-use crate::places::{ENTRIES, KEYS, TARGETS};
+use crate::places::{ENTRIES, KEYS, LATER_KEYS, TARGETS};
 use crate::proxy::Link;
 use crate::target::Mood;
 
@@ -40,6 +40,8 @@
     Revoke { key: usize },
     /// The same while no entry reaches the store, for longer than a key may be believed in.
     RevokeUnseen { key: usize },
+    /// A key comes into force while no entry reaches the store.
+    GrantUnseen { key: usize },
 }
 
 /// A fault and when it comes.
@@ -63,7 +65,7 @@
     fn draw(random: &mut ChaCha8Rng) -> Self {
         let entry = random.random_range(0..ENTRIES);
         let target = random.random_range(0..TARGETS);
-        match random.random_range(0..15) {
+        match random.random_range(0..16) {
             0 => Self::StoreBusy,
             1 => Self::StoreSilent,
             2 => Self::StoreLapse,
@@ -88,16 +90,19 @@
             13 => Self::Revoke {
                 key: random.random_range(1..KEYS),
             },
-            _ => Self::RevokeUnseen {
+            14 => Self::RevokeUnseen {
                 key: random.random_range(1..KEYS),
             },
+            _ => Self::GrantUnseen {
+                key: random.random_range(KEYS..KEYS + LATER_KEYS),
+            },
         }
     }
 
     /// What it takes hold of; two faults do not hold the same thing at once.
     pub(crate) fn holds(self) -> Hold {
         match self {
-            Self::StoreBusy | Self::StoreSilent | Self::RevokeUnseen { .. } => Hold::Store,
+            Self::StoreBusy | Self::StoreSilent | Self::RevokeUnseen { .. } | Self::GrantUnseen { .. } => Hold::Store,
             Self::StoreLapse => Hold::StoreAndTargets,
             Self::StoreLink { entry, .. } => Hold::StoreLink(entry),
             Self::Kill { entry } | Self::Freeze { entry } | Self::Stop { entry } | Self::HangUp { entry } => {
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -87,6 +87,8 @@
 pub(crate) enum Change {
     /// A key is no longer in force.
     Revoked(String),
+    /// A key is in force from now on.
+    Granted(String),
     /// An incarnation is leaving.
     Leaving(String),
 }
--- a/crates/sparscale_soak/src/places.rs
+++ b/crates/sparscale_soak/src/places.rs
@@ -11,6 +11,8 @@
 pub(crate) const TARGETS: usize = 4;
 /// Keys at the start; one is never taken away, and most outlast a round.
 pub(crate) const KEYS: usize = 12;
+/// Further keys, which callers use from the start and which come into force during a round, if they do.
+pub(crate) const LATER_KEYS: usize = 3;
 /// Host of all routes.
 pub(crate) const HOST: &str = "soak.example";
 /// Service of all targets.
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -267,6 +267,18 @@
         true
     }
 
+    /// Puts a key into force; tells whether it was not.
+    pub(crate) async fn grant(&self, key: &str) -> bool {
+        let mut offer = self.offer.lock().await;
+        if offer.keys.iter().any(|known| known == key) {
+            return false;
+        }
+        offer.keys.push(key.to_owned());
+        offer.version += 1;
+        self.store.add(self.platform.offer(&offer));
+        true
+    }
+
     fn note(&self, entry: usize, what: String) {
         self.book.open().incidents.push(Incident { entry, what });
     }
