Soak: the budget's check is the users' rule

The check counted only requests that ran, and runs; the rule (RULES, BUDGET) counts what clients sent, in that window, the one before or half a window before, whichever is most, and all arrivals, rejected ones too. The check was wrong, stricter in one count and laxer in the other. Change: arrivals are noted; the check counts as the rule does. Conclusion: the check can be held against the users' rule word for word.

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -1,6 +1,6 @@
 //! The promises, checked from what callers and targets saw.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::caller::{self, PATIENCE};
@@ -46,7 +46,7 @@
         judge("leaving", sent_to_leaving(attempt, runs, ledger));
     }
     found.extend(ran_after_revocation(ledger));
-    found.extend(overspent(&runs));
+    found.extend(overspent(ledger));
     let incidents = ledger.incidents.iter().map(|incident| Violation {
         promise: "process",
         what: format!("entry {}: {}", incident.entry, incident.what),
@@ -213,26 +213,38 @@
     broken.collect()
 }
 
-/// Runs beyond the first stay within the budget that all entries share.
-fn overspent(runs: &BTreeMap<&str, Vec<&Run>>) -> Option<Violation> {
-    let firsts: Vec<Instant> = runs.values().filter_map(|runs| Some(runs.first()?.at)).collect();
-    let further = runs.values().flat_map(|runs| runs.iter().skip(1));
-    let further: Vec<Instant> = further.map(|run| run.at).collect();
-    let within = |times: &[Instant], from: Instant| {
-        let inside = times
-            .iter()
-            .filter(|at| **at >= from && **at < from + BOUNDS.budget_window);
-        inside.count() as f64
-    };
+/// Arrivals beyond the first of each request stay within the budget that all entries share (the users' rule BUDGET):
+/// in any window, a part of what callers sent in it, in the one before it or in the one half a window before it,
+/// whichever is most, and the slack.
+fn overspent(ledger: &Ledger) -> Option<Violation> {
+    let mut known = BTreeSet::new();
+    let further = ledger
+        .arrivals
+        .iter()
+        .filter(|arrival| !known.insert(arrival.request.as_str()));
+    let further: Vec<Instant> = further.map(|arrival| arrival.at).collect();
+    let sent: Vec<Instant> = ledger.attempts.iter().map(|attempt| attempt.began).collect();
     further.iter().find_map(|from| {
-        let (spent, requests) = (within(&further, *from), within(&firsts, *from));
-        (spent > requests * BOUNDS.budget_ratio + BOUNDS.budget_slack).then(|| Violation {
+        let window = BOUNDS.budget_window;
+        let starts = [Duration::ZERO, window / 2, window].map(|back| from.checked_sub(back).unwrap_or(*from));
+        let requests = starts.map(|start| within(&sent, start)).into_iter().max().unwrap_or(0);
+        let beyond = within(&further, *from);
+        let allowed = requests as f64 * BOUNDS.budget_ratio + BOUNDS.budget_slack;
+        (beyond as f64 > allowed).then(|| Violation {
             promise: "budget",
-            what: format!("{spent} further runs beside {requests} requests"),
+            what: format!("{beyond} further arrivals beside {requests} requests"),
         })
     })
 }
 
+/// How many of `times` lie in the budget's window that begins at `from`.
+fn within(times: &[Instant], from: Instant) -> usize {
+    let inside = times
+        .iter()
+        .filter(|at| **at >= from && **at < from + BOUNDS.budget_window);
+    inside.count()
+}
+
 fn entry_of(fault: Fault) -> Option<usize> {
     match fault {
         Fault::Kill { entry } | Fault::Freeze { entry } | Fault::Stop { entry } => Some(entry),
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -17,6 +17,13 @@
     pub(crate) at: Instant,
 }
 
+/// A request reached a target, which ran it or not.
+#[derive(Debug, Clone)]
+pub(crate) struct Arrival {
+    pub(crate) request: String,
+    pub(crate) at: Instant,
+}
+
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -103,6 +110,7 @@
 /// All of it.
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
+    pub(crate) arrivals: Vec<Arrival>,
     pub(crate) runs: Vec<Run>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) troubles: Vec<Trouble>,
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Frame, Incoming};
 use sparscale_gateway::Dialect;
 
-use crate::ledger::{Book, Run};
+use crate::ledger::{Arrival, Book, Run};
 use crate::places::EVENTS;
 use crate::server::{self, Broken, Content};
 
@@ -95,6 +95,10 @@
         let state = self.state().clone();
         let (head, body) = request.into_parts();
         let id = text(&head.headers, &self.dialect.request_id);
+        self.book.open().arrivals.push(Arrival {
+            request: id.clone(),
+            at: Instant::now(),
+        });
         // A request that is not whole is not run.
         let Ok(body) = body.collect().await else {
             return self.refusal(StatusCode::BAD_REQUEST, &id);
