--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -136,7 +136,8 @@
     let nothing = attempt.outcome == Outcome::Nothing || took > DEADLINE + LATE;
     let harmed = troubles.iter().any(|trouble| {
         // A stream that is on its way may last longer than an entry that stops waits for it.
-        entry_of(trouble.fault) == Some(attempt.entry) && overlaps(trouble, attempt.began, attempt.ended, PATIENCE)
+        let own = entry_of(trouble.fault) == Some(attempt.entry) || trouble.fault == Fault::Stall;
+        own && overlaps(trouble, attempt.began, attempt.ended, PATIENCE)
     });
     (nothing && !harmed).then(|| format!("{:?} after {} ms", attempt.outcome, took.as_millis()))
 }
@@ -185,6 +186,7 @@
                 | Fault::StoreLink { .. }
                 | Fault::RevokeUnseen { .. }
                 | Fault::GrantUnseen { .. }
+                | Fault::Stall
         );
         let own = entry_of(trouble.fault) == Some(attempt.entry);
         (store || own) && overlaps(trouble, run.at, run.at, CONTACT + BOUNDS.left)
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -84,6 +84,7 @@
         requests,
         outcomes,
         faults,
+        stalls,
         violations,
     } = report;
     let counts: Vec<String> = outcomes
@@ -91,7 +92,7 @@
         .map(|(name, count)| format!("{name}: {count}"))
         .collect();
     println!(
-        "seed {seed}: {faults} faults, {requests} requests ({}), {} broken promises",
+        "seed {seed}: {faults} faults, {stalls} stalls of the machine, {requests} requests ({}), {} broken promises",
         counts.join(", "),
         violations.len()
     );
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -76,6 +76,7 @@
         }
         Fault::Leave { target } => leave(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
+        Fault::Stall => {}
         Fault::Revoke { key } => revoke(stage, key).await,
         Fault::RevokeUnseen { key } => {
             let unseen = silence_store(stage, BOUNDS.revoked + lasts);
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -40,6 +40,8 @@
     Revoke { key: usize },
     /// The same while no entry reaches the store, for longer than a key may be believed in.
     RevokeUnseen { key: usize },
+    /// Not drawn: the machine let nothing run for a while, as the soak notices by itself.
+    Stall,
     /// A key comes into force while no entry reaches the store.
     GrantUnseen { key: usize },
 }
@@ -112,6 +114,7 @@
             | Self::TargetMood { target, .. }
             | Self::Leave { target }
             | Self::Die { target } => Hold::Target(target),
+            Self::Stall => Hold::Nothing,
             Self::Revoke { key } => Hold::Key(key),
         }
     }
@@ -126,6 +129,7 @@
     Entry(usize),
     Target(usize),
     Key(usize),
+    Nothing,
 }
 
 impl Hold {
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -13,8 +13,8 @@
 use crate::caller::{Caller, Habit};
 use crate::check::{self, Violation};
 use crate::drive;
-use crate::fault::{self, Hold, Planned};
-use crate::ledger::Outcome;
+use crate::fault::{self, Fault, Hold, Planned};
+use crate::ledger::{Outcome, Trouble};
 use crate::places::{DEADLINE, ENTRIES, Net, ROUTES};
 use crate::platform::Platform;
 use crate::stage::Stage;
@@ -26,6 +26,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Pause between two looks at the processes.
 const LOOK: Duration = Duration::from_millis(250);
+/// Time by which a look at the processes is late if the machine lets nothing run: bounds in time say nothing then.
+const STALL: Duration = Duration::from_millis(500);
 /// Time after the last request in which a promise that nothing will run may still be broken.
 const AFTERMATH: Duration = Duration::from_secs(2);
 /// Random numbers of callers are drawn apart from those of the plan.
@@ -38,6 +40,8 @@
     /// How many requests ended in each way.
     pub(crate) outcomes: BTreeMap<String, usize>,
     pub(crate) faults: usize,
+    /// How often the machine let nothing run for a while.
+    pub(crate) stalls: usize,
     pub(crate) violations: Vec<Violation>,
 }
 
@@ -83,7 +87,9 @@
     for attempt in &ledger.attempts {
         *outcomes.entry(attempt.outcome.name()).or_default() += 1;
     }
+    let stalled = ledger.troubles.iter().filter(|trouble| trouble.fault == Fault::Stall);
     Ok(Report {
+        stalls: stalled.count(),
         requests: ledger.attempts.len(),
         outcomes,
         faults,
@@ -140,9 +146,19 @@
 }
 
 async fn watch_processes(stage: Arc<Stage>, over: watch::Receiver<bool>) {
+    let mut looked = Instant::now();
     while !*over.borrow() {
         stage.look_at_processes().await;
         tokio::time::sleep(LOOK).await;
+        let now = Instant::now();
+        if now.duration_since(looked) > LOOK + STALL {
+            stage.book.open().troubles.push(Trouble {
+                fault: Fault::Stall,
+                from: looked,
+                to: now,
+            });
+        }
+        looked = now;
     }
 }
 
