--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -1,12 +1,12 @@
 //! The promises, checked from what callers and targets saw.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::caller::{self, PATIENCE};
 use crate::fault::Fault;
 use crate::ledger::{Acknowledged, Answer, Attempt, Change, Ledger, Outcome, Run, Trouble};
-use crate::places::{DEADLINE, EVENTS};
+use crate::places::{DEADLINE, EVENTS, KEYS};
 use crate::platform::{BOUNDS, RouteKind};
 use crate::target;
 
@@ -46,7 +46,7 @@
         judge("leaving", sent_to_leaving(attempt, runs, ledger));
     }
     found.extend(ran_after_revocation(ledger));
-    found.extend(overspent(&runs));
+    found.extend(overspent(ledger));
     let incidents = ledger.incidents.iter().map(|incident| Violation {
         promise: "process",
         what: format!("entry {}: {}", incident.entry, incident.what),
@@ -107,17 +107,27 @@
     }
 }
 
-/// Nobody is told that a route is not there, or that a key is not in force, which nobody has taken away.
+/// Nobody is told that a route is not there which always was, or that a key is not in force which is.
 fn denied(attempt: &Attempt, acknowledged: &[Acknowledged]) -> Option<String> {
     let Outcome::Answered(answer) = &attempt.outcome else {
         return None;
     };
+    let denied = answer.status == 404 || (answer.status == 401 && is_in_force(attempt, acknowledged));
+    denied.then(|| format!("{} for {}", answer.status, attempt.key))
+}
+
+/// Whether the key of an attempt was in force all the time, for long enough that every entry either knew it or knew
+/// that it did not know the newest configuration.
+fn is_in_force(attempt: &Attempt, acknowledged: &[Acknowledged]) -> bool {
+    let at_start = (0..KEYS).any(|key| attempt.key == format!("key-{key}"));
+    let granted = acknowledged
+        .iter()
+        .any(|known| known.what == Change::Granted(attempt.key.clone()) && attempt.began > known.at + BOUNDS.applied);
     let revoked = Change::Revoked(attempt.key.clone());
     let taken = acknowledged
         .iter()
         .any(|known| known.what == revoked && known.at < attempt.ended);
-    let denied = answer.status == 404 || (answer.status == 401 && !taken);
-    denied.then(|| format!("{} for {}", answer.status, attempt.key))
+    (at_start || granted) && !taken
 }
 
 /// A request gets its final answer by its deadline from an entry that runs.
@@ -126,7 +136,8 @@
     let nothing = attempt.outcome == Outcome::Nothing || took > DEADLINE + LATE;
     let harmed = troubles.iter().any(|trouble| {
         // A stream that is on its way may last longer than an entry that stops waits for it.
-        entry_of(trouble.fault) == Some(attempt.entry) && overlaps(trouble, attempt.began, attempt.ended, PATIENCE)
+        let own = entry_of(trouble.fault) == Some(attempt.entry) || trouble.fault == Fault::Stall;
+        own && overlaps(trouble, attempt.began, attempt.ended, PATIENCE)
     });
     (nothing && !harmed).then(|| format!("{:?} after {} ms", attempt.outcome, took.as_millis()))
 }
@@ -174,6 +185,8 @@
                 | Fault::StoreLapse
                 | Fault::StoreLink { .. }
                 | Fault::RevokeUnseen { .. }
+                | Fault::GrantUnseen { .. }
+                | Fault::Stall
         );
         let own = entry_of(trouble.fault) == Some(attempt.entry);
         (store || own) && overlaps(trouble, run.at, run.at, CONTACT + BOUNDS.left)
@@ -185,7 +198,7 @@
 fn ran_after_revocation(ledger: &Ledger) -> Vec<Violation> {
     let revoked = ledger.acknowledged.iter().filter_map(|known| match &known.what {
         Change::Revoked(key) => Some((key, known.at)),
-        Change::Leaving(_) => None,
+        Change::Leaving(_) | Change::Granted(_) => None,
     });
     let broken = revoked.flat_map(|(key, at)| {
         let late = move |run: &&Run| run.workspace == *key && run.at > at + BOUNDS.revoked + ON_THE_WAY;
@@ -202,26 +215,38 @@
     broken.collect()
 }
 
-/// Runs beyond the first stay within the budget that all entries share.
-fn overspent(runs: &BTreeMap<&str, Vec<&Run>>) -> Option<Violation> {
-    let firsts: Vec<Instant> = runs.values().filter_map(|runs| Some(runs.first()?.at)).collect();
-    let further = runs.values().flat_map(|runs| runs.iter().skip(1));
-    let further: Vec<Instant> = further.map(|run| run.at).collect();
-    let within = |times: &[Instant], from: Instant| {
-        let inside = times
-            .iter()
-            .filter(|at| **at >= from && **at < from + BOUNDS.budget_window);
-        inside.count() as f64
-    };
+/// Arrivals beyond the first of each request stay within the budget that all entries share (the users' rule BUDGET):
+/// in any window, a part of what callers sent in it, in the one before it or in the one half a window before it,
+/// whichever is most, and the slack.
+fn overspent(ledger: &Ledger) -> Option<Violation> {
+    let mut known = BTreeSet::new();
+    let further = ledger
+        .arrivals
+        .iter()
+        .filter(|arrival| !known.insert(arrival.request.as_str()));
+    let further: Vec<Instant> = further.map(|arrival| arrival.at).collect();
+    let sent: Vec<Instant> = ledger.attempts.iter().map(|attempt| attempt.began).collect();
     further.iter().find_map(|from| {
-        let (spent, requests) = (within(&further, *from), within(&firsts, *from));
-        (spent > requests * BOUNDS.budget_ratio + BOUNDS.budget_slack).then(|| Violation {
+        let window = BOUNDS.budget_window;
+        let starts = [Duration::ZERO, window / 2, window].map(|back| from.checked_sub(back).unwrap_or(*from));
+        let requests = starts.map(|start| within(&sent, start)).into_iter().max().unwrap_or(0);
+        let beyond = within(&further, *from);
+        let allowed = requests as f64 * BOUNDS.budget_ratio + BOUNDS.budget_slack;
+        (beyond as f64 > allowed).then(|| Violation {
             promise: "budget",
-            what: format!("{spent} further runs beside {requests} requests"),
+            what: format!("{beyond} further arrivals beside {requests} requests"),
         })
     })
 }
 
+/// How many of `times` lie in the budget's window that begins at `from`.
+fn within(times: &[Instant], from: Instant) -> usize {
+    let inside = times
+        .iter()
+        .filter(|at| **at >= from && **at < from + BOUNDS.budget_window);
+    inside.count()
+}
+
 fn entry_of(fault: Fault) -> Option<usize> {
     match fault {
         Fault::Kill { entry } | Fault::Freeze { entry } | Fault::Stop { entry } => Some(entry),
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -17,6 +17,13 @@
     pub(crate) at: Instant,
 }
 
+/// A request reached a target, which ran it or not.
+#[derive(Debug, Clone)]
+pub(crate) struct Arrival {
+    pub(crate) request: String,
+    pub(crate) at: Instant,
+}
+
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -87,6 +94,8 @@
 pub(crate) enum Change {
     /// A key is no longer in force.
     Revoked(String),
+    /// A key is in force from now on.
+    Granted(String),
     /// An incarnation is leaving.
     Leaving(String),
 }
@@ -101,6 +110,7 @@
 /// All of it.
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
+    pub(crate) arrivals: Vec<Arrival>,
     pub(crate) runs: Vec<Run>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) troubles: Vec<Trouble>,
