--- a/crates/sparscale_soak/src/server.rs
+++ b/crates/sparscale_soak/src/server.rs
@@ -1,4 +1,4 @@
-//! A small HTTP server for stand-ins; it can drop all its connections.
+//! A small HTTP server for stand-ins.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -28,15 +28,15 @@
 /// Content of an answer.
 pub(crate) type Content = UnsyncBoxBody<Bytes, Broken>;
 
-/// Answers requests at `address` with `handle` until the task is aborted.
-pub(crate) async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<tokio::task::JoinHandle<()>>
+/// Answers requests at `address` with `handle`, on a task that goes on after this returns.
+pub(crate) async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<()>
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Content>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let handle = Arc::new(handle);
-    Ok(tokio::spawn(async move {
+    tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let handle = Arc::clone(&handle);
             let service = service_fn(move |request| {
@@ -50,5 +50,6 @@
                     .await;
             });
         }
-    }))
+    });
+    Ok(())
 }
