--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -70,6 +70,9 @@
     match report {
         Ok(report) => {
             print(seed, &report, &folder);
+            if report.violations.is_empty() {
+                remove(&folder);
+            }
             report.violations.is_empty()
         }
         Err(error) => {
@@ -109,6 +112,13 @@
     std::env::temp_dir().join(format!("sparscale-soak-{}-{seed}", std::process::id()))
 }
 
+/// The logs of a round in which everything held are of no use.
+fn remove(folder: &Path) {
+    if let Err(error) = std::fs::remove_dir_all(folder) {
+        println!("  {} stays: {error}", folder.display());
+    }
+}
+
 fn clear(folder: &Path) -> std::io::Result<()> {
     if folder.exists() {
         std::fs::remove_dir_all(folder)?;
