Path tests: a target that has closed reads nothing more

The stand-in answered, and closed a moment later; a request that came on the kept connection in between was still read from the buffer after the close, counted, and its answer lost. Ruled out: the pool (it cannot know of a close that has not come); chance as an excuse (a pause of 30 ms before the close shows it each time, without load). Change: a stand-in that has ended a connection reads no further request from it, as servers do. The assertions stay as they are; a test with that pause is added beside it. Conclusion: the fault was the stand-in's; no check is weaker.

--- a/crates/sparscale_gateway/tests/path/attempts.rs
+++ b/crates/sparscale_gateway/tests/path/attempts.rs
@@ -156,6 +156,24 @@
     assert_eq!(target.connections(), 4);
 }
 
+/// The same, with a request on its way when the target closes: it is not run there, and is served by another try.
+#[test]
+fn closed_meanwhile() {
+    let target = Target::start(|arrival, wire| {
+        wire.answer(arrival, "200 OK", "good");
+        std::thread::sleep(Duration::from_millis(30));
+        wire.close();
+    });
+    let world = World::new(&[&target], &[]);
+    for round in 0..4 {
+        assert_eq!(
+            world.ask(&Request::new("GET", "/any/x", &format!("r-{round}"))).status,
+            200
+        );
+    }
+    assert_eq!(target.arrivals().len(), 4);
+}
+
 /// A kept connection that the target closed costs a request nothing.
 #[test]
 fn closed_while_kept() {
--- a/crates/sparscale_gateway/tests/path/target.rs
+++ b/crates/sparscale_gateway/tests/path/target.rs
@@ -27,12 +27,16 @@
 type Script = Arc<dyn Fn(&Arrival, &mut Wire) + Send + Sync>;
 
 /// The target's side of one connection.
-pub struct Wire(TcpStream);
+pub struct Wire {
+    stream: TcpStream,
+    /// Whether the target has ended it: it reads no further request then, not even one that has arrived.
+    ended: bool,
+}
 
 impl Wire {
     pub fn send(&mut self, text: &str) {
         // The entry may have closed the connection; the test sees that by what callers get.
-        let _closed = self.0.write_all(text.as_bytes());
+        let _closed = self.stream.write_all(text.as_bytes());
     }
 
     /// A whole answer with a length.
@@ -71,22 +75,24 @@
 
     /// An orderly end.
     pub fn close(&mut self) {
-        let _closed = self.0.shutdown(Shutdown::Both);
+        let _closed = self.stream.shutdown(Shutdown::Both);
+        self.ended = true;
     }
 
     /// A reset: what was sent last may be lost.
     pub fn reset(&mut self) {
-        let socket = socket2::SockRef::from(&self.0);
+        let socket = socket2::SockRef::from(&self.stream);
         let _unsupported = socket.set_linger(Some(Duration::ZERO));
-        let _closed = self.0.shutdown(Shutdown::Read);
+        let _closed = self.stream.shutdown(Shutdown::Read);
+        self.ended = true;
     }
 
     /// Waits until the entry has closed the connection, or `limit` has passed.
     pub fn wait_closed(&mut self, limit: Duration) -> Option<Duration> {
         let began = Instant::now();
-        self.0.set_read_timeout(Some(limit)).expect("a timeout");
+        self.stream.set_read_timeout(Some(limit)).expect("a timeout");
         let mut buffer = [0; 64];
-        match self.0.read(&mut buffer) {
+        match self.stream.read(&mut buffer) {
             Ok(0) => Some(began.elapsed()),
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => Some(began.elapsed()),
             _ => None,
@@ -150,10 +156,13 @@
 
     fn serve(&self, stream: TcpStream, script: &Script) {
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-        let mut wire = Wire(stream);
+        let mut wire = Wire { stream, ended: false };
         while let Some(arrival) = read(&mut reader) {
             self.arrivals.lock().expect("no panic").push(arrival.clone());
             script(&arrival, &mut wire);
+            if wire.ended {
+                return;
+            }
         }
     }
 }
