Mesh tests: one set-up of gathered entries instead of three

Ruled out: one test of catalogs and rosters together (two mechanisms). Change: gathered(count). Assertions and bounds are as they were. Conclusion: no behaviour changed; tests only.

--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -43,6 +43,18 @@
     Process { board, mesh, address }
 }
 
+/// An entry and `count` others, when each of the others knows all of them.
+async fn gathered(count: usize) -> (Process, Vec<Process>) {
+    let first = process(Role::Entry, &[]);
+    let others: Vec<Process> = (0..count).map(|_| process(Role::Entry, &[first.address])).collect();
+    for other in &others {
+        let mut line = other.mesh.line();
+        let all = line.wait_for(|line| line.entries == count + 1).await;
+        drop(all.expect("a mesh"));
+    }
+    (first, others)
+}
+
 fn catalog(document: Document) -> Arc<Catalog> {
     Arc::new(Catalog::try_from(document).expect("a sound catalog"))
 }
@@ -87,13 +99,7 @@
 #[tokio::test]
 async fn asked_once() {
     const OTHERS: usize = 6;
-    let first = process(Role::Entry, &[]);
-    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
-    for other in &others {
-        let mut line = other.mesh.line();
-        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
-        drop(all.expect("a mesh"));
-    }
+    let (first, others) = gathered(OTHERS).await;
     for version in 1..=5 {
         let asked = Instant::now();
         first
@@ -116,13 +122,7 @@
 #[tokio::test]
 async fn rosters_asked_once() {
     const OTHERS: usize = 6;
-    let first = process(Role::Entry, &[]);
-    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
-    for other in &others {
-        let mut line = other.mesh.line();
-        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
-        drop(all.expect("a mesh"));
-    }
+    let (first, others) = gathered(OTHERS).await;
     for position in 1..=5 {
         let target = samples::target("m-1", samples::MODEL, 9_000 + position as u16);
         let roster = Arc::new(Roster::new(vec![target]));
@@ -208,13 +208,7 @@
 #[tokio::test]
 async fn addresses_seldom() {
     const OTHERS: usize = 6;
-    let first = process(Role::Entry, &[]);
-    let others: Vec<Process> = (0..OTHERS).map(|_| process(Role::Entry, &[first.address])).collect();
-    for other in &others {
-        let mut line = other.mesh.line();
-        let all = line.wait_for(|line| line.entries == OTHERS + 1).await;
-        drop(all.expect("a mesh"));
-    }
+    let (first, _others) = gathered(OTHERS).await;
     // Links that were dialled from both sides end.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let before = first.mesh.traffic().addresses;
