Waiting line: those who can be in time first, late ones behind, by the skew of the moment

Most refusals fell into the half second after a shift of demand, in which the next map is being loaded. Change: a line whose order is: can still be in time, by tier and arrival; then late ones. A request is refused at its arrival only, when the line is longer than its caller's silence allows (0.6 of it). Room is worked out from the skew of the moment and the engine's figures.

--- a/crates/sparscale_catalog/src/engine.rs
+++ b/crates/sparscale_catalog/src/engine.rs
@@ -70,6 +70,17 @@
         f64::from(self.steps_per_pass) * (self.step_ms + per_request + per_context) * skew
     }
 
+    /// Time of one pass while `requests` requests are kept up on each rank, in milliseconds: as many prompts are read as
+    /// answers end. `skew` is that of the experts, `pace` how many times as long as usual the slowest rank takes.
+    pub fn lasting_pass_ms(&self, requests: f64, skew: f64, pace: f64) -> f64 {
+        let context = f64::from(self.usual_prompt + self.usual_answer / 2);
+        let passes = f64::from(self.usual_answer.max(1)) / f64::from(self.steps_per_pass.max(1));
+        let prompts = requests / passes.max(1.0) * self.prefill_ms(self.usual_prompt);
+        let even = self.pass_ms(requests, requests * context, 1.0) + prompts;
+        let of_experts = self.experts.map_or(0.0, |experts| experts.work_share);
+        even * (of_experts * skew + (1.0 - of_experts) * pace)
+    }
+
     /// Time that reading a prompt of `tokens` takes an idle engine, in milliseconds.
     pub fn prefill_ms(&self, tokens: u32) -> f64 {
         let tokens = f64::from(tokens);
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -112,6 +112,7 @@
             pause,
             objective: job.route().objective,
             tier: job.outbound.urgency.unwrap_or_default(),
+            began: job.began,
         };
         self.queues.enter(arrival).await.map(Some)
     }
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -65,6 +65,9 @@
             response(begun.status, begun.headers, body)
         }
         Answer::Stream(stream) => {
+            if let Some(permit) = &permit {
+                permit.first_event();
+            }
             let (status, headers) = (stream.status, stream.headers);
             let relay = Relay {
                 gateway: Arc::clone(gateway),
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use sparscale_catalog::Engine;
-use sparscale_wire::GroupLoad;
+use sparscale_wire::{GroupLoad, RankLoad};
 
 /// Part of the allowed pause that passes may take: the rest is for prompts that are read between, and for the way.
 const PASS_PART: f64 = 0.62;
+/// Part of the allowed pause that a pass may take by the engine's figures: ranks read their prompts unevenly.
+const TIMELY_PART: f64 = 0.8;
 /// Skew that conductors keep groups within.
 const USUAL_SKEW: f64 = 1.3;
 /// Requests that a rank is filled with while streams are late however few there are: more would be late for long after
@@ -59,6 +61,41 @@
     ranks * requests
 }
 
+/// How many requests the ranks of `load` may hold in all, for those whose answers can still be in time and for those
+/// that are late already.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Capacity {
+    /// With so many, passes stay within the pause under the skew of the moment.
+    pub timely: f64,
+    /// With so many, late answers come soon.
+    pub late: f64,
+}
+
+/// What the ranks of `load` may hold under the skew of the moment.
+///
+/// While the passes of those that run are longer than streams allow, nobody else is let in who could be in time after
+/// that moment: demand shifts at once, and the next map is in force half a second later. Those who are late already
+/// lose nothing by it.
+pub fn capacity_now(load: &GroupLoad, engine: &Engine, pause: Duration) -> Capacity {
+    let late = capacity(load, engine, pause);
+    if load.skew < 1.0 || load.pass_micros == 0 {
+        return Capacity { timely: late, late };
+    }
+    let ranks = load.ranks.len() as f64;
+    let pace = load.ranks.iter().flatten().map(RankLoad::pace).fold(1.0, f64::max);
+    let pause_ms = pause.as_secs_f64() * 1_000.0;
+    let pass = |requests: f64| engine.lasting_pass_ms(requests, load.skew, pace);
+    if pass(held(load) / ranks) > pause_ms {
+        return Capacity { timely: 0.0, late };
+    }
+    let mut requests = f64::from(engine.slots);
+    while requests > 0.0 && pass(requests) > pause_ms * TIMELY_PART {
+        requests -= 0.25;
+    }
+    let timely = ranks * requests;
+    Capacity { timely, late: timely }
+}
+
 /// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
 pub fn held(load: &GroupLoad) -> f64 {
     let heard: Vec<f64> = load
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Lets requests in to a group of engines as room comes free, the most urgent first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,14 +9,26 @@
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::GroupLoad;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::line::{Line, Room, Ticket};
 use crate::refusal::{Reason, Refusal};
-use crate::room::{capacity, held};
+use crate::room::{capacity_now, held};
 
-/// Part of the latency objective for which a request may wait: the rest is for reading its prompt.
+/// Least part of the latency objective for which a request may wait and still be in time.
 const WAIT_PART: f64 = 0.4;
+/// Weight of the newest time to a first event in its running mean.
+const FIRST_WEIGHT: f64 = 0.1;
+/// Margin on that mean: such times spread, and a wait that ends in time must leave room for most.
+const FIRST_MARGIN: f64 = 1.5;
+/// Silence after which callers take a stream for dead: the longest of this, [`SILENT_OBJECTIVES`] and [`SILENT_PAUSES`].
+const SILENCE: Duration = Duration::from_secs(2);
+/// The same in latency objectives.
+const SILENT_OBJECTIVES: u32 = 4;
+/// The same in allowed pauses.
+const SILENT_PAUSES: u32 = 8;
+/// Part of that silence for which a request may wait: the rest is for its prompt.
+const SILENT_PART: f64 = 0.6;
 /// Loads that are older than this say nothing: everyone is let in.
 const LOAD_AGE: Duration = Duration::from_millis(900);
 /// Time for which a request is not yet part of what the conductor tells.
@@ -40,6 +52,8 @@
     pub(crate) objective: Duration,
     /// 0 for the most urgent.
     pub(crate) tier: u8,
+    /// When it came.
+    pub(crate) began: Instant,
 }
 
 /// The queues of all groups.
@@ -59,14 +73,16 @@
     order: (u64, u64),
     told: Instant,
     /// This entry's share of the room, as last worked out, less what it has let in since.
-    room: f64,
+    room: Room,
     /// When this entry let requests in that the conductor may not have told yet.
     untold: Vec<Instant>,
-    waiting: BTreeMap<(u8, usize), oneshot::Sender<Arc<()>>>,
+    line: Line<Arc<()>>,
     /// Held by each request of this entry that is in, and by the queue.
     token: Arc<()>,
     /// Mean time for which a request stays in.
     stay: Duration,
+    /// Mean time from letting a stream in to its first event, once one was seen.
+    first: Option<Duration>,
 }
 
 /// Counts a request as inside until this is dropped.
@@ -91,30 +107,30 @@
     /// Lets a request in, at once or when room comes free; or refuses it with the time to come back.
     pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Refusal> {
         let ticket = (arrival.tier, self.tickets.fetch_add(1, Ordering::Relaxed));
+        let longest = arrival.longest_wait();
         let waiting = {
             let mut queues = self.lock();
             let queue = self.refreshed(&mut queues, arrival);
-            if queue.waiting.is_empty() && queue.room >= 1.0 {
+            if queue.line.is_empty() && queue.room.timely >= 1.0 {
                 let token = queue.admit();
                 return Ok(self.permit(arrival.group, token));
             }
             let expected = queue.expected_wait();
-            if expected > arrival.objective.mul_f64(WAIT_PART) {
+            if arrival.began.elapsed() + expected > longest {
                 let retry = retry_after(expected);
-                log::info!(target: DECISION, decision = "turn_back", request = arrival.request, group = arrival.group, load:? = queue.order, load_age_ms = queue.told.elapsed().as_millis() as u64, room = queue.room, waiting = queue.waiting.len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no room in the group");
+                queue.log_refusal(&arrival, expected, retry);
                 return Err(Refusal::retry(Reason::Busy, retry));
             }
-            let (sender, receiver) = oneshot::channel();
-            queue.waiting.insert(ticket, sender);
-            receiver
+            queue
+                .line
+                .join(ticket, arrival.began + queue.patience(arrival.objective))
         };
         let guard = Waiting {
             queues: self,
             group: arrival.group,
             ticket,
         };
-        let patience = arrival.objective.mul_f64(WAIT_PART);
-        let let_in = tokio::time::timeout(patience, waiting).await;
+        let let_in = tokio::time::timeout_at(arrival.began + longest, waiting).await;
         drop(guard);
         if let Ok(Ok(token)) = let_in {
             return Ok(self.permit(arrival.group, token));
@@ -135,6 +151,7 @@
             pause,
             objective: Duration::ZERO,
             tier: 0,
+            began: Instant::now(),
         };
         self.refreshed(&mut queues, arrival);
     }
@@ -142,7 +159,7 @@
     /// Groups at whose queues requests wait.
     pub(crate) fn crowded(&self) -> Vec<String> {
         let queues = self.lock();
-        let crowded = queues.iter().filter(|(_, queue)| !queue.waiting.is_empty());
+        let crowded = queues.iter().filter(|(_, queue)| !queue.line.is_empty());
         crowded.map(|(group, _)| group.clone()).collect()
     }
 
@@ -161,7 +178,7 @@
         let entries = self.entries.load(Ordering::Relaxed);
         match self.mesh.group(arrival.group) {
             Some(load) if load.order != queue.order => queue.news(&load, arrival, entries),
-            _ if queue.told.elapsed() > LOAD_AGE => queue.room = f64::INFINITY,
+            _ if queue.told.elapsed() > LOAD_AGE => queue.room = Room::OPEN,
             _ => {}
         }
         queue.let_in();
@@ -177,13 +194,22 @@
 struct Waiting<'a> {
     queues: &'a Queues,
     group: &'a str,
-    ticket: (u8, usize),
+    ticket: Ticket,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(queue) = self.queues.lock().get_mut(self.group) {
-            queue.waiting.remove(&self.ticket);
+            queue.line.leave(self.ticket);
+        }
+    }
+}
+
+impl Permit {
+    /// Notes that the stream let in by this permit has its first event.
+    pub(crate) fn first_event(&self) {
+        if let Some(queue) = self.queues.lock().get_mut(&self.group) {
+            queue.first_event(self.entered.elapsed());
         }
     }
 }
@@ -201,11 +227,12 @@
         Self {
             order: (0, 0),
             told: Instant::now(),
-            room: f64::INFINITY,
+            room: Room::OPEN,
             untold: Vec::new(),
-            waiting: BTreeMap::new(),
+            line: Line::default(),
             token: Arc::new(()),
             stay: Duration::from_secs(1),
+            first: None,
         }
     }
 
@@ -214,27 +241,30 @@
         self.order = load.order;
         self.told = now;
         self.untold.retain(|let_in| *let_in + UNTOLD > now);
-        let free = capacity(load, arrival.engine, arrival.pause) - held(load);
-        self.room = free / entries.max(1) as f64 - self.untold.len() as f64;
+        let capacity = capacity_now(load, arrival.engine, arrival.pause);
+        let held = held(load);
+        let share = |capacity: f64| (capacity - held) / entries.max(1) as f64 - self.untold.len() as f64;
+        self.room = Room {
+            timely: share(capacity.timely),
+            late: share(capacity.late),
+        };
     }
 
     fn admit(&mut self) -> Arc<()> {
-        self.room -= 1.0;
+        self.room.add(-1.0);
         self.untold.push(Instant::now());
         Arc::clone(&self.token)
     }
 
     fn leave(&mut self, stayed: Duration) {
-        self.room += 1.0;
+        self.room.add(1.0);
         self.stay = (self.stay * 9 + stayed) / 10;
         self.let_in();
     }
 
     fn let_in(&mut self) {
-        while self.room >= 1.0 {
-            let Some((_, sender)) = self.waiting.pop_first() else {
-                return;
-            };
+        let now = Instant::now();
+        while let Some(sender) = self.line.next(self.room, now) {
             // One that has left meanwhile takes no room.
             if sender.send(Arc::clone(&self.token)).is_ok() {
                 self.admit();
@@ -242,12 +272,40 @@
         }
     }
 
+    /// How long a request may wait and still have its first event within `objective`: what is left of it after the time
+    /// that the latest streams took from being let in to their first event, with a margin.
+    fn patience(&self, objective: Duration) -> Duration {
+        let least = objective.mul_f64(WAIT_PART);
+        let Some(first) = self.first else { return least };
+        objective.saturating_sub(first.mul_f64(FIRST_MARGIN)).max(least)
+    }
+
+    fn first_event(&mut self, took: Duration) {
+        let old = self.first.unwrap_or(took);
+        self.first = Some(old.mul_f64(1.0 - FIRST_WEIGHT) + took.mul_f64(FIRST_WEIGHT));
+    }
+
     /// Time until a request that joins the line now would be let in: places come free as requests leave.
     fn expected_wait(&self) -> Duration {
-        let ahead = self.waiting.len() as f64 + 1.0 - self.room.clamp(-64.0, 0.0);
+        let room = self.room.timely.max(self.room.late);
+        let ahead = self.line.len() as f64 + 1.0 - room.clamp(-64.0, 0.0);
         let inside = Arc::strong_count(&self.token) - 1;
         self.stay.mul_f64(ahead / (inside.max(1) as f64))
     }
+
+    fn log_refusal(&self, arrival: &Arrival<'_>, expected: Duration, retry: Duration) {
+        log::info!(target: DECISION, decision = "turn_back", request = arrival.request, group = arrival.group, load:? = self.order, load_age_ms = self.told.elapsed().as_millis() as u64, room = self.room.timely, late_room = self.room.late, waiting = self.line.len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no room in the group");
+    }
+}
+
+impl Arrival<'_> {
+    /// How long it may wait before its caller gives up.
+    fn longest_wait(&self) -> Duration {
+        let silence = SILENCE
+            .max(self.objective * SILENT_OBJECTIVES)
+            .max(self.pause * SILENT_PAUSES);
+        silence.mul_f64(SILENT_PART)
+    }
 }
 
 /// When to come back after a wait that is too long, spread so that those who were refused together do not return
