Popularity: a sample that straddles a shift is cleared of what is old; entries hear at once

Ruled out: waiting for a clean sample (100 ms more of long passes). Change: the least share that one of the five most wanted experts kept tells how much of the sample is old; that part is taken out. A shift is told to the entries without waiting for the next turn.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -7,8 +7,8 @@
 
 use sparscale_belief::Board;
 use sparscale_mesh::Mesh;
-use sparscale_place::Map;
 use sparscale_place::barrier::{Conductor, Progress};
+use sparscale_place::{Map, Trend};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Base, Endpoint, RankNews};
 use tokio::sync::{Semaphore, mpsc};
@@ -82,6 +82,8 @@
     progress: Progress,
     surveyed: Instant,
     told: Instant,
+    /// Whether the loads are to be told without waiting.
+    tell_now: bool,
     messages: u64,
     pass: Option<(u64, Instant)>,
     pass_micros: f64,
@@ -117,6 +119,7 @@
             progress: Progress::Surveying,
             surveyed: now - SURVEY_PAUSE,
             told: now,
+            tell_now: false,
             messages: 0,
             pass: None,
             pass_micros: 0.0,
@@ -239,7 +242,10 @@
     fn step(&mut self) {
         self.prepare_decider();
         if let Some(decider) = &mut self.decider {
-            self.undecided |= decider.sample(Instant::now()).is_some();
+            let trend = decider.sample(Instant::now());
+            self.undecided |= trend.is_some();
+            // Entries hold back at once what would make the passes of the next half second longer.
+            self.tell_now |= trend == Some(Trend::Shifted);
         }
         self.note_progress();
         if self.conductor.progress() == Progress::Idle && self.undecided {
--- a/crates/sparscale_conduct/src/leader/talk.rs
+++ b/crates/sparscale_conduct/src/leader/talk.rs
@@ -123,7 +123,7 @@
     }
 
     pub(super) fn tell_loads(&mut self) {
-        if self.told.elapsed() < LOADS_PAUSE {
+        if self.told.elapsed() < LOADS_PAUSE && !std::mem::take(&mut self.tell_now) {
             return;
         }
         self.told = Instant::now();
--- a/crates/sparscale_place/src/popularity.rs
+++ b/crates/sparscale_place/src/popularity.rs
@@ -11,6 +11,13 @@
 /// Picks in a sample below which its distance says nothing.
 const MIN_SAMPLE: f64 = 1_000.0;
 
+/// Experts of a set that are most wanted and by whose loss the moment of a shift is told.
+const MOST_WANTED: usize = 5;
+/// Least of a sample that is worth taking out: experts that are wanted little have as much by chance.
+const MIN_OLD_PART: f64 = 0.1;
+/// Most of a sample that is taken to be from before a shift.
+const MAX_OLD_PART: f64 = 0.8;
+
 /// Picks of each expert in each set.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Popularity {
@@ -53,7 +60,7 @@
             return Trend::Small;
         }
         if self.samples > 0 && self.distance(sample) > SHIFTED {
-            self.picks.copy_from_slice(sample);
+            self.picks = self.since_shift(sample);
             self.samples = 1;
             return Trend::Shifted;
         }
@@ -85,6 +92,23 @@
         self.picks.len() / self.experts.max(1)
     }
 
+    /// What of `sample` was picked after the shift in its span: an expert that lost its demand was picked before it only,
+    /// which tells how much of the sample is as old.
+    fn since_shift(&self, sample: &[f64]) -> Vec<f64> {
+        let pairs = || self.picks.chunks(self.experts).zip(sample.chunks(self.experts));
+        let mut parts: Vec<f64> = pairs().map(|(old, new)| old_part(old, new)).collect();
+        parts.sort_by(f64::total_cmp);
+        let part = parts.get(parts.len() / 2).copied().unwrap_or(0.0).min(MAX_OLD_PART);
+        if part < MIN_OLD_PART {
+            return sample.to_vec();
+        }
+        let left = pairs().flat_map(|(old, new)| {
+            let scale = part * new.iter().sum::<f64>() / old.iter().sum::<f64>().max(1.0);
+            old.iter().zip(new).map(move |(old, new)| (new - old * scale).max(0.0))
+        });
+        left.collect()
+    }
+
     /// Mean over the sets of the distance between the distribution of `sample` and the one seen before.
     fn distance(&self, sample: &[f64]) -> f64 {
         let sets = self.sets().max(1);
@@ -94,6 +118,19 @@
     }
 }
 
+/// Part of `new` that may still be `old`: the least that one of the most wanted experts of `old` kept of its share.
+fn old_part(old: &[f64], new: &[f64]) -> f64 {
+    let (old_sum, new_sum): (f64, f64) = (old.iter().sum(), new.iter().sum());
+    if old_sum <= 0.0 || new_sum <= 0.0 {
+        return 0.0;
+    }
+    let mut wanted: Vec<(f64, f64)> = old.iter().copied().zip(new.iter().copied()).collect();
+    wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
+    let kept = wanted.iter().take(MOST_WANTED);
+    let kept = kept.map(|(old, new)| (new / new_sum) / (old / old_sum).max(f64::MIN_POSITIVE));
+    kept.fold(1.0, f64::min)
+}
+
 fn distance(old: &[f64], new: &[f64]) -> f64 {
     let (old_sum, new_sum): (f64, f64) = (old.iter().sum(), new.iter().sum());
     if old_sum <= 0.0 || new_sum <= 0.0 {
