Slow ranks are left: no new requests, and those they have go on elsewhere

With its last request gone, passes fell to 57 ms while it was still slow (loads logged for a trial): a rank's own part of a pass grows with its pace as a whole, and a rank without requests has none. Ruled out: experts on it (skew 1.4 with its pace counted); admission (six or three a rank: late alike). Change: ranks that take over twice the middle pace of their group get no requests while others are there; a stream or a waiting request that may run again leaves such a rank, paid from the budget, and goes on after its last event. Callers' shorter deadlines tell what they spent on earlier tries, so that those who come back late wait with the late ones.

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::program::{AddressSnafu, Error, ListenSnafu, Parts, PeersSnafu, Settings};
 use crate::ready;
 use crate::server::{self, Phase, Progress};
+use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::waiting::Queues;
 
@@ -43,6 +44,8 @@
     pub ready: SocketAddr,
     /// What the entry believes.
     pub board: Arc<Board>,
+    /// What it hears from the system's other processes.
+    pub mesh: Arc<Mesh>,
     settings: Settings,
     phase: watch::Sender<Phase>,
     progress: Arc<Progress>,
@@ -87,17 +90,19 @@
             figures: Figures::new(Arc::clone(&registry)),
             queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
             entries,
+            deadlines: Deadlines::default(),
         });
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
         tokio::spawn(admit_waiting(Arc::clone(&gateway)));
-        tokio::spawn(follow_line(mesh, pace, Arc::clone(&gateway)));
+        tokio::spawn(follow_line(Arc::clone(&mesh), pace, Arc::clone(&gateway)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
         let entry = Self {
             callers: callers.local_addr().context(AddressSnafu)?,
             ready: ready.local_addr().context(AddressSnafu)?,
             board: Arc::clone(&board),
+            mesh: Arc::clone(&mesh),
             phase,
             progress,
             settings,
@@ -164,6 +169,7 @@
         let (Some(catalog), Some(roster)) = (gateway.board.catalog(), gateway.board.roster()) else {
             continue;
         };
+        gateway.loads.slow.update(&gateway.mesh, &roster.value);
         for group in crowded {
             let Some(target) = roster.value.rank(&group, 0) else {
                 continue;
@@ -189,9 +195,9 @@
         gateway.loads.retain(&belief.value);
         if let Some(catalog) = gateway.board.catalog() {
             let routes = &catalog.value.document().routes;
-            gateway
-                .splits
-                .retain(|name| routes.iter().any(|route| route.name == name));
+            let is_there = |name: &str| routes.iter().any(|route| route.name == name);
+            gateway.splits.retain(is_there);
+            gateway.deadlines.retain(is_there);
         }
     }
 }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned};
+use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned, Whole};
 use crate::budget::{Allowance, Budget};
 use crate::figures::Figures;
 use crate::loads::{Loads, Running};
@@ -22,6 +22,7 @@
 use crate::relay::Run;
 use crate::respond::{Answer, CALLER_LEFT, Stream, respond};
 use crate::server::Body;
+use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::tries::Tries;
 use crate::waiting::{Arrival, Permit, Queues};
@@ -48,6 +49,24 @@
     /// Entries that share the budget, this one included.
     pub(crate) entries: Arc<AtomicUsize>,
     pub(crate) queues: Arc<Queues>,
+    /// What callers spent on earlier tries.
+    pub(crate) deadlines: Deadlines,
+}
+
+/// How a send went.
+enum Attempt {
+    /// An answer for the caller.
+    Answered(Answer),
+    /// The target was not reached: nothing was sent.
+    NotSent,
+    /// The target says that it has not run the request.
+    Refused(Turned),
+    /// The target failed, and the request may run again.
+    Failed(Whole),
+    /// It may have run; no whole answer came.
+    Lost(Loss),
+    /// Its target was left for another one.
+    Left,
 }
 
 /// A request that may be sent.
@@ -113,10 +132,18 @@
             objective: job.route().objective,
             tier: job.outbound.urgency.unwrap_or_default(),
             began: job.began,
+            spent: self.spent(job),
         };
         self.queues.enter(arrival).await.map(Some)
     }
 
+    /// Time that the caller spent on tries before this one.
+    fn spent(&self, job: &Job) -> Duration {
+        let deadline = job.outbound.head.deadline;
+        let spent = |deadline| self.deadlines.spent(&job.route().name, deadline, job.began);
+        deadline.map(spent).unwrap_or_default()
+    }
+
     /// Sends until there is an answer or nothing more may be tried.
     pub(crate) async fn answer(&self, job: &Job, tries: &mut Tries) -> Result<Answer, Refusal> {
         loop {
@@ -126,9 +153,18 @@
             let Some(target) = self.next_target(job, tries) else {
                 return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
             };
-            let running = self.loads.enter(&target);
-            match self.caller.send(&target, &job.outbound).await {
-                Outcome::NotSent => {
+            match self.attempt(job, &target, tries).await {
+                Attempt::Left => {
+                    tries.lost = Some(Refusal::new(Reason::NoAnswer));
+                    tries.tried.push(target.id);
+                    continue;
+                }
+                Attempt::Answered(answer) => {
+                    self.loads.note_good(&target.id);
+                    tries.tried.push(target.id);
+                    return Ok(answer);
+                }
+                Attempt::NotSent => {
                     self.loads.note_failure(&target.id);
                     tries.unreached += 1;
                     tries
@@ -139,28 +175,13 @@
                     }
                     continue;
                 }
-                Outcome::Refused(turned) => {
+                Attempt::Refused(turned) => {
                     self.note_turned(&target, &turned);
                     let wait = turned.retry_after.unwrap_or(TURNED_AWAY_RETRY);
                     tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
                 }
-                Outcome::Whole(whole) if is_failure(whole.status) && job.outbound.may_repeat => {
-                    tries.failure = Some(whole);
-                }
-                Outcome::Whole(whole) => {
-                    self.loads.note_good(&target.id);
-                    tries.tried.push(target.id);
-                    return Ok(Answer::Whole(whole));
-                }
-                Outcome::Begun(begun) => match self.begin(job, begun, running).await {
-                    Ok(answer) => {
-                        self.loads.note_good(&target.id);
-                        tries.tried.push(target.id);
-                        return Ok(answer);
-                    }
-                    Err(loss) => self.lost(job, &target, loss, tries)?,
-                },
-                Outcome::Lost(loss) => self.lost(job, &target, loss, tries)?,
+                Attempt::Failed(whole) => tries.failure = Some(whole),
+                Attempt::Lost(loss) => self.lost(job, &target, loss, tries)?,
             }
             tries.tried.push(target.id);
             if !self.may_send_again(job, tries) {
@@ -169,6 +190,41 @@
         }
     }
 
+    /// Sends once, up to a whole answer or the first event. A target that turns out to hold its group back is left if
+    /// the request may go elsewhere: each pass of the group would wait for it.
+    async fn attempt(&self, job: &Job, target: &Target, tries: &Tries) -> Attempt {
+        let mut sending = std::pin::pin!(self.send(job, target));
+        let left = tokio::select! {
+            attempt = &mut sending => return attempt,
+            () = self.loads.slow.turned(&target.id) => self.may_leave(job, &target.id, tries.tried.len() + 1, tries),
+        };
+        if left { Attempt::Left } else { sending.await }
+    }
+
+    async fn send(&self, job: &Job, target: &Target) -> Attempt {
+        let running = self.loads.enter(target);
+        match self.caller.send(target, &job.outbound).await {
+            Outcome::Begun(begun) => match self.begin(job, begun, running).await {
+                Ok(answer) => Attempt::Answered(answer),
+                Err(loss) => Attempt::Lost(loss),
+            },
+            Outcome::Whole(whole) if is_failure(whole.status) && job.outbound.may_repeat => Attempt::Failed(whole),
+            Outcome::Whole(whole) => Attempt::Answered(Answer::Whole(whole)),
+            Outcome::NotSent => Attempt::NotSent,
+            Outcome::Refused(turned) => Attempt::Refused(turned),
+            Outcome::Lost(loss) => Attempt::Lost(loss),
+        }
+    }
+
+    /// Whether a request may leave `target`, on which it runs, for another one after `sends` sends; if so, the next one is
+    /// paid for.
+    pub(crate) fn may_leave(&self, job: &Job, target: &str, sends: usize, tries: &Tries) -> bool {
+        let elsewhere = job.outbound.may_repeat && sends < job.route().attempts as usize;
+        let left = elsewhere && self.spend(tries);
+        log::info!(target: DECISION, decision = "leave_slow", request = job.outbound.head.id_text(), at = target, left; "its target holds the group back");
+        left
+    }
+
     fn next_target(&self, job: &Job, tries: &mut Tries) -> Option<Target> {
         let roster = self.board.roster()?.value;
         if tries.service.is_none() {
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -9,6 +9,7 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
+use crate::slow::Slow;
 use crate::spread::{Candidate, draw, shares};
 
 /// First time for which a target that failed is passed over; doubled with each failure in a row.
@@ -52,13 +53,16 @@
     entries: Arc<AtomicUsize>,
     /// Sends of this entry to groups within [`RATE_SPAN`].
     sends: Mutex<VecDeque<Instant>>,
+    /// Targets that hold their groups back.
+    pub(crate) slow: Slow,
 }
 
 /// A request that counts as running at a target until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Running {
     loads: Arc<Loads>,
-    target: String,
+    /// Id of the target.
+    pub(crate) target: String,
 }
 
 impl Loads {
@@ -68,6 +72,7 @@
             targets: Mutex::default(),
             entries,
             sends: Mutex::default(),
+            slow: Slow::default(),
         }
     }
 
@@ -88,9 +93,12 @@
                 .of_service(service)
                 .filter(|target| target.standing == Standing::Ready && !tried.contains(&target.id))
         };
-        let told: Vec<(&Target, RankLoad)> = ready()
+        let mut told: Vec<(&Target, RankLoad)> = ready()
             .filter_map(|target| reported(target).map(|load| (target, load)))
             .collect();
+        if told.iter().any(|(target, _)| !self.slow.contains(&target.id)) {
+            told.retain(|(target, _)| !self.slow.contains(&target.id));
+        }
         if told.is_empty() {
             return self.least(ready(), hall).cloned();
         }
--- a/crates/sparscale_gateway/src/relay.rs
+++ b/crates/sparscale_gateway/src/relay.rs
@@ -9,7 +9,8 @@
 /// The events of one run of a request.
 #[derive(Debug)]
 pub(crate) struct Run {
-    rest: Rest,
+    /// None once it was left.
+    rest: Option<Rest>,
     splitter: Splitter,
     /// Last event that was handed out.
     last: Option<u64>,
@@ -19,7 +20,7 @@
     /// The events of an answer whose head has arrived. Events up to `last` are known to the caller already.
     pub(crate) fn new(rest: Rest, last: Option<u64>) -> Self {
         Self {
-            rest,
+            rest: Some(rest),
             splitter: Splitter::default(),
             last,
         }
@@ -33,7 +34,10 @@
                     return Ok(Some(event));
                 }
             }
-            let arrived = tokio::time::timeout_at(until, self.rest.next()).await;
+            let Some(rest) = &mut self.rest else {
+                return Err(Loss::Broken);
+            };
+            let arrived = tokio::time::timeout_at(until, rest.next()).await;
             let Some(bytes) = arrived.map_err(|_elapsed| Loss::Timeout)?? else {
                 // An answer that ends inside an event has lost its end.
                 return if self.splitter.is_torn() {
@@ -56,6 +60,11 @@
         None
     }
 
+    /// Leaves the run: its target has nothing more to do for it.
+    pub(crate) fn leave(&mut self) {
+        self.rest = None;
+    }
+
     /// Last event that was handed out.
     pub(crate) fn last(&self) -> Option<u64> {
         self.last
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -78,6 +78,7 @@
                 _permit: permit,
                 tries,
                 pauses: Pauses::begin(),
+                stays: false,
                 over: false,
             };
             response(status, headers, relay.into_body())
@@ -96,6 +97,8 @@
     _permit: Option<Permit>,
     tries: Tries,
     pauses: Pauses,
+    /// Whether it stays where it is, even if that is slow.
+    stays: bool,
     over: bool,
 }
 
@@ -145,7 +148,15 @@
             if let Some(first) = self.first.take() {
                 return Some(Ok(join(first, &mut self.run)));
             }
-            match self.run.next(self.job.outbound.until).await {
+            let next = tokio::select! {
+                biased;
+                next = self.run.next(self.job.outbound.until) => next,
+                () = self.gateway.loads.slow.turned(&self.running.target), if !self.stays => {
+                    self.leave_slow().await;
+                    continue;
+                }
+            };
+            match next {
                 Ok(Some(event)) => {
                     self.pauses.note();
                     return Some(Ok(join(event, &mut self.run)));
@@ -164,12 +175,28 @@
         }
     }
 
-    /// Goes on elsewhere after the last event that the caller has.
+    /// Leaves a target that holds its group back, if the stream can go on elsewhere. If that fails in the end, the run that
+    /// was left shows as broken.
+    async fn leave_slow(&mut self) {
+        let sends = self.tries.tried.len();
+        let left = self
+            .gateway
+            .may_leave(&self.job, &self.running.target, sends, &self.tries);
+        self.stays = !left;
+        if left {
+            self.run.leave();
+            self.go_on(Loss::Broken).await;
+        }
+    }
+
+    /// Goes on elsewhere after the last event that the caller has, if that may be.
     async fn resume(&mut self, loss: Loss) -> bool {
         let resumable = self.job.outbound.may_repeat && loss != Loss::Timeout;
-        if !resumable || !self.gateway.may_send_again(&self.job, &self.tries) {
-            return false;
-        }
+        resumable && self.gateway.may_send_again(&self.job, &self.tries) && self.go_on(loss).await
+    }
+
+    /// Sends the rest of the stream elsewhere.
+    async fn go_on(&mut self, loss: Loss) -> bool {
         self.job.outbound.last_event = self.run.last().or(self.job.outbound.last_event);
         let Ok(Answer::Stream(stream)) = self.gateway.answer(&self.job, &mut self.tries).await else {
             return false;
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -12,7 +12,7 @@
 /// Part of the allowed pause that passes may take: the rest is for prompts that are read between, and for the way.
 const PASS_PART: f64 = 0.62;
 /// Part of the allowed pause that a pass may take by the engine's figures: ranks read their prompts unevenly.
-const TIMELY_PART: f64 = 0.8;
+const TIMELY_PART: f64 = 1.1;
 /// Skew that conductors keep groups within.
 const USUAL_SKEW: f64 = 1.3;
 /// Requests that a rank is filled with while streams are late however few there are: more would be late for long after
@@ -82,7 +82,13 @@
         return Capacity { timely: late, late };
     }
     let ranks = load.ranks.len() as f64;
-    let pace = load.ranks.iter().flatten().map(RankLoad::pace).fold(1.0, f64::max);
+    // A slow rank without requests has nothing of its own to do in a pass.
+    let busy = load
+        .ranks
+        .iter()
+        .flatten()
+        .filter(|rank| rank.running + rank.queued > 0);
+    let pace = busy.map(RankLoad::pace).fold(1.0, f64::max);
     let pause_ms = pause.as_secs_f64() * 1_000.0;
     let pass = |requests: f64| engine.lasting_pass_ms(requests, load.skew, pace);
     if pass(held(load) / ranks) > pause_ms {
--- /dev/null
+++ b/crates/sparscale_gateway/src/slow.rs
@@ -0,0 +1,71 @@
+//! Ranks that hold their whole group back.
+//!
+//! All ranks of a group advance together, so each pass waits for the slowest rank that has requests. One that works at a
+//! fraction of the others' pace gets no requests while that lasts, and those it has go on elsewhere.
+
+use std::collections::{BTreeSet, HashMap};
+
+use sparscale_catalog::Roster;
+use sparscale_mesh::Mesh;
+use sparscale_telemetry::DECISION;
+use sparscale_wire::{GroupLoad, RankLoad};
+use tokio::sync::watch;
+
+/// How many times as long as the middle rank of its group a rank takes before it counts as slow.
+const SLOW_FACTOR: f64 = 2.0;
+
+/// Ranks of `load` that hold the others back.
+pub fn slow_ranks(load: &GroupLoad) -> Vec<usize> {
+    let mut paces: Vec<f64> = load.ranks.iter().flatten().map(RankLoad::pace).collect();
+    paces.sort_by(f64::total_cmp);
+    let Some(middle) = paces.get(paces.len() / 2).copied() else {
+        return Vec::new();
+    };
+    let told = load.ranks.iter().enumerate();
+    let slow = told.filter(|(_, rank)| rank.is_some_and(|rank| rank.pace() > middle * SLOW_FACTOR));
+    slow.map(|(rank, _)| rank).collect()
+}
+
+/// Ids of the targets that hold their groups back.
+#[derive(Debug, Default)]
+pub(crate) struct Slow {
+    targets: watch::Sender<BTreeSet<String>>,
+}
+
+impl Slow {
+    /// Works out anew who is slow, from the latest loads of the groups of `roster`.
+    pub(crate) fn update(&self, mesh: &Mesh, roster: &Roster) {
+        let mut groups: HashMap<&str, Vec<usize>> = HashMap::new();
+        let mut slow = BTreeSet::new();
+        for target in &roster.targets {
+            let Some(place) = &target.membership else { continue };
+            let ranks = groups.entry(&place.group).or_insert_with(|| {
+                let load = mesh.group(&place.group);
+                load.map(|load| slow_ranks(&load)).unwrap_or_default()
+            });
+            if ranks.contains(&place.rank) {
+                slow.insert(target.id.clone());
+            }
+        }
+        self.targets.send_if_modified(|known| {
+            let changed = *known != slow;
+            if changed {
+                log::info!(target: DECISION, decision = "slow_targets", before:? = known, now:? = slow; "targets that hold their groups back");
+                *known = slow;
+            }
+            changed
+        });
+    }
+
+    pub(crate) fn contains(&self, target: &str) -> bool {
+        self.targets.borrow().contains(target)
+    }
+
+    /// Returns once `target` is slow.
+    pub(crate) async fn turned(&self, target: &str) {
+        let mut targets = self.targets.subscribe();
+        if targets.wait_for(|slow| slow.contains(target)).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -54,6 +54,8 @@
     pub(crate) tier: u8,
     /// When it came.
     pub(crate) began: Instant,
+    /// What its caller spent on tries before it; worth counts from the first.
+    pub(crate) spent: Duration,
 }
 
 /// The queues of all groups.
@@ -121,9 +123,8 @@
                 queue.log_refusal(&arrival, expected, retry);
                 return Err(Refusal::retry(Reason::Busy, retry));
             }
-            queue
-                .line
-                .join(ticket, arrival.began + queue.patience(arrival.objective))
+            let patience = queue.patience(arrival.objective).saturating_sub(arrival.spent);
+            queue.line.join(ticket, arrival.began + patience)
         };
         let guard = Waiting {
             queues: self,
@@ -152,6 +153,7 @@
             objective: Duration::ZERO,
             tier: 0,
             began: Instant::now(),
+            spent: Duration::ZERO,
         };
         self.refreshed(&mut queues, arrival);
     }
