Groups that do not run are waited for; incarnations that are gone are passed over

Ruled out: late entries (roster and catalog 40 ms after start); the store. Change: after two requests turned away in a row a group's gate closes; requests wait, one tries each 100 ms, for 2 s at most. A 421 means that the incarnation is gone: passed over for 10 s, next target paid from the budget. While nobody tells loads an entry counts what it has let in, six a rank.

--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -88,6 +88,14 @@
     pub(crate) retry_after: Option<Duration>,
 }
 
+impl Turned {
+    /// Whether it says that `target` is not there any more: another incarnation has its address.
+    pub(crate) fn is_gone(&self, target: &str) -> bool {
+        let other = self.at_fault.as_deref().is_some_and(|at_fault| at_fault != target);
+        self.status == StatusCode::MISDIRECTED_REQUEST && !other
+    }
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub(crate) struct Whole {
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::attempt::Caller;
 use crate::exchange::Gateway;
 use crate::figures::{Figures, tell_levels};
+use crate::gate::Gates;
 use crate::loads::Loads;
 use crate::pool::Pool;
 use crate::program::{AddressSnafu, Error, ListenSnafu, Parts, PeersSnafu, Settings};
@@ -90,6 +91,7 @@
             figures: Figures::new(Arc::clone(&registry)),
             queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
             entries,
+            gates: Gates::default(),
             deadlines: Deadlines::default(),
         });
         let progress = Arc::new(Progress::default());
@@ -174,11 +176,12 @@
             let Some(target) = roster.value.rank(&group, 0) else {
                 continue;
             };
+            let size = target.membership.as_ref().map_or(1, |place| place.size);
             let service = catalog.value.find_service(&target.service);
             let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
             let pause = catalog.value.pause_of(&target.service);
             if let (Some(engine), Some(pause)) = (engine, pause) {
-                gateway.queues.refresh(&group, engine, pause);
+                gateway.queues.refresh(&group, size, engine, pause);
             }
         }
     }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned, Whole};
 use crate::budget::{Allowance, Budget};
 use crate::figures::Figures;
+use crate::gate::{Gates, Pass};
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Run;
@@ -25,7 +26,7 @@
 use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::tries::Tries;
-use crate::waiting::{Arrival, Permit, Queues};
+use crate::waiting::{Arrival, Permit, Queues, longest_wait};
 
 /// Tries that reach no target, at most; they cost a target nothing.
 const MAX_UNREACHED: u32 = 3;
@@ -49,6 +50,8 @@
     /// Entries that share the budget, this one included.
     pub(crate) entries: Arc<AtomicUsize>,
     pub(crate) queues: Arc<Queues>,
+    /// Whether groups run.
+    pub(crate) gates: Gates,
     /// What callers spent on earlier tries.
     pub(crate) deadlines: Deadlines,
 }
@@ -131,9 +134,11 @@
             pause,
             objective: job.route().objective,
             tier: job.outbound.urgency.unwrap_or_default(),
+            ranks: member.size,
             began: job.began,
             spent: self.spent(job),
         };
+        tries.group = Some(member.group.clone());
         self.queues.enter(arrival).await.map(Some)
     }
 
@@ -150,6 +155,9 @@
             if Instant::now() >= job.outbound.until {
                 return tries.give_up(Refusal::new(Reason::TooLate));
             }
+            if self.closed(job, tries).await {
+                return tries.give_up(Refusal::retry(Reason::GroupClosed, NO_TARGET_RETRY));
+            }
             let Some(target) = self.next_target(job, tries) else {
                 return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
             };
@@ -161,6 +169,9 @@
                 }
                 Attempt::Answered(answer) => {
                     self.loads.note_good(&target.id);
+                    if let Some(place) = &target.membership {
+                        self.gates.answered(&place.group);
+                    }
                     tries.tried.push(target.id);
                     return Ok(answer);
                 }
@@ -175,6 +186,17 @@
                     }
                     continue;
                 }
+                Attempt::Refused(turned) if turned.is_gone(&target.id) => {
+                    self.loads.note_gone(&target.id);
+                    tries.unreached += 1;
+                    tries
+                        .refusal
+                        .get_or_insert(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
+                    if tries.unreached >= MAX_UNREACHED || !self.spend(tries) {
+                        return tries.give_up(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
+                    }
+                    continue;
+                }
                 Attempt::Refused(turned) => {
                     self.note_turned(&target, &turned);
                     let wait = turned.retry_after.unwrap_or(TURNED_AWAY_RETRY);
@@ -190,6 +212,13 @@
         }
     }
 
+    /// Whether the request's group stays closed for longer than it can wait.
+    async fn closed(&self, job: &Job, tries: &Tries) -> bool {
+        let Some(group) = &tries.group else { return false };
+        let until = job.began + longest_wait(job.route().objective, pause_of(job));
+        self.gates.pass(group, until.min(job.outbound.until)).await == Pass::Closed
+    }
+
     /// Sends once, up to a whole answer or the first event. A target that turns out to hold its group back is left if
     /// the request may go elsewhere: each pass of the group would wait for it.
     async fn attempt(&self, job: &Job, target: &Target, tries: &Tries) -> Attempt {
@@ -253,6 +282,11 @@
     }
 
     fn note_turned(&self, target: &Target, turned: &Turned) {
+        if let Some(place) = &target.membership
+            && turned.status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            self.gates.turned_away(&place.group);
+        }
         // The target at fault may be another one, on which this one waited.
         let at_fault = turned.at_fault.as_deref().unwrap_or(&target.id);
         if turned.status == StatusCode::MISDIRECTED_REQUEST || at_fault != target.id {
@@ -354,6 +388,14 @@
     HeaderValue::from_str(name).ok()
 }
 
+/// Longest pause that the request's route allows between events.
+fn pause_of(job: &Job) -> Duration {
+    match job.route().kind {
+        Kind::Stream { longest_pause, .. } => longest_pause.unwrap_or_default(),
+        Kind::Once | Kind::Repeatable => Duration::ZERO,
+    }
+}
+
 fn is_stream(job: &Job) -> bool {
     job.route().kind.is_stream()
 }
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod exchange;
 mod figures;
+mod gate;
 mod head;
 mod line;
 mod loads;
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -16,6 +16,8 @@
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
 /// Doublings of that time at most.
 const MAX_DOUBLINGS: u32 = 4;
+/// Time for which a target that is gone is passed over; the roster drops it within this.
+const GONE_AVOIDANCE: Duration = Duration::from_secs(10);
 /// Age of a rank's load when it is used, on the mean: it is read and told each 100 ms, and told on once.
 const STALE: Duration = Duration::from_millis(150);
 /// Span over which this entry's sends are counted, as a sample of what all entries send.
@@ -203,6 +205,13 @@
         state.avoid_until = Some(Instant::now() + FIRST_AVOIDANCE * 2_u32.pow(doublings));
     }
 
+    /// Notes that a target is not there any more: it is avoided until the roster drops it.
+    pub(crate) fn note_gone(&self, target: &str) {
+        let mut targets = self.lock();
+        let state = targets.entry(target.to_owned()).or_default();
+        state.avoid_until = Some(Instant::now() + GONE_AVOIDANCE);
+    }
+
     /// Forgets targets that are gone and have nothing running.
     pub(crate) fn retain(&self, roster: &Roster) {
         self.lock()
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     NoTarget,
     /// All targets have as much as they can serve in time.
     Busy,
+    /// The group of targets does not run now.
+    GroupClosed,
     /// Targets turned the request away without running it.
     TurnedAway,
     /// No target could be reached.
@@ -58,6 +60,7 @@
             Self::BodyBroken => "body_broken",
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
+            Self::GroupClosed => "group_closed",
             Self::TurnedAway => "turned_away",
             Self::Unreachable => "unreachable",
             Self::TooLate => "too_late",
@@ -79,6 +82,7 @@
             Self::NoCatalog
             | Self::StaleCatalog
             | Self::NoTarget
+            | Self::GroupClosed
             | Self::TurnedAway
             | Self::Unreachable
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/sparscale_gateway/src/tries.rs
+++ b/crates/sparscale_gateway/src/tries.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Tries {
     /// Service that takes the request, once it is chosen.
     pub(crate) service: Option<String>,
+    /// Group of ranks that takes the request, if one does.
+    pub(crate) group: Option<String>,
     /// Targets that it was sent to.
     pub(crate) tried: Vec<String>,
     /// Targets that were not reached, in a row or not.
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -31,6 +31,9 @@
 const SILENT_PART: f64 = 0.6;
 /// Loads that are older than this say nothing: everyone is let in.
 const LOAD_AGE: Duration = Duration::from_millis(900);
+/// Requests that a rank is filled with while nobody tells loads: a group that begins anew deals its experts in turn, and
+/// with more its passes outlast the pauses of streams.
+const UNTOLD_RANK: f64 = 6.0;
 /// Time for which a request is not yet part of what the conductor tells.
 const UNTOLD: Duration = Duration::from_millis(120);
 /// First time after which a refused caller is told to come back; it rises with the queue.
@@ -52,6 +55,8 @@
     pub(crate) objective: Duration,
     /// 0 for the most urgent.
     pub(crate) tier: u8,
+    /// Ranks of the group.
+    pub(crate) ranks: usize,
     /// When it came.
     pub(crate) began: Instant,
     /// What its caller spent on tries before it; worth counts from the first.
@@ -109,7 +114,7 @@
     /// Lets a request in, at once or when room comes free; or refuses it with the time to come back.
     pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Refusal> {
         let ticket = (arrival.tier, self.tickets.fetch_add(1, Ordering::Relaxed));
-        let longest = arrival.longest_wait();
+        let longest = longest_wait(arrival.objective, arrival.pause);
         let waiting = {
             let mut queues = self.lock();
             let queue = self.refreshed(&mut queues, arrival);
@@ -143,7 +148,7 @@
     }
 
     /// Lets waiting requests in after news of a group's loads.
-    pub(crate) fn refresh(&self, group: &str, engine: &Engine, pause: Duration) {
+    pub(crate) fn refresh(&self, group: &str, ranks: usize, engine: &Engine, pause: Duration) {
         let mut queues = self.lock();
         let arrival = Arrival {
             request: "",
@@ -152,6 +157,7 @@
             pause,
             objective: Duration::ZERO,
             tier: 0,
+            ranks,
             began: Instant::now(),
             spent: Duration::ZERO,
         };
@@ -180,7 +186,7 @@
         let entries = self.entries.load(Ordering::Relaxed);
         match self.mesh.group(arrival.group) {
             Some(load) if load.order != queue.order => queue.news(&load, arrival, entries),
-            _ if queue.told.elapsed() > LOAD_AGE => queue.room = Room::OPEN,
+            _ if queue.told.elapsed() > LOAD_AGE => queue.untold_room(arrival.ranks, entries),
             _ => {}
         }
         queue.let_in();
@@ -252,6 +258,16 @@
         };
     }
 
+    /// The room while nobody tells loads, as after a restart of all processes: what this entry has let in is known.
+    fn untold_room(&mut self, ranks: usize, entries: usize) {
+        let inside = Arc::strong_count(&self.token) - 1;
+        let share = UNTOLD_RANK * ranks as f64 / entries.max(1) as f64 - inside as f64;
+        self.room = Room {
+            timely: share,
+            late: share,
+        };
+    }
+
     fn admit(&mut self) -> Arc<()> {
         self.room.add(-1.0);
         self.untold.push(Instant::now());
@@ -300,14 +316,10 @@
     }
 }
 
-impl Arrival<'_> {
-    /// How long it may wait before its caller gives up.
-    fn longest_wait(&self) -> Duration {
-        let silence = SILENCE
-            .max(self.objective * SILENT_OBJECTIVES)
-            .max(self.pause * SILENT_PAUSES);
-        silence.mul_f64(SILENT_PART)
-    }
+/// How long a request may wait before its caller gives up.
+pub(crate) fn longest_wait(objective: Duration, pause: Duration) -> Duration {
+    let silence = SILENCE.max(objective * SILENT_OBJECTIVES).max(pause * SILENT_PAUSES);
+    silence.mul_f64(SILENT_PART)
 }
 
 /// When to come back after a wait that is too long, spread so that those who were refused together do not return
