Counts go on while a change is under way; looks come soon until the new map is seen

Cause: agents told no counts while loading, so the second change after a shift was decided on what one rank told first; and the conductor waited 67 ms on the mean for looks 100 ms apart to see the new map. A request that is not turned away within 40 ms opens its group's gate.

--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -135,12 +135,12 @@
                 Some(subscriber) = subscribers.recv() => self.subscribe(subscriber).await,
                 () = tokio::time::sleep_until(look_at) => {
                     self.look().await;
-                    let pause = if self.staging.is_some() { STAGING_PAUSE } else { CALM_PAUSE };
+                    let pause = if self.is_changing() { STAGING_PAUSE } else { CALM_PAUSE };
                     look_at = Instant::now() + pause;
                     continue;
                 }
             }
-            if self.staging.is_some() {
+            if self.is_changing() {
                 look_at = look_at.min(Instant::now() + STAGING_PAUSE);
             }
         }
@@ -243,6 +243,13 @@
         answer
     }
 
+    /// Whether it loads experts, or is about to take another map: the conductor waits for either, and the next change
+    /// begins 67 ms sooner on the mean of looks 100 ms apart.
+    fn is_changing(&self) -> bool {
+        let is_armed = |state: &EngineState| state.view.armed.is_some();
+        self.staging.is_some() || self.state.borrow().as_ref().is_some_and(is_armed)
+    }
+
     /// Looks at the rank, and tells what is new.
     async fn look(&mut self) {
         let state = match self.engine.state().await {
@@ -259,17 +266,24 @@
         let staging = self.staging.is_some();
         let map = state.as_ref().map(|state| (state.view.epoch, state.view.map));
         self.tell_state(state, None);
-        if self.subscriber.is_none() || staging {
+        if self.subscriber.is_none() {
             return;
         }
-        if map.is_some() && map != self.told_map {
+        if !staging && map.is_some() && map != self.told_map {
             self.tell_held().await;
         }
-        if self.is_counter() {
+        // Counts go on while a change is under way: the next one is decided by what is in demand when it is over.
+        if self.is_counter() && self.counts_due() {
             self.tell_picks().await;
         }
     }
 
+    /// Whether it is time for counts again: looks come more often than that while a change is under way.
+    fn counts_due(&self) -> bool {
+        let told = self.counted.as_ref().map(|(_, at)| *at);
+        told.is_none_or(|at| at.elapsed() + STAGING_PAUSE > CALM_PAUSE)
+    }
+
     /// Whether this rank's counts are wanted; the first ones are read to learn how many there are.
     fn is_counter(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned, Whole};
 use crate::budget::{Allowance, Budget};
 use crate::figures::Figures;
-use crate::gate::{Gates, Pass};
+use crate::gate::{Gates, Pass, TAKEN_AFTER};
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Run;
@@ -223,6 +223,12 @@
     /// the request may go elsewhere: each pass of the group would wait for it.
     async fn attempt(&self, job: &Job, target: &Target, tries: &Tries) -> Attempt {
         let mut sending = std::pin::pin!(self.send(job, target));
+        if let Some(place) = &target.membership {
+            match tokio::time::timeout(TAKEN_AFTER, &mut sending).await {
+                Ok(attempt) => return attempt,
+                Err(_elapsed) => self.gates.taken(&place.group),
+            }
+        }
         let left = tokio::select! {
             attempt = &mut sending => return attempt,
             () = self.loads.slow.turned(&target.id) => self.may_leave(job, &target.id, tries.tried.len() + 1, tries),
--- a/crates/sparscale_gateway/src/gate.rs
+++ b/crates/sparscale_gateway/src/gate.rs
@@ -16,6 +16,8 @@
 const TURNED_AWAY: u32 = 2;
 /// Time between two requests that try whether a closed group runs again.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which a request that was not turned away counts as taken: a group that does not run answers within 5 ms.
+pub(crate) const TAKEN_AFTER: Duration = Duration::from_millis(40);
 /// Time after which a group that is still closed has lost ranks for longer than a restart takes: nobody waits for it
 /// any more.
 const CLOSED_LIMIT: Duration = Duration::from_secs(2);
@@ -90,6 +92,13 @@
         }
     }
 
+    /// Notes that a request sent to `group` was not turned away within [`TAKEN_AFTER`]; a group that does not run answers at once.
+    pub(crate) fn taken(&self, group: &str) {
+        if self.lock().get(group).is_some_and(|gate| gate.closed.is_some()) {
+            self.answered(group);
+        }
+    }
+
     /// Notes that a target of `group` has begun a request.
     pub(crate) fn answered(&self, group: &str) {
         let mut gates = self.lock();
