Retry budget: a log line for each send beyond the first that is asked for

Cause: logs could not tell the hypotheses of the incident apart; only two counters told of the budget. Ruled out: nothing yet. Change: a line repeat with request, service, cause, verdict, counts, entries and age of the process. No change of logic. Conclusion: lives of a process can be told apart by life_ms, and sends summed over entries and lives.

--- a/crates/sparscale_gateway/src/budget.rs
+++ b/crates/sparscale_gateway/src/budget.rs
@@ -31,6 +31,19 @@
     repeats: u32,
 }
 
+/// What came of asking for one more send, and the counts that decided it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Verdict {
+    /// Whether it may be sent.
+    pub(crate) paid: bool,
+    /// Requests in the window.
+    pub(crate) requests: u32,
+    /// Sends beyond the first in the window, without this one.
+    pub(crate) repeats: u32,
+    /// Sends beyond the first that this entry may make in the window.
+    pub(crate) allowed: f64,
+}
+
 /// This entry's part of the budget of one service.
 #[derive(Debug)]
 pub(crate) struct Budget {
@@ -52,17 +65,22 @@
     }
 
     /// Whether one more send beyond the first fits, with `entries` entries sharing the slack; if so, it is counted.
-    pub(crate) fn spend(&mut self, entries: usize, now: Instant) -> bool {
+    pub(crate) fn spend(&mut self, entries: usize, now: Instant) -> Verdict {
         self.expire(now);
         let requests: u32 = self.pieces.iter().map(|piece| piece.requests).sum();
         let repeats: u32 = self.pieces.iter().map(|piece| piece.repeats).sum();
         let slack = self.allowance.slack / entries.max(1) as f64;
         let allowed = (self.allowance.ratio * f64::from(requests) + slack) * CAUTION;
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
+        let paid = f64::from(repeats) + 1.0 <= allowed;
+        if paid {
+            self.piece(now).repeats += 1;
+        }
+        Verdict {
+            paid,
+            requests,
+            repeats,
+            allowed,
         }
-        self.piece(now).repeats += 1;
-        true
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -91,6 +91,7 @@
             figures: Figures::new(Arc::clone(&registry)),
             queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
             entries,
+            started: Instant::now(),
             gates: Gates::default(),
             deadlines: Deadlines::default(),
         });
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -49,6 +49,8 @@
     pub(crate) figures: Figures,
     /// Entries that share the budget, this one included.
     pub(crate) entries: Arc<AtomicUsize>,
+    /// Start of this process.
+    pub(crate) started: Instant,
     pub(crate) queues: Arc<Queues>,
     /// Whether groups run.
     pub(crate) gates: Gates,
@@ -72,6 +74,27 @@
     Left,
 }
 
+/// Why a request is to be sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// Its target turned it away, failed, or gave no whole answer.
+    Unserved,
+    /// Another incarnation had its target's address.
+    Gone,
+    /// Its target held the group back.
+    LeftSlow,
+}
+
+impl Cause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unserved => "unserved",
+            Self::Gone => "gone",
+            Self::LeftSlow => "left_slow",
+        }
+    }
+}
+
 /// A request that may be sent.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -192,7 +215,7 @@
                     tries
                         .refusal
                         .get_or_insert(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
-                    if tries.unreached >= MAX_UNREACHED || !self.spend(tries) {
+                    if tries.unreached >= MAX_UNREACHED || !self.spend(job, tries, Cause::Gone) {
                         return tries.give_up(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
                     }
                     continue;
@@ -255,7 +278,7 @@
     /// paid for.
     pub(crate) fn may_leave(&self, job: &Job, target: &str, sends: usize, tries: &Tries) -> bool {
         let elsewhere = job.outbound.may_repeat && sends < job.route().attempts as usize;
-        let left = elsewhere && self.spend(tries);
+        let left = elsewhere && self.spend(job, tries, Cause::LeftSlow);
         log::info!(target: DECISION, decision = "leave_slow", request = job.outbound.head.id_text(), at = target, left; "its target holds the group back");
         left
     }
@@ -321,7 +344,7 @@
         if tries.tried.len() >= job.route().attempts as usize {
             return false;
         }
-        let paid = self.spend(tries);
+        let paid = self.spend(job, tries, Cause::Unserved);
         let counter = if paid {
             &self.figures.repeats
         } else {
@@ -342,12 +365,34 @@
         }
     }
 
-    /// Whether the budget of the service allows one more send.
-    fn spend(&self, tries: &Tries) -> bool {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = tries.service.as_ref().and_then(|service| budgets.get_mut(service));
+    /// Whether the budget of the service allows one more send of a request.
+    fn spend(&self, job: &Job, tries: &Tries, cause: Cause) -> bool {
+        let Some(service) = tries.service.as_deref() else {
+            return false;
+        };
         let entries = self.entries.load(Ordering::Relaxed);
-        budget.is_some_and(|budget| budget.spend(entries, Instant::now()))
+        let now = Instant::now();
+        let verdict = {
+            let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+            budgets.get_mut(service).map(|budget| budget.spend(entries, now))
+        };
+        let Some(verdict) = verdict else { return false };
+        let life_ms = now.saturating_duration_since(self.started).as_millis() as u64;
+        log::info!(
+            target: DECISION,
+            decision = "repeat",
+            request = job.outbound.head.id_text(),
+            service,
+            cause = cause.name(),
+            paid = verdict.paid,
+            requests = verdict.requests,
+            repeats = verdict.repeats,
+            allowed = verdict.allowed,
+            entries,
+            life_ms;
+            "one more send"
+        );
+        verdict.paid
     }
 
     /// Waits for the first event of a stream; any other long answer is taken as it is.
