--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod groups;
 mod requests;
+mod shared_budget;
 mod stopping;
 mod streams;
 mod target;
