Retry budget: paid from what requests earned, and from a share of the slack that a new process does not have

Cause: each process spent ratio times its own requests of the last window, and 0.8 of the slack divided by the entries that it had heard lately. A process that started had both anew, and divided by its guess of four or by the two it had met; entries cut off from each other for over 12 s would each have taken all of the slack. Requests counted in another window than the rule's: part of it, since two entries can spend at both ends of a window what they earned in two; covered by the new bound. Change: requests earn half of the ratio one by one; the other half bounds what may be held of it, by the requests of the last window. Summed over any set of processes that is ratio times the requests of the window or of the one before, without any count of the others. The slack is divided by all entries that were known in the last ten minutes, and only by one that is linked to most of them and older than the window and the time that a send may be on its way.

--- a/crates/sparscale_gateway/src/budget.rs
+++ b/crates/sparscale_gateway/src/budget.rs
@@ -1,14 +1,30 @@
-//! The budget for sends beyond the first of each request.
+//! The budget for sends beyond the first of each request. All entries share it, and none can count it alone.
 //!
-//! It is shared by all entries. Each spends the part that its own requests earn, and its share of the slack.
+//! In any window the sends beyond the first of all entries together stay within `ratio` times the requests of that window
+//! or of the one before it, whichever are more, and a slack. An entry pays for such a send from one of two sources:
+//!
+//! - *Credit.* Each request earns [`EARNED`] of `ratio`. What an entry holds of it never exceeds the rest of `ratio` times
+//!   the requests of its last window. So the sends that all entries pay for from credit in a window are at most
+//!   `ratio` · ((1 − `EARNED`) · requests of the window before + `EARNED` · requests of the window), whoever knows of whom
+//!   and however often processes start again: a new process holds nothing.
+//! - *Its share of the slack*, once in a window. It is given only to a process that is older than a window, so that what its
+//!   predecessor spent lies outside of it, and that hears most of the entries it knows of.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Part of the budget that is spent: entries do not see each other's counts.
-const CAUTION: f64 = 0.8;
+/// Part of what requests allow that they earn one by one; the rest may be held for a burst. A half of each serves a group
+/// that stops and opens again: all its streams go on at once.
+const EARNED: f64 = 0.5;
+/// Credit that an entry may hold in any case, else entries with few requests could never send one again. It comes out of
+/// the part of the slack that is not shared.
+const LEAST_HELD: f64 = 1.0;
+/// Part of the slack that entries share; the rest is for sends that arrive late, and for entries that nobody heard of yet.
+const SHARED: f64 = 0.8;
+/// Time that a send may be on its way: after it the kernel gives the connection up.
+const LATE: Duration = crate::pool::UNACKNOWLEDGED_TIMEOUT;
 /// Pieces of the window that are counted together.
 const PIECES: u32 = 20;
 
@@ -23,85 +39,146 @@
     pub window: Duration,
 }
 
-/// Requests and further sends of one piece of the window.
-#[derive(Debug, Clone, Copy)]
-struct Piece {
-    began: Instant,
-    requests: u32,
-    repeats: u32,
+impl Allowance {
+    /// Sends that one of `sharers` entries may pay for from the slack in a window; none if their number is not known.
+    pub fn share(&self, sharers: Option<usize>) -> f64 {
+        sharers.map_or(0.0, |sharers| self.slack * SHARED / sharers.max(1) as f64)
+    }
+}
+
+/// What pays for a send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// What requests earned.
+    Credit,
+    /// This entry's share of the slack.
+    Slack,
+}
+
+impl Source {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Credit => "credit",
+            Self::Slack => "slack",
+        }
+    }
 }
 
-/// What came of asking for one more send, and the counts that decided it.
+/// What came of asking for one more send, and the figures that decided it.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Verdict {
-    /// Whether it may be sent.
-    pub(crate) paid: bool,
-    /// Requests in the window.
-    pub(crate) requests: u32,
-    /// Sends beyond the first in the window, without this one.
-    pub(crate) repeats: u32,
-    /// Sends beyond the first that this entry may make in the window.
-    pub(crate) allowed: f64,
+pub struct Verdict {
+    /// What pays for it; none if it may not be sent.
+    pub source: Option<Source>,
+    /// Requests in the last window.
+    pub requests: u32,
+    /// Credit before this send.
+    pub credit: f64,
+    /// Sends that the slack paid for in the last window, without this one.
+    pub slack_used: u32,
+}
+
+/// Events of the last while, counted in pieces.
+#[derive(Debug)]
+struct Count {
+    pieces: VecDeque<(Instant, u32)>,
+    /// Length of a piece.
+    length: Duration,
+    /// Time after the beginning of a piece at which it is dropped.
+    keep: Duration,
+    total: u32,
+}
+
+impl Count {
+    fn new(length: Duration, keep: Duration) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            length,
+            keep,
+            total: 0,
+        }
+    }
+
+    fn add(&mut self, now: Instant) {
+        self.total += 1;
+        match self.pieces.back_mut() {
+            Some((began, count)) if now < *began + self.length => *count += 1,
+            _ => self.pieces.push_back((now, 1)),
+        }
+    }
+
+    fn total(&mut self, now: Instant) -> u32 {
+        while let Some((_, count)) = self.pieces.pop_front_if(|(began, _)| *began + self.keep <= now) {
+            self.total -= count;
+        }
+        self.total
+    }
 }
 
 /// This entry's part of the budget of one service.
 #[derive(Debug)]
-pub(crate) struct Budget {
+pub struct Budget {
     allowance: Allowance,
-    pieces: VecDeque<Piece>,
+    /// When the process is older than a window, and nothing that its predecessor sent is on its way any more.
+    slack_from: Instant,
+    /// Requests of the last window; forgotten a piece too early rather than too late.
+    requests: Count,
+    /// Sends that the slack paid for; forgotten when none of them can arrive in a window with the next one.
+    slack_used: Count,
+    credit: f64,
 }
 
 impl Budget {
-    pub(crate) fn new(allowance: Allowance) -> Self {
+    /// The part of a process that started at `started`.
+    pub fn new(allowance: Allowance, started: Instant) -> Self {
+        let window = allowance.window;
+        let length = window / PIECES;
         Self {
             allowance,
-            pieces: VecDeque::new(),
+            slack_from: started + window + LATE,
+            requests: Count::new(length, window),
+            slack_used: Count::new(length, window + length + LATE),
+            credit: 0.0,
         }
     }
 
     /// Counts a request.
-    pub(crate) fn earn(&mut self, now: Instant) {
-        self.piece(now).requests += 1;
+    pub fn earn(&mut self, now: Instant) {
+        self.requests.add(now);
+        self.credit += self.allowance.ratio * EARNED;
+        self.limit(now);
     }
 
-    /// Whether one more send beyond the first fits, with `entries` entries sharing the slack; if so, it is counted.
-    pub(crate) fn spend(&mut self, entries: usize, now: Instant) -> Verdict {
-        self.expire(now);
-        let requests: u32 = self.pieces.iter().map(|piece| piece.requests).sum();
-        let repeats: u32 = self.pieces.iter().map(|piece| piece.repeats).sum();
-        let slack = self.allowance.slack / entries.max(1) as f64;
-        let allowed = (self.allowance.ratio * f64::from(requests) + slack) * CAUTION;
-        let paid = f64::from(repeats) + 1.0 <= allowed;
-        if paid {
-            self.piece(now).repeats += 1;
+    /// Asks for one more send beyond the first; `share` is what this entry may take of the slack in a window.
+    pub fn spend(&mut self, share: f64, now: Instant) -> Verdict {
+        let requests = self.limit(now);
+        let credit = self.credit;
+        let slack_used = self.slack_used.total(now);
+        let source = if credit >= 1.0 {
+            Some(Source::Credit)
+        } else if now >= self.slack_from && f64::from(slack_used) + 1.0 <= share {
+            Some(Source::Slack)
+        } else {
+            None
+        };
+        match source {
+            Some(Source::Credit) => self.credit -= 1.0,
+            Some(Source::Slack) => self.slack_used.add(now),
+            None => {}
         }
         Verdict {
-            paid,
+            source,
             requests,
-            repeats,
-            allowed,
+            credit,
+            slack_used,
         }
     }
 
-    fn expire(&mut self, now: Instant) {
-        let window = self.allowance.window;
-        while self.pieces.front().is_some_and(|piece| piece.began + window <= now) {
-            self.pieces.pop_front();
-        }
-    }
-
-    fn piece(&mut self, now: Instant) -> &mut Piece {
-        let length = self.allowance.window / PIECES;
-        let current = self.pieces.back().is_some_and(|piece| now < piece.began + length);
-        if !current {
-            self.expire(now);
-            self.pieces.push_back(Piece {
-                began: now,
-                requests: 0,
-                repeats: 0,
-            });
-        }
-        let last = self.pieces.len() - 1;
-        &mut self.pieces[last]
+    /// Drops credit beyond what may be held; tells the requests of the last window.
+    fn limit(&mut self, now: Instant) -> u32 {
+        let requests = self.requests.total(now);
+        let held = self.allowance.ratio * (1.0 - EARNED) * f64::from(requests);
+        self.credit = self.credit.min(held.max(LEAST_HELD));
+        requests
     }
 }
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -31,7 +31,7 @@
 
 /// Longest rest of a connection on which a request that may run once is sent: a target may have forgotten it.
 const MAX_REST_ONCE: Duration = Duration::ZERO;
-/// Entries that are taken to share the budget before any other is known.
+/// Entries that are taken to share the room of groups before any other is known.
 const UNKNOWN_ENTRIES: usize = 4;
 /// Pause between two looks at whether a stopping entry is done.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
@@ -90,7 +90,7 @@
             splits: Splits::default(),
             figures: Figures::new(Arc::clone(&registry)),
             queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
-            entries,
+            sharers: AtomicUsize::new(0),
             started: Instant::now(),
             gates: Gates::default(),
             deadlines: Deadlines::default(),
@@ -98,7 +98,7 @@
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
         tokio::spawn(admit_waiting(Arc::clone(&gateway)));
-        tokio::spawn(follow_line(Arc::clone(&mesh), pace, Arc::clone(&gateway)));
+        tokio::spawn(follow_line(Arc::clone(&mesh), pace, entries, Arc::clone(&gateway)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
         let entry = Self {
@@ -153,14 +153,24 @@
     Ok(mesh)
 }
 
-/// Keeps this entry's place among the readers of the store, and its share of the budget.
-async fn follow_line(mesh: Arc<Mesh>, pace: Arc<Pace>, gateway: Arc<Gateway>) {
+/// Keeps this entry's place among the readers of the store, its share of the room of groups and of the budget's slack.
+async fn follow_line(mesh: Arc<Mesh>, pace: Arc<Pace>, room: Arc<AtomicUsize>, gateway: Arc<Gateway>) {
     let mut line = mesh.line();
+    let mut told = line.borrow().entries;
     while line.changed().await.is_ok() {
-        let Line { place, entries } = *line.borrow_and_update();
+        let Line {
+            place,
+            entries,
+            sharers,
+        } = *line.borrow_and_update();
         pace.set_place(place);
-        gateway.entries.store(entries, Ordering::Relaxed);
-        log::info!(target: DECISION, decision = "line", place, entries; "place among the entries");
+        // Before any other entry is met, the guess stays.
+        if entries != told {
+            room.store(entries, Ordering::Relaxed);
+            told = entries;
+        }
+        gateway.sharers.store(sharers.unwrap_or(0), Ordering::Relaxed);
+        log::info!(target: DECISION, decision = "line", place, entries, sharers; "place among the entries");
     }
 }
 
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned, Whole};
-use crate::budget::{Allowance, Budget};
+use crate::budget::{Allowance, Budget, Source};
 use crate::figures::Figures;
 use crate::gate::{Gates, Pass, TAKEN_AFTER};
 use crate::loads::{Loads, Running};
@@ -47,8 +47,8 @@
     pub(crate) budgets: Mutex<HashMap<String, Budget>>,
     pub(crate) splits: Splits,
     pub(crate) figures: Figures,
-    /// Entries that share the budget, this one included.
-    pub(crate) entries: Arc<AtomicUsize>,
+    /// Entries that share the slack of the budgets, this one included; 0 while that is not known.
+    pub(crate) sharers: AtomicUsize,
     /// Start of this process.
     pub(crate) started: Instant,
     pub(crate) queues: Arc<Queues>,
@@ -360,7 +360,7 @@
         for share in &job.route().shares {
             let budget = budgets
                 .entry(share.service.clone())
-                .or_insert_with(|| Budget::new(self.allowance));
+                .or_insert_with(|| Budget::new(self.allowance, self.started));
             budget.earn(now);
         }
     }
@@ -370,11 +370,12 @@
         let Some(service) = tries.service.as_deref() else {
             return false;
         };
-        let entries = self.entries.load(Ordering::Relaxed);
+        let sharers = self.sharers.load(Ordering::Relaxed);
+        let share = self.allowance.share((sharers > 0).then_some(sharers));
         let now = Instant::now();
         let verdict = {
             let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-            budgets.get_mut(service).map(|budget| budget.spend(entries, now))
+            budgets.get_mut(service).map(|budget| budget.spend(share, now))
         };
         let Some(verdict) = verdict else { return false };
         let life_ms = now.saturating_duration_since(self.started).as_millis() as u64;
@@ -384,15 +385,16 @@
             request = job.outbound.head.id_text(),
             service,
             cause = cause.name(),
-            paid = verdict.paid,
+            paid = verdict.source.map_or("no", Source::name),
             requests = verdict.requests,
-            repeats = verdict.repeats,
-            allowed = verdict.allowed,
-            entries,
+            credit = verdict.credit,
+            slack_used = verdict.slack_used,
+            share,
+            sharers,
             life_ms;
             "one more send"
         );
-        verdict.paid
+        verdict.source.is_some()
     }
 
     /// Waits for the first event of a stream; any other long answer is taken as it is.
--- a/crates/sparscale_gateway/src/figures.rs
+++ b/crates/sparscale_gateway/src/figures.rs
@@ -104,7 +104,7 @@
     );
     let entries = gauge(
         "sparscale_entries",
-        "Entries that share the retry budget, this one included.",
+        "Entries that share the room of groups, this one included.",
     );
     let connections = gauge("sparscale_caller_connections", "Connections from callers.");
     let (board, line, progress) = (Arc::clone(board), mesh.line(), Arc::clone(progress));
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -31,7 +31,7 @@
 mod waiting;
 
 pub use admission::Freshness;
-pub use budget::Allowance;
+pub use budget::{Allowance, Budget, Source, Verdict};
 pub use dialect::Dialect;
 pub use entry::Entry;
 pub use line::{Line, Room, Ticket};
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -21,7 +21,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which sent bytes may stay unacknowledged before the kernel gives the connection up. A box without power
 /// says nothing.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Part of the time that a target keeps an idle connection for which it is still used, so that a request does not
 /// meet its close.
 const KEEP_ALIVE_PART: f64 = 0.5;
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -25,10 +25,11 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which another entry is asked for a catalog or roster that did not come.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// An entry that was not heard for this long is forgotten, unless the settings name it.
-const FORGET: Duration = Duration::from_mins(1);
-/// An entry that was heard this long ago may still spend from what all share.
-const MAY_SPEND: Duration = Duration::from_secs(12);
+/// An entry that was not heard for this long is forgotten, unless the settings name it. Links between regions are gone for
+/// minutes, and an entry that is only cut off still spends its share of what all have in common.
+const FORGET: Duration = Duration::from_mins(10);
+/// An entry that was heard this long ago may still have requests in the groups whose room all share.
+const LATELY: Duration = Duration::from_secs(12);
 
 /// Who this process is, and whom it asks first.
 #[derive(Debug, Clone)]
@@ -59,8 +60,11 @@
 pub struct Line {
     /// Place, 0 for the first.
     pub place: usize,
-    /// Entries that may spend from what all share, this one included.
+    /// Entries that are live or were lately, this one included.
     pub entries: usize,
+    /// Entries that may spend from what all share: all that are known, this one included. None unless most of them are
+    /// linked to this one: the others may be a majority that knows nothing of it.
+    pub sharers: Option<usize>,
 }
 
 /// Another entry.
@@ -144,7 +148,11 @@
             started: Instant::now(),
             endpoint,
             entries: Mutex::default(),
-            line: watch::Sender::new(Line { place: 0, entries: 1 }),
+            line: watch::Sender::new(Line {
+                place: 0,
+                entries: 1,
+                sharers: None,
+            }),
             asked_catalog: Asked::default(),
             asked_roster: Asked::default(),
             heard: Heard::default(),
@@ -371,15 +379,18 @@
             let entries = self.lock();
             let before =
                 |(address, known): &(&SocketAddr, &Known)| known.links > 0 && **address < self.settings.address;
-            let spends = |known: &&Known| {
+            let linked = entries.values().filter(|known| known.links > 0).count() + 1;
+            let known = entries.len() + 1;
+            let live = |known: &&Known| {
                 let lately = known
                     .heard
-                    .is_some_and(|heard| now.saturating_duration_since(heard) < MAY_SPEND);
+                    .is_some_and(|heard| now.saturating_duration_since(heard) < LATELY);
                 known.links > 0 || lately
             };
             Line {
                 place: entries.iter().filter(before).count(),
-                entries: entries.values().filter(spends).count() + 1,
+                entries: entries.values().filter(live).count() + 1,
+                sharers: (2 * linked > known).then_some(known),
             }
         };
         self.line.send_if_modified(|known| {
