Roster: of several entries at one address only the one that showed up last

Cause: after all boxes lost power each target is listed twice until its old entry lapses. Ruled out: closing the gate at 421: the old entries are listed for seconds, the requests would wait for nothing. Change: the list keeps where each key was first seen, and the roster takes the last of those that share an address. A late heartbeat of the predecessor does not bring it back.

--- a/crates/sparscale_catalog/src/roster.rs
+++ b/crates/sparscale_catalog/src/roster.rs
@@ -1,5 +1,6 @@
 //! The targets that are there now.
 
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -83,6 +84,19 @@
         Self { targets, digest }
     }
 
+    /// A roster of targets, each with the place in the platform's list at which it showed up. Of several at one address only
+    /// the last is there: a target that lost power has an entry until it lapses, and what is sent to it meets its successor.
+    pub fn of_latest(targets: Vec<(Target, u64)>) -> Self {
+        let mut latest: HashMap<SocketAddr, (Target, u64)> = HashMap::with_capacity(targets.len());
+        for (target, since) in targets {
+            let later = latest.get(&target.address).is_none_or(|(_, known)| *known < since);
+            if later {
+                latest.insert(target.address, (target, since));
+            }
+        }
+        Self::new(latest.into_values().map(|(target, _)| target).collect())
+    }
+
     /// A digest of all of it: processes tell each other by it whether they have the same roster. Programs of different
     /// builds may differ in it; they then send more than they need to.
     pub fn digest(&self) -> u64 {
--- /dev/null
+++ b/crates/sparscale_catalog/tests/latest_targets.rs
@@ -0,0 +1,25 @@
+//! Which of several entries at one address is there.
+
+use sparscale_catalog::{Roster, Target};
+use sparscale_samples as samples;
+
+fn ids(roster: &Roster) -> Vec<&str> {
+    roster.targets.iter().map(|target| target.id.as_str()).collect()
+}
+
+/// After all boxes lost power each target is listed twice for a while: as it was, and as it is.
+#[test]
+fn successor_stays() {
+    let place = |id: &str, port: u16| Target {
+        address: ([127, 0, 0, 1], port).into(),
+        ..samples::target(id, samples::MODEL, 0)
+    };
+    let listed = vec![
+        (place("b-old", 2), 11),
+        (place("a-new", 1), 25),
+        (place("a-old", 1), 10),
+        (place("b-new", 2), 24),
+        (place("c-old", 3), 12),
+    ];
+    assert_eq!(ids(&Roster::of_latest(listed)), ["a-new", "b-new", "c-old"]);
+}
