--- a/crates/sparscale_entry/src/lib.rs
+++ b/crates/sparscale_entry/src/lib.rs
@@ -9,7 +9,7 @@
 mod completion;
 mod dispatch;
 mod duty;
-mod limits;
+pub mod limits;
 mod live;
 mod peer;
 mod placer;
--- a/crates/sparscale_entry/src/limits.rs
+++ b/crates/sparscale_entry/src/limits.rs
@@ -56,7 +56,7 @@
 
 /// Retries come out of a budget that first attempts fill, so that retries never multiply an overload.
 #[derive(Debug)]
-pub(crate) struct RetryBudget {
+pub struct RetryBudget {
     saved: Mutex<f64>,
 }
 
@@ -70,13 +70,13 @@
 
 impl RetryBudget {
     /// Notes a first attempt, which earns `percent` of a retry.
-    pub(crate) fn earn(&self, percent: u32) {
+    pub fn earn(&self, percent: u32) {
         let mut saved = lock(&self.saved);
         *saved = (*saved + f64::from(percent) / 100.0).min(MAX_RETRIES);
     }
 
     /// Spends one retry, if there is one.
-    pub(crate) fn spend(&self) -> bool {
+    pub fn spend(&self) -> bool {
         let mut saved = lock(&self.saved);
         if *saved < 1.0 {
             return false;
