Early signals: programs listen before they do anything else

Cause: the handlers were set after settings were read and everything ran; until then a hang-up has its default effect. Ruled out: ignoring hang-ups: a change of settings that comes during a start would go unnoticed. Change: run_service listens first and hands the signals on; what comes before they are waited for is acted on then. The four long-running programs use it. Test sources of the budget follow the linter.

--- a/crates/sparscale_agent/src/main.rs
+++ b/crates/sparscale_agent/src/main.rs
@@ -8,5 +8,5 @@
 async fn main() -> ExitCode {
     let matches = sparscale_agent::command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    sparscale_telemetry::run_logged("sparscale-agent", sparscale_agent::run(&path)).await
+    sparscale_telemetry::run_service("sparscale-agent", |signals| sparscale_agent::run(&path, signals)).await
 }
--- a/crates/sparscale_agent/src/program.rs
+++ b/crates/sparscale_agent/src/program.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 use sparscale_admit::queue::Limits;
 use sparscale_control::{Journal, Listing, Standing, process};
-use sparscale_telemetry::DECISION;
+use sparscale_telemetry::{DECISION, Signals};
 use sparscale_wire::Endpoint;
 use tokio::sync::watch;
 
@@ -43,12 +43,6 @@
         /// What is wrong.
         source: process::Error,
     },
-    /// Signals cannot be received.
-    #[snafu(display("signals cannot be received: {source}"), context(false))]
-    Signal {
-        /// What the operating system said.
-        source: std::io::Error,
-    },
 }
 
 /// The command line.
@@ -65,7 +59,7 @@
 }
 
 /// Runs an agent with the settings file at `path` until SIGTERM, then drains.
-pub async fn run(path: &std::path::Path) -> Result<(), Error> {
+pub async fn run(path: &std::path::Path, mut signals: Signals) -> Result<(), Error> {
     let settings: Settings = sparscale_settings::load::<Raw>(path)?;
     let process = settings.process.start("sparscale.agent")?;
     let name = settings.process.raw.name.clone();
@@ -88,7 +82,7 @@
     tokio::spawn(leave_with_box(Arc::clone(&core), name.clone(), process.boxes.clone()));
     tokio::spawn(connection::accept(service, Arc::clone(&process.endpoint)));
     log::info!(name = name.as_str(), incarnation = process.incarnation, address = settings.process.raw.listen.to_string().as_str(); "agent ready");
-    process::wait_for_stop(&process.endpoint).await?;
+    process::wait_for_stop(&process.endpoint, &mut signals).await;
     drain(&core).await;
     close(&process.endpoint).await;
     Ok(())
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -8,7 +8,7 @@
 use sparscale_belief::{Board, Pace, ReadFigures, Source, read_catalog, read_roster};
 use sparscale_catalog::{Catalog, Roster};
 use sparscale_mesh::Mesh;
-use sparscale_telemetry::{DECISION, Registry, wait_for_stop};
+use sparscale_telemetry::{DECISION, Registry, Signals};
 use sparscale_wire::{Endpoint, EndpointError, FEW_STREAMS, Identity, Role};
 
 use crate::claims::Claims;
@@ -71,18 +71,12 @@
         /// What is wrong.
         source: EndpointError,
     },
-    /// Signals cannot be received.
-    #[snafu(display("signals cannot be received: {source}"))]
-    Signal {
-        /// What the operating system said.
-        source: std::io::Error,
-    },
 }
 
 /// Runs an agent until SIGTERM.
-pub async fn run(settings: Settings, parts: Parts, reload: impl FnMut()) -> Result<(), Error> {
+pub async fn run(settings: Settings, parts: Parts, mut signals: Signals, reload: impl FnMut()) -> Result<(), Error> {
     start(&settings, parts)?;
-    wait_for_stop(reload).await.context(SignalSnafu)?;
+    signals.wait_for_stop(reload).await;
     log::info!(target: DECISION, decision = "stopped"; "stopped");
     Ok(())
 }
--- a/crates/sparscale_control/src/process.rs
+++ b/crates/sparscale_control/src/process.rs
@@ -211,8 +211,8 @@
 }
 
 /// Waits for SIGTERM or SIGINT; SIGHUP reads the certificates again without closing connections.
-pub async fn wait_for_stop(endpoint: &Endpoint) -> Result<(), std::io::Error> {
-    sparscale_telemetry::wait_for_stop(|| reload(endpoint)).await
+pub async fn wait_for_stop(endpoint: &Endpoint, signals: &mut sparscale_telemetry::Signals) {
+    signals.wait_for_stop(|| reload(endpoint)).await;
 }
 
 fn reload(endpoint: &Endpoint) {
--- a/crates/sparscale_entry/src/main.rs
+++ b/crates/sparscale_entry/src/main.rs
@@ -8,5 +8,5 @@
 async fn main() -> ExitCode {
     let matches = sparscale_entry::command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    sparscale_telemetry::run_logged("sparscale-entry", sparscale_entry::run(&path)).await
+    sparscale_telemetry::run_service("sparscale-entry", |signals| sparscale_entry::run(&path, signals)).await
 }
--- a/crates/sparscale_entry/src/program.rs
+++ b/crates/sparscale_entry/src/program.rs
@@ -9,7 +9,7 @@
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use snafu::Snafu;
 use sparscale_control::process;
-use sparscale_telemetry::DECISION;
+use sparscale_telemetry::{DECISION, Signals};
 
 use crate::board_control::{SharedBoard, follow_boxes, follow_bundle, watch_loads};
 use crate::caller::{self, Api};
@@ -38,12 +38,6 @@
         /// What is wrong.
         source: process::Error,
     },
-    /// Signals cannot be received.
-    #[snafu(display("signals cannot be received: {source}"), context(false))]
-    Signal {
-        /// What the operating system said.
-        source: std::io::Error,
-    },
     /// Callers cannot be served.
     #[snafu(display("callers: {message}; choose a free address of this box"))]
     Callers {
@@ -66,7 +60,7 @@
 }
 
 /// Runs an entry with the settings file at `path` until SIGTERM, then finishes what is in progress.
-pub async fn run(path: &Path) -> Result<(), Error> {
+pub async fn run(path: &Path, mut signals: Signals) -> Result<(), Error> {
     let settings: Settings = sparscale_settings::load::<Raw>(path)?;
     let process = settings.process.start("sparscale.entry")?;
     let name = settings.process.raw.name.clone();
@@ -105,7 +99,7 @@
     });
     let server = serve(&settings, Arc::clone(&api))?;
     log::info!(name = name.as_str(), incarnation = process.incarnation, callers = server.local_addr().to_string().as_str(); "entry ready");
-    process::wait_for_stop(&process.endpoint).await?;
+    process::wait_for_stop(&process.endpoint, &mut signals).await;
     stop(&settings, &api, server).await;
     let _closed = tokio::time::timeout(CLOSE_TIMEOUT, process.endpoint.close()).await;
     log::info!("entry stopped");
--- a/crates/sparscale_gateway/src/program.rs
+++ b/crates/sparscale_gateway/src/program.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use snafu::{ResultExt as _, Snafu};
+use snafu::Snafu;
 use sparscale_belief::Source;
 use sparscale_catalog::{Catalog, Roster};
-use sparscale_telemetry::{Registry, wait_for_stop};
+use sparscale_telemetry::{Registry, Signals};
 use sparscale_wire::EndpointError;
 
 use crate::admission::Freshness;
@@ -90,18 +90,12 @@
         /// What is wrong.
         source: EndpointError,
     },
-    /// Signals cannot be received.
-    #[snafu(display("signals cannot be received: {source}"))]
-    Signal {
-        /// What the operating system said.
-        source: std::io::Error,
-    },
 }
 
 /// Runs a gateway until SIGTERM, then finishes what is in progress.
-pub async fn run(settings: Settings, parts: Parts, reload: impl FnMut()) -> Result<(), Error> {
+pub async fn run(settings: Settings, parts: Parts, mut signals: Signals, reload: impl FnMut()) -> Result<(), Error> {
     let entry = Entry::start(settings, parts).await?;
-    wait_for_stop(reload).await.context(SignalSnafu)?;
+    signals.wait_for_stop(reload).await;
     entry.stop().await;
     Ok(())
 }
--- a/crates/sparscale_gateway/tests/retry_budget.rs
+++ b/crates/sparscale_gateway/tests/retry_budget.rs
@@ -29,13 +29,13 @@
 }
 
 impl Arbitrary for Event {
-    fn arbitrary(source: &mut Gen) -> Self {
-        let entry = usize::arbitrary(source) % ENTRIES;
-        let count = 1 + u32::arbitrary(source) % 60;
+    fn arbitrary(g: &mut Gen) -> Self {
+        let entry = usize::arbitrary(g) % ENTRIES;
+        let count = 1 + u32::arbitrary(g) % 60;
         // Long and short pauses: around the window, and around the time that sends are on their way.
         let pauses = [1, 40, 500, 2_400, 2_600, 4_900, 5_100, 9_900, 10_100, 13_100];
-        match u32::arbitrary(source) % 16 {
-            0..=3 => Self::Passes(*source.choose(&pauses).unwrap_or(&1)),
+        match u32::arbitrary(g) % 16 {
+            0..=3 => Self::Passes(*g.choose(&pauses).unwrap_or(&1)),
             4..=8 => Self::Requests(entry, count),
             9..=13 => Self::Spends(entry, count),
             14 => Self::Restarts(entry),
@@ -74,10 +74,10 @@
         self.began + Duration::from_millis(self.now)
     }
 
-    fn play(&mut self, events: &[Event]) {
+    fn play(&mut self, events: impl IntoIterator<Item = Event>) {
         for event in events {
             let instant = self.instant();
-            match *event {
+            match event {
                 Event::Passes(time) => self.now += time,
                 Event::Requests(entry, count) => {
                     (0..count).for_each(|_| self.budgets[entry].earn(instant));
@@ -134,7 +134,7 @@
 fn nobody_known() {
     fn holds(events: Vec<Event>) -> bool {
         let mut world = World::new(allowance(0.2, 88.0), None);
-        world.play(&events);
+        world.play(events);
         let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
         world.excess(&arrivals, ENTRIES as f64) <= 0.0
     }
@@ -146,7 +146,7 @@
 fn all_known() {
     fn holds(events: Vec<Event>) -> bool {
         let mut world = World::new(allowance(0.2, 40.0), Some(ENTRIES));
-        world.play(&events);
+        world.play(events);
         let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
         world.excess(&arrivals, 40.0) <= 0.0
     }
@@ -158,7 +158,7 @@
 fn slack_arrives_late() {
     fn holds(events: Vec<Event>) -> bool {
         let mut world = World::new(allowance(0.0, 40.0), Some(ENTRIES));
-        world.play(&events);
+        world.play(events);
         let late_until = world.sends.iter().map(|(at, _)| *at).max().unwrap_or(0) / 2;
         let delay = |at: u64| if at <= late_until { LATE } else { 0 };
         let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| at + delay(*at)).collect();
@@ -173,13 +173,13 @@
 fn share_returns() {
     let mut world = World::new(allowance(0.0, 40.0), Some(2));
     let spend = Event::Spends(0, 60);
-    world.play(&[spend, Event::Passes(WINDOW), spend]);
+    world.play([spend, Event::Passes(WINDOW), spend]);
     assert_eq!(world.sends.len(), 0);
-    world.play(&[Event::Passes(LATE), spend]);
+    world.play([Event::Passes(LATE), spend]);
     assert_eq!(world.sends.len(), 16);
-    world.play(&[Event::Passes(WINDOW + LATE), spend]);
+    world.play([Event::Passes(WINDOW + LATE), spend]);
     assert_eq!(world.sends.len(), 16);
-    world.play(&[Event::Passes(WINDOW / 20), spend]);
+    world.play([Event::Passes(WINDOW / 20), spend]);
     assert_eq!(world.sends.len(), 32);
 }
 
@@ -188,9 +188,9 @@
 fn credit_held() {
     let mut world = World::new(allowance(0.2, 0.0), None);
     let quiet = [Event::Requests(0, 202), Event::Passes(9_900)];
-    world.play(&[quiet, quiet, quiet].concat());
-    world.play(&[Event::Spends(0, 60)]);
+    world.play([quiet, quiet, quiet].concat());
+    world.play([Event::Spends(0, 60)]);
     assert_eq!(world.sends.len(), 20);
-    world.play(&[Event::Requests(0, 105), Event::Spends(0, 60)]);
+    world.play([Event::Requests(0, 105), Event::Spends(0, 60)]);
     assert_eq!(world.sends.len(), 30);
 }
--- a/crates/sparscale_telemetry/src/lib.rs
+++ b/crates/sparscale_telemetry/src/lib.rs
@@ -11,10 +11,10 @@
 mod writer;
 
 pub use exposition::expose;
-pub use main_run::run_logged;
+pub use main_run::{run_logged, run_service};
 pub use metrics::Metrics;
 pub use registry::{Counter, Gauge, Histogram, Registry};
-pub use stop::wait_for_stop;
+pub use stop::Signals;
 pub use writer::Flush;
 
 use logforth::record::{Level, LevelFilter};
