Retry-After: a request whose own time was over may come back at once

Cause: two refusals were made without a time. Ruled out: a fixed pause: nothing at the entry is short when a caller's own time runs out, so a pause would not be true. Change: 503 too_late and 408 say 0.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -176,7 +176,7 @@
     pub(crate) async fn answer(&self, job: &Job, tries: &mut Tries) -> Result<Answer, Refusal> {
         loop {
             if Instant::now() >= job.outbound.until {
-                return tries.give_up(Refusal::new(Reason::TooLate));
+                return tries.give_up(Refusal::at_once(Reason::TooLate));
             }
             if self.closed(job, tries).await {
                 return tries.give_up(Refusal::retry(Reason::GroupClosed, NO_TARGET_RETRY));
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// A refusal of a request whose own time was over: nothing here speaks against another one right away.
+    pub fn at_once(reason: Reason) -> Self {
+        Self::retry(reason, Duration::ZERO)
+    }
+
     /// A refusal of a request that may be sent again after `wait`.
     pub fn retry(reason: Reason, wait: Duration) -> Self {
         Self {
--- a/crates/sparscale_gateway/src/server.rs
+++ b/crates/sparscale_gateway/src/server.rs
@@ -289,7 +289,7 @@
     let mut length = 0;
     loop {
         let frame = tokio::time::timeout(limits.header_time, incoming.frame()).await;
-        let Some(frame) = frame.map_err(|_elapsed| Refusal::new(Reason::BodyLate))? else {
+        let Some(frame) = frame.map_err(|_elapsed| Refusal::at_once(Reason::BodyLate))? else {
             break;
         };
         let frame = frame.map_err(|_broken| Refusal::new(Reason::BodyBroken))?;
