Gateway: what follows from a send is drawn in one place; one type for the room of a group

Ruled out: a change of behaviour: order of checks, counts and refusals are as they were. Change: settle() and Tries::pass_over; capacity_now gives a Room. Measured: all tests of the gateway pass, untouched.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -28,8 +28,6 @@
 use crate::tries::Tries;
 use crate::waiting::{Arrival, Permit, Queues, longest_wait};
 
-/// Tries that reach no target, at most; they cost a target nothing.
-const MAX_UNREACHED: u32 = 3;
 /// When a caller is told to come back after a target turned its request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(200);
 /// When a caller is told to come back if no target is there.
@@ -184,55 +182,58 @@
             let Some(target) = self.next_target(job, tries) else {
                 return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
             };
-            match self.attempt(job, &target, tries).await {
-                Attempt::Left => {
-                    tries.lost = Some(Refusal::new(Reason::NoAnswer));
-                    tries.tried.push(target.id);
-                    continue;
-                }
-                Attempt::Answered(answer) => {
-                    self.loads.note_good(&target.id);
-                    if let Some(place) = &target.membership {
-                        self.gates.answered(&place.group);
-                    }
-                    tries.tried.push(target.id);
-                    return Ok(answer);
-                }
-                Attempt::NotSent => {
-                    self.loads.note_failure(&target.id);
-                    tries.unreached += 1;
-                    tries
-                        .refusal
-                        .get_or_insert(Refusal::retry(Reason::Unreachable, TURNED_AWAY_RETRY));
-                    if tries.unreached >= MAX_UNREACHED {
-                        return tries.give_up(Refusal::retry(Reason::Unreachable, TURNED_AWAY_RETRY));
-                    }
-                    continue;
-                }
-                Attempt::Refused(turned) if turned.is_gone(&target.id) => {
-                    self.loads.note_gone(&target.id);
-                    tries.unreached += 1;
-                    tries
-                        .refusal
-                        .get_or_insert(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
-                    if tries.unreached >= MAX_UNREACHED || !self.spend(job, tries, Cause::Gone) {
-                        return tries.give_up(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
-                    }
-                    continue;
-                }
-                Attempt::Refused(turned) => {
-                    self.note_turned(&target, &turned);
-                    let wait = turned.retry_after.unwrap_or(TURNED_AWAY_RETRY);
-                    tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
+            let attempt = self.attempt(job, &target, tries).await;
+            if let Some(answer) = self.settle(job, target, attempt, tries)? {
+                return Ok(answer);
+            }
+        }
+    }
+
+    /// Draws what follows from a send: an answer, another send (none), or a refusal.
+    fn settle(
+        &self,
+        job: &Job,
+        target: Target,
+        attempt: Attempt,
+        tries: &mut Tries,
+    ) -> Result<Option<Answer>, Refusal> {
+        match attempt {
+            Attempt::Answered(answer) => {
+                self.loads.note_good(&target.id);
+                if let Some(place) = &target.membership {
+                    self.gates.answered(&place.group);
                 }
-                Attempt::Failed(whole) => tries.failure = Some(whole),
-                Attempt::Lost(loss) => self.lost(job, &target, loss, tries)?,
+                tries.tried.push(target.id);
+                return Ok(Some(answer));
+            }
+            // Its next send was paid for when it left.
+            Attempt::Left => {
+                tries.lost = Some(Refusal::new(Reason::NoAnswer));
+                tries.tried.push(target.id);
+                return Ok(None);
+            }
+            Attempt::NotSent => {
+                self.loads.note_failure(&target.id);
+                return tries.pass_over(Refusal::retry(Reason::Unreachable, TURNED_AWAY_RETRY), |_| true);
             }
-            tries.tried.push(target.id);
-            if !self.may_send_again(job, tries) {
-                return tries.give_up(Refusal::new(Reason::NoAnswer));
+            Attempt::Refused(turned) if turned.is_gone(&target.id) => {
+                self.loads.note_gone(&target.id);
+                let paid = |tries: &Tries| self.spend(job, tries, Cause::Gone);
+                return tries.pass_over(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY), paid);
             }
+            Attempt::Refused(turned) => {
+                self.note_turned(&target, &turned);
+                let wait = turned.retry_after.unwrap_or(TURNED_AWAY_RETRY);
+                tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
+            }
+            Attempt::Failed(whole) => tries.failure = Some(whole),
+            Attempt::Lost(loss) => self.lost(job, &target, loss, tries)?,
+        }
+        tries.tried.push(target.id);
+        if self.may_send_again(job, tries) {
+            return Ok(None);
         }
+        tries.give_up(Refusal::new(Reason::NoAnswer)).map(Some)
     }
 
     /// Whether the request's group stays closed for longer than it can wait.
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -9,6 +9,8 @@
 use sparscale_catalog::Engine;
 use sparscale_wire::{GroupLoad, RankLoad};
 
+use crate::line::Room;
+
 /// Part of the allowed pause that passes may take: the rest is for prompts that are read between, and for the way.
 const PASS_PART: f64 = 0.62;
 /// Part of the allowed pause that a pass may take by the engine's figures, which count prompts as read evenly. Holding
@@ -63,25 +65,16 @@
     ranks * requests
 }
 
-/// How many requests the ranks of `load` may hold in all, for those whose answers can still be in time and for those
-/// that are late already.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Capacity {
-    /// With so many, passes stay within the pause under the skew of the moment.
-    pub timely: f64,
-    /// With so many, late answers come soon.
-    pub late: f64,
-}
-
-/// What the ranks of `load` may hold under the skew of the moment.
+/// What the ranks of `load` may hold in all under the skew of the moment: with so many timely requests passes stay within the
+/// pause, with so many late ones late answers come soon.
 ///
 /// While the passes of those that run are longer than streams allow, nobody else is let in who could be in time after
 /// that moment: demand shifts at once, and the next map is in force half a second later. Those who are late already
 /// lose nothing by it.
-pub fn capacity_now(load: &GroupLoad, engine: &Engine, pause: Duration) -> Capacity {
+pub fn capacity_now(load: &GroupLoad, engine: &Engine, pause: Duration) -> Room {
     let late = capacity(load, engine, pause);
     if load.skew < 1.0 || load.pass_micros == 0 {
-        return Capacity { timely: late, late };
+        return Room { timely: late, late };
     }
     let ranks = load.ranks.len() as f64;
     // A slow rank without requests has nothing of its own to do in a pass.
@@ -94,14 +87,14 @@
     let pause_ms = pause.as_secs_f64() * 1_000.0;
     let pass = |requests: f64| engine.lasting_pass_ms(requests, load.skew, pace);
     if pass(held(load) / ranks) > pause_ms {
-        return Capacity { timely: 0.0, late };
+        return Room { timely: 0.0, late };
     }
     let mut requests = f64::from(engine.slots);
     while requests > 0.0 && pass(requests) > pause_ms * TIMELY_PART {
         requests -= 0.25;
     }
     let timely = ranks * requests;
-    Capacity { timely, late: timely }
+    Room { timely, late: timely }
 }
 
 /// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
--- a/crates/sparscale_gateway/src/tries.rs
+++ b/crates/sparscale_gateway/src/tries.rs
@@ -4,6 +4,9 @@
 use crate::refusal::Refusal;
 use crate::respond::Answer;
 
+/// Tries that reach no target, at most; they cost a target nothing.
+const MAX_UNREACHED: u32 = 3;
+
 /// The sends of one request.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
@@ -32,4 +35,19 @@
             None => Err(self.lost.or(self.refusal).unwrap_or(otherwise)),
         }
     }
+
+    /// Goes on after a target that is not there, which does not count as one that the request was sent to; a few times only,
+    /// and if `paid` says so. `refusal` is what to say of it.
+    pub(crate) fn pass_over(
+        &mut self,
+        refusal: Refusal,
+        paid: impl FnOnce(&Self) -> bool,
+    ) -> Result<Option<Answer>, Refusal> {
+        self.unreached += 1;
+        self.refusal.get_or_insert(refusal);
+        if self.unreached < MAX_UNREACHED && paid(self) {
+            return Ok(None);
+        }
+        self.give_up(refusal).map(Some)
+    }
 }
