--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -76,7 +76,7 @@
         round(Plan::Single, 1, 12, USUAL),
         round(Plan::Series, 101, 20, USUAL),
         round(Plan::Series, 103, 20, USUAL),
-        round(Plan::Series, 1, 12, many),
+        round(Plan::Series, 2, 12, many),
     ]
 }
 
