--- a/crates/sparscale_belief/src/lapse.rs
+++ b/crates/sparscale_belief/src/lapse.rs
@@ -13,7 +13,7 @@
 /// Time without a reading after which entries may have lapsed: the store drops them after three heartbeats that it did
 /// not hear. Readings of a store that answers are less than half as far apart.
 const AWAY: Duration = Duration::from_secs(2);
-/// Time after the store's return in which the entries of living targets are back (the users' pages on entries).
+/// Time after the store's return in which the entries of living targets are back (a bound of the platform's).
 const RETURN: Duration = Duration::from_secs(2);
 
 /// Targets that were known when the store went away and have not shown up since its return.
--- a/crates/sparscale_gateway/tests/retry_budget.rs
+++ b/crates/sparscale_gateway/tests/retry_budget.rs
@@ -128,41 +128,31 @@
         .quickcheck(property);
 }
 
+/// Whether all sends of a history, arriving at once, stay within the rule with `slack`, where each entry counts `sharers`.
+fn holds(events: Vec<Event>, allowance: Allowance, sharers: Option<usize>, slack: f64) -> bool {
+    let mut world = World::new(allowance, sharers);
+    world.play(events);
+    let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
+    world.excess(&arrivals, slack) <= 0.0
+}
+
 /// Entries that know nothing of each other pay from credit alone, and need no more of the slack than the one send that each
 /// may hold in any case.
 #[test]
 fn nobody_known() {
-    fn holds(events: Vec<Event>) -> bool {
-        let mut world = World::new(allowance(0.2, 88.0), None);
-        world.play(events);
-        let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
-        world.excess(&arrivals, ENTRIES as f64) <= 0.0
-    }
-    search(holds);
+    search(|events| holds(events, allowance(0.2, 88.0), None, ENTRIES as f64));
 }
 
 /// Entries that count each other rightly.
 #[test]
 fn all_known() {
-    fn holds(events: Vec<Event>) -> bool {
-        let mut world = World::new(allowance(0.2, 40.0), Some(ENTRIES));
-        world.play(events);
-        let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
-        world.excess(&arrivals, 40.0) <= 0.0
-    }
-    search(holds);
+    search(|events| holds(events, allowance(0.2, 40.0), Some(ENTRIES), 40.0));
 }
 
 /// The network is split, and on both sides entries started that know of their own side only.
 #[test]
 fn split_network() {
-    fn holds(events: Vec<Event>) -> bool {
-        let mut world = World::new(allowance(0.2, 40.0), Some(ENTRIES / 2));
-        world.play(events);
-        let arrivals: Vec<u64> = world.sends.iter().map(|(at, _)| *at).collect();
-        world.excess(&arrivals, 40.0) <= 0.0
-    }
-    search(holds);
+    search(|events| holds(events, allowance(0.2, 40.0), Some(ENTRIES / 2), 40.0));
 }
 
 /// What the slack pays for stays within the shares, even if some of it arrives as late as it can and the rest at once.
--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -216,7 +216,7 @@
     broken.collect()
 }
 
-/// Arrivals beyond the first of each request stay within the budget that all entries share (the users' rule BUDGET):
+/// Arrivals beyond the first of each request stay within the budget that all entries share (the platform's retry budget):
 /// in any window, a part of what callers sent in it, in the one before it or in the one half a window before it,
 /// whichever is most, and the slack.
 fn overspent(ledger: &Ledger, bounds: &Bounds) -> Option<Violation> {
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -21,7 +21,7 @@
 
 /// Time in which entries have to be ready at the start.
 const START: Duration = Duration::from_secs(20);
-/// Time after the last fault in which every entry has to serve every route again: what the users' pages call being in
+/// Time after the last fault in which every entry has to serve every route again: what the platform takes for being in
 /// touch, what a request may take, and some for a busy machine.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Pause between two looks at the processes.
