Takeovers: an agent asks others before it claims; maps are sent no faster than the link carries them

Cause: at 129 ranks (a) an agent that heard no conductor claimed the duty at once; a process that had just started took it from a conductor that had claimed 0.4 s before and was still reaching the others, and the duty went back and forth for 7 s; (b) 128 changes of 1 to 2 KB sent at once overran a link of 6 Mbit/s, and what was dropped came up to 0.5 s later: staging took 0.7 to 1.3 s, arming 0.04 s. Ruled out: the size of a patch alone (a third of the bytes, the same 1.3 s); longer patience (a dead conductor is missed for longer). Change: before a claim an agent asks three others, far apart, what they heard, and takes two answers; the verdict is a pure function with its tests (lives, gone, coming, alone). Maps leave at 0.6 of the link that the settings name (`link_mbps`, new in agent.json); counts take 0.4 of it instead of a constant. The time limits of a change hold what its bytes take. A box of ranks frozen for 3 s still keeps a change waiting for 3 s.

--- a/crates/sparscale_agent/src/connection.rs
+++ b/crates/sparscale_agent/src/connection.rs
@@ -61,7 +61,7 @@
         Ask::Follow { head, version } => {
             return serve_follower(Arc::clone(&service.journal), head, version, sender).await;
         }
-        Ask::Exchange | Ask::Conduct { .. } => return Err(StreamError::Unexpected),
+        Ask::Exchange | Ask::Conduct { .. } | Ask::Leader { .. } => return Err(StreamError::Unexpected),
         _ if role != Role::Entry => return Err(StreamError::Unexpected),
         Ask::Attempt(attempt) => {
             let id = attempt.id;
--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -7,6 +7,7 @@
 
 use crate::claims::{Claim, Claims};
 use crate::engine::EngineState;
+use crate::inquiry::{self, Verdict};
 use crate::leader::{Charge, Context, Leader};
 use crate::pace::Pace;
 use crate::rank::Led;
@@ -25,65 +26,139 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
 /// A look that comes this late means that the box stood still.
 const STOOD_STILL: Duration = Duration::from_millis(400);
+/// Inquiries that nobody answers after which the duty is claimed all the same: all other agents may be gone.
+const ALONE_TRIES: u32 = 2;
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Leads the group whenever nobody else does; never ends.
-pub(crate) async fn run(context: Context, mut claims: Box<dyn Claims>, service: String) {
-    // Where the list of claims ends, once that is known.
-    let mut end = None;
-    let mut waited_since = Instant::now();
+pub(crate) async fn run(context: Context, claims: Box<dyn Claims>, service: String) {
+    let now = Instant::now();
+    let mut duty = Duty {
+        context,
+        claims,
+        service,
+        end: None,
+        learnt: now,
+        waited_since: now,
+        alone: 0,
+    };
     loop {
         let slept = Instant::now();
         tokio::time::sleep(LOOK).await;
         if slept.elapsed() > STOOD_STILL {
             // This box stood still: it is the one that was not heard, and what was sent to it is still to be read.
-            waited_since = Instant::now();
+            duty.waited_since = Instant::now();
         }
-        let led = *context.handle.led.borrow();
+        duty.look().await;
+    }
+}
+
+/// What an agent knows of the duty.
+struct Duty {
+    context: Context,
+    claims: Box<dyn Claims>,
+    service: String,
+    /// Where the list of claims ends, once that is known.
+    end: Option<u64>,
+    /// When that was learnt.
+    learnt: Instant,
+    /// Since when nobody was heard who leads.
+    waited_since: Instant,
+    /// Inquiries in a row to which nobody answered.
+    alone: u32,
+}
+
+impl Duty {
+    async fn look(&mut self) {
+        let led = *self.context.handle.led.borrow();
         if let Some(claim) = led.claim {
-            end = end.max(Some(claim + 1));
+            self.note_end(claim + 1);
         }
-        waited_since = waited_since.max(led.spoke);
-        let state = context.handle.state.borrow().clone();
+        self.waited_since = self.waited_since.max(led.spoke);
+        let state = self.context.handle.state.borrow().clone();
         let Some((group, state)) = state.and_then(member_of) else {
-            waited_since = waited_since.max(Instant::now());
-            continue;
+            self.waited_since = Instant::now();
+            return;
         };
-        if waited_since.elapsed() < patience(&state, &led, end.is_some()) {
-            continue;
+        if self.waited_since.elapsed() < patience(&state, &led, self.end.is_some()) {
+            return;
+        }
+        // A first claim only shows where the list of claims ends, unless nobody has ever claimed.
+        let may_claim = match self.end {
+            Some(end) => self.is_gone(&group, &state, end).await,
+            None => true,
+        };
+        if may_claim {
+            self.claim(group, &state).await;
+        }
+    }
+
+    fn note_end(&mut self, end: u64) {
+        if self.end < Some(end) {
+            self.end = Some(end);
+            self.learnt = Instant::now();
+        }
+    }
+
+    /// Whether the conductor is gone as far as others know; if not, it is waited for.
+    async fn is_gone(&mut self, group: &str, state: &EngineState, end: u64) -> bool {
+        let pace = Pace::new(state.size);
+        let words = inquiry::ask(&self.context, group, state).await;
+        let verdict = inquiry::verdict(&words, end, self.learnt.elapsed(), &pace);
+        log::info!(target: DECISION, decision = "inquiry", group, end, words:? = words, verdict:? = verdict, unheard_ms = self.waited_since.elapsed().as_millis() as u64; "asked others for the conductor");
+        self.alone = if verdict == Verdict::Alone { self.alone + 1 } else { 0 };
+        let now = Instant::now();
+        match verdict {
+            Verdict::Gone => true,
+            Verdict::Alone => {
+                self.waited_since = now;
+                self.alone > ALONE_TRIES
+            }
+            Verdict::Lives { claim } => {
+                self.note_end(claim + 1);
+                self.waited_since = now;
+                false
+            }
+            // The next look comes when it has had its time.
+            Verdict::Coming { wait } => {
+                self.waited_since = now + wait;
+                false
+            }
         }
-        let holder = format!("{service}/{}", state.rank);
-        let claiming =
-            tokio::time::timeout(CLAIM_TIMEOUT, claims.claim(&group, &holder, end.unwrap_or_default())).await;
-        waited_since = Instant::now();
+    }
+
+    async fn claim(&mut self, group: String, state: &EngineState) {
+        let holder = format!("{}/{}", self.service, state.rank);
+        let end = self.end.unwrap_or_default();
+        let claiming = tokio::time::timeout(CLAIM_TIMEOUT, self.claims.claim(&group, &holder, end)).await;
+        self.waited_since = Instant::now();
         match claiming {
             Ok(Ok(Claim::Won { offset })) => {
-                context.figures.claimed("won");
+                self.context.figures.claimed("won");
                 let charge = Charge {
                     group,
-                    service: service.clone(),
+                    service: self.service.clone(),
                     own: state.rank,
                     size: state.size,
                     claim: offset,
                 };
-                Leader::new(context.clone(), charge).run().await;
-                waited_since = Instant::now();
+                Leader::new(self.context.clone(), charge).run().await;
+                self.waited_since = Instant::now();
             }
             Ok(Ok(Claim::Lost { end: claims })) => {
-                context.figures.claimed("lost");
-                end = Some(claims);
-            }
-            Ok(Err(error)) => {
-                context.figures.claimed("unanswered");
-                log::info!(target: DECISION, decision = "claim_failed", group = group.as_str(), error = error.to_string().as_str(); "no answer to a claim");
-            }
-            Err(_elapsed) => {
-                context.figures.claimed("unanswered");
-                log::info!(target: DECISION, decision = "claim_failed", group = group.as_str(), error = "timeout"; "no answer to a claim");
+                self.context.figures.claimed("lost");
+                self.note_end(claims);
             }
+            Ok(Err(error)) => self.unanswered(&group, &error.to_string()),
+            Err(_elapsed) => self.unanswered(&group, "timeout"),
         }
     }
+
+    fn unanswered(&self, group: &str, error: &str) {
+        self.context.figures.claimed("unanswered");
+        log::info!(target: DECISION, decision = "claim_failed", group, error; "no answer to a claim");
+    }
 }
 
 fn member_of(state: EngineState) -> Option<(String, EngineState)> {
@@ -95,15 +170,15 @@
 /// where the list of claims ends, and so has not been led, loses its first claim to whoever led before, and learns it.
 fn patience(state: &EngineState, led: &Led, knows_end: bool) -> Duration {
     let pace = Pace::new(state.size);
-    let place = pace.place(state.rank);
+    let behind = pace.place(state.rank);
     if led.claim.is_some() {
-        return pace.patience() + place;
+        return pace.patience() + behind;
     }
     match (state.view.map, knows_end) {
         (0, _) if state.rank == 0 => FIRST_MAP_PATIENCE,
-        (0, false) => FIRST_LINK + place,
-        (_, true) => SECOND_CLAIM + place,
+        (0, false) => pace.reach().max(FIRST_LINK) + behind,
+        (_, true) => SECOND_CLAIM + behind,
         // Somebody leads, and notices only after a while that this agent's predecessor is gone, and dials anew.
-        (_, false) => pace.silence() + place,
+        (_, false) => pace.silence() + behind,
     }
 }
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -15,12 +15,14 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
+use crate::bandwidth::Bandwidth;
 use crate::decision::Decider;
 use crate::engine::Engines;
 use crate::figures::Figures;
 use crate::link::{DIALS, Event};
 use crate::maps::Offer;
 use crate::member::{Change, Errand, Member, Proof, assemble, member};
+use crate::outbox::Outbox;
 use crate::pace::Pace;
 use crate::rank::Handle;
 
@@ -50,6 +52,8 @@
     pub(crate) engine: SocketAddr,
     /// Port at which every agent takes connections.
     pub(crate) port: u16,
+    /// Link of this box.
+    pub(crate) bandwidth: Bandwidth,
     pub(crate) figures: Figures,
 }
 
@@ -78,6 +82,8 @@
     dropped: Option<(u64, Arc<Map>)>,
     pub(crate) errand: Option<Errand>,
     pub(crate) pace: Pace,
+    /// Maps that wait for the link.
+    outbox: Outbox,
     /// Times that ranks took to answer the orders of the present phase.
     answered: Vec<Duration>,
     changes: u64,
@@ -101,6 +107,7 @@
         let (sender, events) = mpsc::channel(QUEUE);
         let dials = Arc::new(Semaphore::new(DIALS));
         let pace = Pace::new(charge.size);
+        let outbox = Outbox::new(context.bandwidth);
         let members = (0..charge.size)
             .map(|rank| member(&context, &charge, rank, sender.clone(), &dials, pace))
             .collect();
@@ -118,6 +125,7 @@
             dropped: None,
             errand: None,
             pace,
+            outbox,
             answered: Vec::new(),
             changes: 0,
             progress: Progress::Surveying,
@@ -202,7 +210,8 @@
                 // An answer to an earlier order, which was given up, says nothing about the one on its way.
                 if report.answer.is_some() && self.members[rank].awaits(report.serial) {
                     let sent = self.members[rank].ordered.take();
-                    self.answered.extend(sent.map(|(_, at)| now.saturating_duration_since(at)));
+                    self.answered
+                        .extend(sent.map(|(_, at)| now.saturating_duration_since(at)));
                     self.members[rank].settle_sending(report.answer);
                 }
                 if rank == self.charge.own
@@ -258,6 +267,7 @@
             self.decide();
         }
         self.send_orders();
+        self.send_maps();
         self.send_heartbeats();
         self.tell_loads();
         self.tell_stall();
@@ -287,6 +297,7 @@
         let step = self.conductor.step();
         log::info!(target: DECISION, decision = "switch", group = self.charge.group.as_str(), from:? = self.progress, to:? = progress, epoch = self.conductor.epoch(), number = self.change.as_ref().map(|change| change.offer.number), step; "map switch");
         self.progress = progress;
+        self.drop_maps();
         let answered = std::mem::take(&mut self.answered);
         if answered.len() * 10 >= self.members.len() * 9 {
             self.pace.note_round(answered);
@@ -394,7 +405,6 @@
             bases.extend(self.dropped.take().map(|(number, map)| (Base::Sent(number), map)));
             self.change = Some(Change {
                 offer: Offer::new(number, refined.map, &bases),
-                wholes: 0,
                 began: Instant::now(),
                 deepest: refined.deepest,
                 loads: refined.loads,
@@ -411,7 +421,11 @@
         self.decided = Instant::now();
         let has_map = self.present().is_some();
         let unheard: Vec<usize> = (0..self.members.len())
-            .filter(|rank| self.members[*rank].load.is_none_or(|(_, at)| at.elapsed() > self.pace.load_age()))
+            .filter(|rank| {
+                self.members[*rank]
+                    .load
+                    .is_none_or(|(_, at)| at.elapsed() > self.pace.load_age())
+            })
             .collect();
         let reason = match (&self.decider, self.conductor.progress()) {
             (None, _) => "no catalog that tells of experts",
--- a/crates/sparscale_conduct/src/leader/talk.rs
+++ b/crates/sparscale_conduct/src/leader/talk.rs
@@ -12,9 +12,8 @@
 use crate::link::Place;
 use crate::member::{Member, is_stage};
 
-/// What each agent that is sent a whole map adds to it: 4 KB take 4 ms of the slimmest link, which carries counts and
-/// loads as well.
-const WHOLE_SLACK: Duration = Duration::from_millis(15);
+/// Bytes of an order to load, with what the transport adds, but for the map.
+const STAGE_BYTES: usize = 110;
 /// Time between two messages about loads to the entries.
 const LOADS_PAUSE: Duration = Duration::from_millis(100);
 
@@ -27,6 +26,10 @@
             self.surveyed = Instant::now();
         }
         for (rank, order) in self.conductor.orders() {
+            if is_stage(&order) && rank != self.charge.own {
+                self.outbox.push(rank, order);
+                continue;
+            }
             self.members[rank].ordered = Some((order.serial, Instant::now()));
             self.members[rank].spoken = Instant::now();
             if !self.send_errand(rank, order) {
@@ -35,6 +38,26 @@
         }
     }
 
+    /// Sends maps as far as the link carries them now.
+    pub(super) fn send_maps(&mut self) {
+        while let Some((rank, order)) = self.outbox.next(Instant::now()) {
+            let now = Instant::now();
+            self.members[rank].ordered = Some((order.serial, now));
+            self.members[rank].spoken = now;
+            self.send_own(rank, order);
+        }
+    }
+
+    /// Nobody needs the maps that still wait when a change is over or given up.
+    pub(super) fn drop_maps(&mut self) {
+        if self.conductor.progress() == Progress::Staging {
+            return;
+        }
+        for rank in self.outbox.clear() {
+            self.conductor.lost(rank);
+        }
+    }
+
     pub(crate) fn send_own(&mut self, rank: usize, order: Order) {
         let change = self.change.as_ref().filter(|_| is_stage(&order));
         let map = change.map(|change| change.offer.update(&self.members[rank].sent));
@@ -43,7 +66,9 @@
                 MapUpdate::Whole(_) => None,
                 MapUpdate::Change { base, .. } => Some(*base),
             };
-            change.wholes += u32::from(base.is_none());
+            if rank != self.charge.own {
+                self.outbox.spend(bytes_of(map));
+            }
             self.members[rank].sending = Some((change.offer.number, base));
         }
         let sent = self.members[rank].orders.try_send(RankOrder::Own { order, map });
@@ -69,8 +94,8 @@
 
     /// Gives up what takes too long.
     pub(super) fn check_times(&mut self) {
-        let wholes = self.change.as_ref().map_or(0, |change| change.wholes);
-        let limit = self.pace.order_limit() + WHOLE_SLACK * wholes;
+        let on_link = Duration::from_secs_f64(self.outbox.seconds());
+        let limit = self.pace.order_limit() + on_link;
         for rank in 0..self.members.len() {
             if self.members[rank].ordered.is_some_and(|(_, at)| at.elapsed() > limit) {
                 self.members[rank].ordered = None;
@@ -86,10 +111,12 @@
                 .map_or(0.0, |experts| experts.load_ms())
         });
         let staging =
-            Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + self.pace.stage_slack() + WHOLE_SLACK * wholes;
+            Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + self.pace.stage_slack() + on_link;
         let over = match self.conductor.progress() {
             Progress::Staging => change.began.elapsed() > staging,
-            Progress::Holding | Progress::Arming => change.held.is_some_and(|held| held.elapsed() > self.pace.hold_limit()),
+            Progress::Holding | Progress::Arming => {
+                change.held.is_some_and(|held| held.elapsed() > self.pace.hold_limit())
+            }
             _ => false,
         };
         if over {
@@ -149,3 +176,17 @@
         self.context.mesh.offer_group(load, true);
     }
 }
+
+/// Bytes that a map takes on its way: an expert of a whole one takes two at most.
+fn bytes_of(map: &MapUpdate) -> usize {
+    let content = match map {
+        MapUpdate::Change { patch, .. } => patch.bytes(),
+        MapUpdate::Whole(map) => map
+            .layers
+            .iter()
+            .flat_map(|layer| &layer.ranks)
+            .map(|rank| 1 + 2 * rank.len())
+            .sum(),
+    };
+    content + STAGE_BYTES
+}
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -4,6 +4,7 @@
 //! a group leads it: it took the duty by a conditional append to the platform's store, gathers the counts of all ranks,
 //! decides about the expert map and leads the ranks from map to map (see [`sparscale_place::barrier`]).
 
+mod bandwidth;
 mod claims;
 mod decision;
 mod distant;
@@ -11,20 +12,24 @@
 mod engine;
 mod errand;
 mod figures;
+mod inquiry;
 mod leader;
 mod link;
 mod maps;
 mod member;
+mod outbox;
 mod pace;
 mod program;
 mod rank;
 mod reporter;
 mod standby;
 
+pub use bandwidth::Bandwidth;
 pub use claims::{Claim, Claims, Error as ClaimError};
 pub use distant::Distant;
 pub use engine::{Counts, Engine, EngineError, EngineState, Engines, Held};
+pub use inquiry::{Verdict, verdict};
 pub use maps::{Cache, Offer, Sent};
 pub use pace::Pace;
 pub use program::{Error, Parts, Settings, run, start};
-pub use reporter::{MAX_NUMBERS, Reporter};
+pub use reporter::Reporter;
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -12,6 +12,7 @@
 
 use crate::distant::Distant;
 use crate::engine::Engines;
+use crate::inquiry;
 use crate::pace::Pace;
 use crate::rank::{Command, Handle};
 
@@ -94,8 +95,12 @@
     while let Ok(mut channel) = peer.accept().await {
         let handle = handle.clone();
         tokio::spawn(async move {
-            if let Ok(Frame::Ask(Ask::Conduct { group, rank, claim })) = channel.receiver.receive().await {
-                serve(handle, Lead { group, rank, claim }, channel).await;
+            match channel.receiver.receive().await {
+                Ok(Frame::Ask(Ask::Conduct { group, rank, claim })) => {
+                    serve(handle, Lead { group, rank, claim }, channel).await;
+                }
+                Ok(Frame::Ask(Ask::Leader { group })) => inquiry::answer(&handle, &group, channel).await,
+                _ => log::warn!("a stream that asks for nothing known was left out"),
             }
         });
     }
--- a/crates/sparscale_conduct/src/member.rs
+++ b/crates/sparscale_conduct/src/member.rs
@@ -70,8 +70,6 @@
 /// A map that is being put in force.
 pub(crate) struct Change {
     pub(crate) offer: Offer,
-    /// Agents to which all of it was sent.
-    pub(crate) wholes: u32,
     pub(crate) began: Instant,
     pub(crate) deepest: u32,
     /// Experts that it loads, over all ranks.
--- a/crates/sparscale_conduct/src/pace.rs
+++ b/crates/sparscale_conduct/src/pace.rs
@@ -39,10 +39,13 @@
 /// The same for a hold, arming and reading back: callers wait for it, so it is given up soonest.
 const HOLD_ROUNDS: u32 = 2;
 const HOLD_BASE: Duration = Duration::from_millis(120);
-/// Time without an agent for each rank after which its engine is ordered directly, and the shortest: a conductor that has
-/// just begun has to reach all of them first.
-const DIRECT_PER_RANK: Duration = Duration::from_millis(12);
+/// Shortest time without an agent after which its engine is ordered directly.
 const MIN_DIRECT: Duration = Duration::from_millis(150);
+/// Time in which a conductor that has just claimed reaches each rank, and the shortest that it is given for all.
+const REACH_PER_RANK: Duration = Duration::from_millis(12);
+const MIN_REACH: Duration = Duration::from_millis(250);
+/// Part of the patience within which a word of a conductor shows that it lives.
+const LIVES_PART: f64 = 0.75;
 /// What each place in the line of those who would lead next waits longer: a claim, and reaching the next in line.
 const STEP: Duration = Duration::from_millis(150);
 /// Places with such a step. Those behind stand closer: they only have to come one after the other.
@@ -93,6 +96,16 @@
         self.heartbeat().mul_f64(MISSED_HEARTBEATS)
     }
 
+    /// Age up to which somebody's word of a conductor shows that it lives.
+    pub fn lives(&self) -> Duration {
+        self.patience().mul_f64(LIVES_PART)
+    }
+
+    /// Time that somebody who has just claimed is given to reach all ranks.
+    pub fn reach(&self) -> Duration {
+        (REACH_PER_RANK * self.ranks).max(MIN_REACH)
+    }
+
     /// What the rank in this place waits longer than the first in line.
     pub fn place(&self, rank: usize) -> Duration {
         let near = u32::try_from(rank.min(NEAR_PLACES)).unwrap_or_default();
@@ -130,9 +143,10 @@
         HOLD_BASE + self.round * HOLD_ROUNDS
     }
 
-    /// Time without an agent after which its engine is ordered directly.
+    /// Time without an agent after which its engine is ordered directly: a conductor that has just begun has to reach all of
+    /// them first.
     pub fn direct_after(&self) -> Duration {
-        (DIRECT_PER_RANK * self.ranks).max(MIN_DIRECT)
+        (REACH_PER_RANK * self.ranks).max(MIN_DIRECT)
     }
 
     /// Pause between two messages to or from each rank that makes so many a second for all of them.
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -11,6 +11,7 @@
 use sparscale_telemetry::{DECISION, Registry, Signals};
 use sparscale_wire::{Endpoint, EndpointError, FEW_STREAMS, Identity, Role};
 
+use crate::bandwidth::Bandwidth;
 use crate::claims::Claims;
 use crate::duty;
 use crate::engine::Engines;
@@ -39,6 +40,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two messages on a link without news.
     pub interval: Duration,
+    /// Link of this box.
+    pub bandwidth: Bandwidth,
     /// Age of a belief at which the agent reads the store itself: no entry has told it for so long.
     pub read_interval: Duration,
 }
@@ -107,7 +110,12 @@
     tokio::spawn(read_catalog(Arc::clone(&board), parts.catalog, pace(), reads()));
     tokio::spawn(read_roster(Arc::clone(&board), parts.roster, pace(), reads()));
     let figures = Figures::new(&parts.registry);
-    let handle = rank::start(Arc::clone(&parts.engines), settings.engine, figures.clone());
+    let handle = rank::start(
+        Arc::clone(&parts.engines),
+        settings.engine,
+        settings.bandwidth,
+        figures.clone(),
+    );
     tokio::spawn(link::accept(Arc::clone(&endpoint), handle.clone()));
     let context = Context {
         board,
@@ -117,6 +125,7 @@
         handle,
         engine: settings.engine,
         port: settings.address.port(),
+        bandwidth: settings.bandwidth,
         figures,
     };
     tokio::spawn(standby::run(context.clone()));
--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::bandwidth::Bandwidth;
 use crate::engine::{Counts, Engine, EngineState, Engines};
 use crate::figures::Figures;
 use crate::link::Lead;
@@ -53,6 +54,8 @@
     pub(crate) state: watch::Receiver<Option<EngineState>>,
     /// Highest claim by which a conductor led this rank, and when it last spoke.
     pub(crate) led: watch::Receiver<Led>,
+    /// When this agent started.
+    pub(crate) started: Instant,
 }
 
 /// Who leads the rank.
@@ -82,6 +85,7 @@
 struct Agent {
     engine: Box<dyn Engine>,
     engines: Arc<dyn Engines>,
+    bandwidth: Bandwidth,
     figures: Figures,
     subscriber: Option<Subscriber>,
     state: watch::Sender<Option<EngineState>>,
@@ -101,7 +105,7 @@
 }
 
 /// Starts the agent of the rank whose engine is at `engine`.
-pub(crate) fn start(engines: Arc<dyn Engines>, engine: SocketAddr, figures: Figures) -> Handle {
+pub(crate) fn start(engines: Arc<dyn Engines>, engine: SocketAddr, bandwidth: Bandwidth, figures: Figures) -> Handle {
     let (commands, received_commands) = mpsc::channel(QUEUE);
     let (subscribers, received_subscribers) = mpsc::channel(QUEUE);
     let state = watch::Sender::new(None);
@@ -114,10 +118,12 @@
         subscribers,
         state: state.subscribe(),
         led: led.subscribe(),
+        started: Instant::now(),
     };
     let agent = Agent {
         engine: engines.at(engine),
         engines,
+        bandwidth,
         figures,
         subscriber: None,
         state,
@@ -333,7 +339,7 @@
             rank: state.rank,
             size: state.size,
         };
-        reporter.tells(counts.picks.len())
+        reporter.tells(counts.picks.len(), self.bandwidth.numbers_a_round())
     }
 
     fn tell_state(&mut self, state: Option<EngineState>, answer: Option<Answer>) {
--- a/crates/sparscale_conduct/src/standby.rs
+++ b/crates/sparscale_conduct/src/standby.rs
@@ -54,7 +54,11 @@
     let Some((state, targets)) = state.zip(context.board.targets()) else {
         return Vec::new();
     };
-    let Some(group) = state.group.as_deref().filter(|_| state.rank < STANDBYS && state.size > SMALL_GROUP) else {
+    let Some(group) = state
+        .group
+        .as_deref()
+        .filter(|_| state.rank < STANDBYS && state.size > SMALL_GROUP)
+    else {
         return Vec::new();
     };
     let others = (0..state.size).filter(|rank| *rank != state.rank);
--- a/crates/sparscale_conduct/tests/count_reporters.rs
+++ b/crates/sparscale_conduct/tests/count_reporters.rs
@@ -1,11 +1,16 @@
 //! The counts of a group fit into its conductor's link, whatever the size of the group.
 
 use quickcheck::{Gen, QuickCheck, TestResult};
-use sparscale_conduct::{MAX_NUMBERS, Reporter};
+use sparscale_conduct::{Bandwidth, Reporter};
+
+/// The slimmest link that a box is known to have, in megabits a second.
+const SLIM: f64 = 6.0;
+/// Part of a link that counts may fill.
+const PART: f64 = 0.4;
 
 fn tellers(size: usize, numbers: usize) -> usize {
     (0..size)
-        .filter(|rank| Reporter { rank: *rank, size }.tells(numbers))
+        .filter(|rank| Reporter { rank: *rank, size }.tells(numbers, Bandwidth::from_mbps(SLIM).numbers_a_round()))
         .count()
 }
 
@@ -22,7 +27,9 @@
             return TestResult::discard();
         }
         let tellers = tellers(size, numbers);
-        let fits = tellers.saturating_sub(1) * numbers <= MAX_NUMBERS;
+        // Ten rounds a second, a byte a number.
+        let bits = (tellers.saturating_sub(1) * numbers * 10 * 8) as f64;
+        let fits = bits <= SLIM * 1.0e6 * PART;
         TestResult::from_bool(tellers >= 1 && fits)
     }
     QuickCheck::new()
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -9,7 +9,8 @@
 use sparscale_belief::{Error as SourceError, Reading, Source};
 use sparscale_catalog::{Catalog, Experts, Membership, Roster};
 use sparscale_conduct::{
-    Claim, ClaimError, Claims, Counts, Engine, EngineError, EngineState, Engines, Held, Parts, Settings, start,
+    Bandwidth, Claim, ClaimError, Claims, Counts, Engine, EngineError, EngineState, Engines, Held, Parts, Settings,
+    start,
 };
 use sparscale_place::barrier::{Act, Answer, Change, Order, View};
 use sparscale_place::{Map, Shape};
@@ -125,6 +126,7 @@
             service: samples::MODEL.to_owned(),
             seeds: Vec::new(),
             interval: Duration::from_millis(100),
+            bandwidth: Bandwidth::from_mbps(20.0),
             read_interval: Duration::from_millis(300),
         };
         let parts = Parts {
--- a/crates/sparscale_place/src/patch.rs
+++ b/crates/sparscale_place/src/patch.rs
@@ -121,7 +121,9 @@
         put(edits, MIXED);
         for list in [&self.removed, &self.added] {
             put(edits, list.len() as u64);
-            list.iter().for_each(|number| put(edits, *number));
+            for number in list {
+                put(edits, *number);
+            }
         }
     }
 
@@ -133,7 +135,11 @@
                 added: vec![take(edits)?],
             });
         }
-        let mut list = || (0..take(edits)?).map(|_| take(edits)).collect::<Result<Vec<u64>, Mismatch>>();
+        let mut list = || {
+            (0..take(edits)?)
+                .map(|_| take(edits))
+                .collect::<Result<Vec<u64>, Mismatch>>()
+        };
         Ok(Self {
             removed: list()?,
             added: list()?,
--- a/crates/sparscale_wire/src/endpoint.rs
+++ b/crates/sparscale_wire/src/endpoint.rs
@@ -209,7 +209,11 @@
     /// Sees to it that a connection to the process at `address` stands, so that a stream to it can be opened at once.
     pub async fn keep_ready(&self, address: SocketAddr, role: Role) -> Result<(), Error> {
         let slot = self.slot(address, role);
-        if slot.connection.get().is_some_and(|connection| connection.close_reason().is_some()) {
+        if slot
+            .connection
+            .get()
+            .is_some_and(|connection| connection.close_reason().is_some())
+        {
             self.forget(address, role, &slot);
         }
         let slot = self.slot(address, role);
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -57,6 +57,8 @@
     RankOrder(RankOrder),
     /// What a rank's agent tells its conductor, on an [`Ask::Conduct`] stream.
     RankNews(RankNews),
+    /// Answer to [`Ask::Leader`].
+    Leader(Word),
 }
 
 /// What the opener of a stream wants.
@@ -116,6 +118,22 @@
         /// Offset of the claim by which it leads.
         claim: u64,
     },
+    /// Say when a conductor was heard last.
+    Leader {
+        /// Its group.
+        group: String,
+    },
+}
+
+/// What an agent knows of the conductor of its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Claim of the conductor that it heard last; none if it has heard none.
+    pub claim: Option<u64>,
+    /// Time since then, in milliseconds.
+    pub heard_ms: u64,
+    /// Time since the agent started, in milliseconds.
+    pub up_ms: u64,
 }
 
 /// A request on its way to one target.
