Soak: targets that start again under their ids, and records of another writer in the list

Cause: the soak's targets had a new id at each start, and its list only sound entries. Change: a plan `returns` with its own draws: one target or all start again under their ids, at once or after their entries lapsed; copies of a real entry, unknown states and services, wrong types, half records and bytes that are no text. One such round in each run of all tests.

--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -47,6 +47,7 @@
     };
     let plan = match matches.get_one::<String>("plan").map(String::as_str) {
         Some("series") => Plan::Series,
+        Some("returns") => Plan::Returns,
         _ => Plan::Single,
     };
     let length = Duration::from_secs(number(matches, "seconds", 12));
@@ -77,6 +78,7 @@
         round(Plan::Series, 101, 20, USUAL),
         round(Plan::Series, 103, 20, USUAL),
         round(Plan::Series, 2, 12, many),
+        round(Plan::Returns, 201, 15, USUAL),
     ]
 }
 
@@ -89,8 +91,8 @@
     };
     let plan = Arg::new("plan")
         .long("plan")
-        .value_parser(["single", "series"])
-        .help("Faults one at a time, or also in series and all together [single]");
+        .value_parser(["single", "series", "returns"])
+        .help("Faults one at a time, or also in series and all together, or with targets that return under their ids [single]");
     // `cargo test NAME` hands names to every test program.
     let names = Arg::new("names")
         .num_args(0..)
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -93,6 +93,16 @@
             stage.targets.iter().for_each(|place| place.target.set_mood(Mood::Well));
         }
         Fault::Changes { times } => change(stage, times).await,
+        Fault::Return { target, lapsed } => come_back(stage, target, lapsed, lasts).await,
+        Fault::ReturnAll { lapsed } => {
+            let all = (0..stage.size.targets).map(|target| come_back(stage, target, lapsed, RETURN));
+            futures::future::join_all(all).await;
+        }
+        Fault::Foreign { target } => {
+            stage.add_foreign(target);
+            tokio::time::sleep(lasts).await;
+            stage.drop_foreign();
+        }
         Fault::Leave { target } => leave(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
         Fault::Stall => {}
@@ -213,6 +223,20 @@
     stage.list(target, false);
 }
 
+/// A target dies and starts again under its id, at once or after its entry has gone.
+async fn come_back(stage: &Stage, target: usize, lapsed: bool, lasts: Duration) {
+    let place = &stage.targets[target];
+    place.proxy.set(Link::Reset);
+    if lapsed {
+        tokio::time::sleep(LAPSE).await;
+        stage.unlist(target, place.target.incarnation());
+        tokio::time::sleep(lasts).await;
+    }
+    place.target.start_again();
+    place.proxy.set(Link::Open);
+    stage.list(target, false);
+}
+
 async fn die(stage: &Stage, target: usize, lasts: Duration) {
     let place = &stage.targets[target];
     let id = place.target.incarnation();
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -58,6 +58,12 @@
     AllTargets { mood: Mood },
     /// Keys are taken away and come into force in quick succession.
     Changes { times: u32 },
+    /// A target dies and starts again under its id; if `lapsed`, after its entry has gone.
+    Return { target: usize, lapsed: bool },
+    /// The same with all targets.
+    ReturnAll { lapsed: bool },
+    /// Another writer's records stand in the store's list of targets.
+    Foreign { target: usize },
 }
 
 /// What kind of faults a round has.
@@ -67,6 +73,8 @@
     Single,
     /// The same, and processes, signals and changes in series, all together and overlapping.
     Series,
+    /// Targets that start again under their ids and records of another writer, beside the first kind.
+    Returns,
 }
 
 /// A fault and when it comes.
@@ -109,6 +117,21 @@
         }
     }
 
+    fn draw_returns(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let target = random.random_range(0..size.targets);
+        let lapsed = random.random();
+        match random.random_range(0..10) {
+            0..=2 => Self::Return { target, lapsed },
+            3 => Self::ReturnAll { lapsed },
+            4 | 5 => Self::Foreign { target },
+            6 => Self::KillAll {
+                times: 1,
+                pause: Duration::ZERO,
+            },
+            _ => Self::draw(random, size),
+        }
+    }
+
     fn draw(random: &mut ChaCha8Rng, size: Size) -> Self {
         let entry = random.random_range(0..size.entries);
         let target = random.random_range(0..size.targets);
@@ -159,13 +182,14 @@
             | Self::KillSeries { entry, .. }
             | Self::StopSeries { entry, .. } => Hold::Entry(entry),
             Self::KillAll { .. } | Self::StopAll { .. } | Self::FreezeAll => Hold::Entries,
-            Self::AllTargets { .. } => Hold::Targets,
+            Self::AllTargets { .. } | Self::ReturnAll { .. } => Hold::Targets,
             Self::Changes { .. } => Hold::Keys,
             Self::TargetLink { target, .. }
             | Self::TargetMood { target, .. }
             | Self::Leave { target }
-            | Self::Die { target } => Hold::Target(target),
-            Self::Stall => Hold::Nothing,
+            | Self::Die { target }
+            | Self::Return { target, .. } => Hold::Target(target),
+            Self::Stall | Self::Foreign { .. } => Hold::Nothing,
             Self::Revoke { key } => Hold::Key(key),
         }
     }
@@ -236,6 +260,7 @@
         let fault = match plan {
             Plan::Single => Fault::draw(random, size),
             Plan::Series => Fault::draw_series(random, size),
+            Plan::Returns => Fault::draw_returns(random, size),
         };
         planned.push(Planned { fault, at, lasts });
     }
--- a/crates/sparscale_soak/src/platform.rs
+++ b/crates/sparscale_soak/src/platform.rs
@@ -120,6 +120,8 @@
     pub address: SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When its present start began, in milliseconds.
+    pub born_ms: u64,
 }
 
 /// Speaks a platform's wire.
@@ -139,6 +141,10 @@
     /// A target's entry as a record.
     fn listed(&self, listed: &Listed) -> Record;
 
+    /// Records of another writer in the list of targets, each under a key of its own, that name no target to use or
+    /// copy `listed`.
+    fn foreign(&self, listed: &Listed) -> Vec<Record>;
+
     /// The store's answer to a call while it holds `records`.
     fn answer(&self, call: &Request<Bytes>, records: &Records) -> Response<Full<Bytes>>;
 }
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -62,7 +62,7 @@
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
     let net = Net::of(std::process::id(), round.seed);
     let bounds = match round.plan {
-        Plan::Single => BOUNDS,
+        Plan::Single | Plan::Returns => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let stage = Arc::new(Stage::start(platform, net, round.size, bounds, folder).await?);
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -242,6 +242,7 @@
             service: SERVICE,
             address: self.net.listed(index),
             leaving,
+            born_ms: self.targets[index].target.born_ms(),
         };
         self.store.add(self.platform.listed(&listed));
     }
@@ -253,12 +254,42 @@
             service: SERVICE,
             address: self.net.listed(index),
             leaving: true,
+            born_ms: 0,
         };
         let mut record = self.platform.listed(&listed);
         record.value = None;
         self.store.add(record);
     }
 
+    /// Writes records of another writer, beside the entry of target `index`.
+    pub(crate) fn add_foreign(&self, index: usize) {
+        let listed = Listed {
+            id: self.targets[index].target.incarnation(),
+            service: SERVICE,
+            address: self.net.listed(index),
+            leaving: false,
+            born_ms: self.targets[index].target.born_ms(),
+        };
+        for record in self.platform.foreign(&listed) {
+            self.store.add(record);
+        }
+    }
+
+    /// Drops them.
+    pub(crate) fn drop_foreign(&self) {
+        let listed = Listed {
+            id: String::new(),
+            service: SERVICE,
+            address: self.net.listed(0),
+            leaving: false,
+            born_ms: 0,
+        };
+        for mut record in self.platform.foreign(&listed) {
+            record.value = None;
+            self.store.add(record);
+        }
+    }
+
     /// Begins the next incarnation of target `index`.
     pub(crate) async fn renew(&self, index: usize) {
         let place = &self.targets[index];
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -19,6 +19,8 @@
 
 /// Shortest and longest time that a plain request runs.
 const RUN: std::ops::Range<u64> = 5..60;
+/// When the first starts began; only later ones have to be later.
+const BORN_MS: u64 = 1_750_000_000_000;
 /// Time between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
 /// Events after which a stream breaks off.
@@ -47,6 +49,8 @@
 #[derive(Debug, Clone)]
 struct State {
     incarnation: String,
+    /// When its present start began, in milliseconds.
+    born_ms: u64,
     mood: Mood,
 }
 
@@ -62,7 +66,11 @@
         let target = Arc::new(Self {
             book,
             dialect,
-            state: Mutex::new(State { incarnation, mood }),
+            state: Mutex::new(State {
+                incarnation,
+                born_ms: BORN_MS,
+                mood,
+            }),
         });
         let serving = Arc::clone(&target);
         server::serve(address, move |request| {
@@ -82,6 +90,16 @@
         self.state().incarnation = incarnation;
     }
 
+    /// It starts again under its id.
+    pub(crate) fn start_again(&self) {
+        self.state().born_ms += 1_000;
+    }
+
+    /// When its present start began, in milliseconds.
+    pub(crate) fn born_ms(&self) -> u64 {
+        self.state().born_ms
+    }
+
     /// Name of the incarnation that runs.
     pub(crate) fn incarnation(&self) -> String {
         self.state().incarnation.clone()
