--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -12,9 +12,9 @@
 use crate::pace::Pace;
 use crate::rank::Led;
 
-/// Time without a word from any conductor after which the first in line claims the duty, for a group whose ranks still have the map that every group starts with: nobody has led it in this epoch, and
-/// its passes are several times as long as they need to be. The first in line claims at once; if others led before, its
-/// first claim only tells it so.
+/// Time without a word from any conductor after which the first in line claims the duty of a group whose ranks still have
+/// the map that every group starts with: nobody has led it in this epoch, and its passes are several times as long as
+/// they need to be. The first in line claims at once; if others led before, its first claim only tells it so.
 const FIRST_MAP_PATIENCE: Duration = Duration::from_millis(50);
 /// Time that an agent that was not led yet gives a conductor after its first claim, by which it learnt where the list of
 /// claims ends; it waited for one before that claim. Waiting as long again left groups without a conductor for 1.35 s
