Explorer: looks at ranks that nobody tells of, between any two things that happen; its engines have a file of their own

Cause: the conductor now looks at silent ranks while it stages or settles, and no walk had such orders. Change: looks_between, 6,000 walks with a look after each action; the engines of the walks moved to group.rs, nothing else changed.

--- a/crates/sparscale_place/tests/barrier_switch.rs
+++ b/crates/sparscale_place/tests/barrier_switch/main.rs
@@ -1,8 +1,12 @@
 //! No step ever begins on two maps where the group is held for a change: two conductors, orders that are answered
 //! late, never or carried out seconds later, groups that re-form, conductors that die or wake.
 
+mod group;
+
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use sparscale_place::barrier::{Act, Answer, Change, Conductor, Order, Progress, Report, View};
+use sparscale_place::barrier::{Answer, Conductor, Order, Progress, Report};
+
+use crate::group::Group;
 
 const RANKS: usize = 3;
 /// Fences of one claim.
@@ -10,126 +14,6 @@
 /// Claims in one walk.
 const MAX_CLAIMS: u64 = 4;
 
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Default)]
-struct Rank {
-    map: u64,
-    staged: Option<u64>,
-    highest: u64,
-    armed: Option<Change>,
-    held: Option<u64>,
-    fence: u64,
-}
-
-/// The engines of a group, as the platform describes them.
-#[derive(Clone, PartialEq, Eq, Hash, Debug)]
-struct Group {
-    epoch: u64,
-    step: u64,
-    ranks: Vec<Rank>,
-    mixed: bool,
-}
-
-impl Group {
-    fn new() -> Self {
-        Self {
-            epoch: 1,
-            step: 0,
-            ranks: vec![Rank::default(); RANKS],
-            mixed: false,
-        }
-    }
-
-    fn step(&mut self) -> bool {
-        let next = self.step + 1;
-        if self.ranks.iter().any(|rank| rank.held == Some(next)) {
-            return false;
-        }
-        self.step = next;
-        for rank in &mut self.ranks {
-            if let Some(change) = rank.armed.filter(|change| change.at == next) {
-                rank.map = change.number;
-                rank.armed = None;
-                rank.staged = None;
-            }
-        }
-        self.mixed |= self.ranks.iter().any(|rank| rank.map != self.ranks[0].map);
-        true
-    }
-
-    fn reform(&mut self) {
-        self.epoch += 1;
-        for rank in &mut self.ranks {
-            *rank = Rank {
-                fence: rank.fence,
-                ..Rank::default()
-            };
-        }
-    }
-
-    fn view(&self, rank: usize) -> View {
-        let state = &self.ranks[rank];
-        View {
-            epoch: self.epoch,
-            open: true,
-            step: self.step,
-            map: state.map,
-            staged: state.staged,
-            armed: state.armed,
-            held: state.held,
-        }
-    }
-
-    fn order(&mut self, rank: usize, order: &Order) -> Answer {
-        let step = self.step;
-        let state = &mut self.ranks[rank];
-        if order.act == Act::Look {
-            return Answer::Done;
-        }
-        if order.fence < state.fence {
-            return Answer::Fenced;
-        }
-        state.fence = order.fence;
-        if order.epoch != self.epoch {
-            return Answer::Refused;
-        }
-        let done = match order.act {
-            Act::Look => true,
-            Act::Stage { number } if state.staged == Some(number) => true,
-            Act::Stage { number } => {
-                let fits = number > state.highest && state.armed.is_none();
-                if fits {
-                    state.highest = number;
-                    state.staged = Some(number);
-                }
-                fits
-            }
-            Act::Hold { step: held } => {
-                let fits = state.held == Some(held) || (state.held.is_none() && held > step);
-                if fits {
-                    state.held = Some(held);
-                }
-                fits
-            }
-            Act::Arm(change) => {
-                let fits = state.staged == Some(change.number) && change.at > step;
-                if fits {
-                    state.armed = Some(change);
-                }
-                fits
-            }
-            Act::Disarm { number } => {
-                state.armed = state.armed.filter(|armed| armed.number != number);
-                state.map != number
-            }
-            Act::Release { step: held } => {
-                state.held = state.held.filter(|step| *step != held);
-                true
-            }
-        };
-        if done { Answer::Done } else { Answer::Refused }
-    }
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 struct Sent {
     conductor: usize,
@@ -252,6 +136,21 @@
         sent
     }
 
+    /// The conductor asks a rank for its state, whatever it is doing.
+    fn look(&mut self, index: usize, rank: usize) {
+        let Some((claim, conductor)) = &mut self.conductors[index] else {
+            return;
+        };
+        let claim = *claim;
+        let order = conductor.look_at(rank);
+        self.orders.extend(order.map(|order| Sent {
+            conductor: index,
+            claim,
+            rank,
+            order,
+        }));
+    }
+
     fn deliver(&mut self, index: usize) -> bool {
         if index >= self.orders.len() {
             return false;
@@ -470,6 +369,27 @@
         .quickcheck(settles as fn(Walk) -> bool);
 }
 
+/// Looks at ranks that nobody tells of, between any two things that happen: they mix no maps, and the group goes on.
+#[test]
+fn looks_between() {
+    fn holds(walk: Walk) -> bool {
+        let mut world = World::new();
+        for (index, action) in walk.0.into_iter().enumerate() {
+            world.act(action);
+            world.look(index % 2, index / 2 % RANKS);
+            if world.group.mixed {
+                return false;
+            }
+        }
+        world.settle() && !world.group.mixed
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 53))
+        .tests(6_000)
+        .max_tests(6_000)
+        .quickcheck(holds as fn(Walk) -> bool);
+}
+
 #[test]
 fn changes_map() {
     let mut world = World::new();
