Sight: what a request is, and whether its target ended or only a connection broke

Cause: the lines named the id of an attempt only, so a request that came again could not be told from a new one, and a target that had ended not from a connection that broke. Streams that broke midway had no line at all. Ruled out: telling contents by path and length (not tried): callers' bodies differ, a digest says it exactly. Change: Fingerprint (method, path, workspace, body) in a crate of its own; `content` in `lost_answer` and `end`, `ended` in `lost_answer`: a connection to the target's address is tried after a break, and kept if it comes about. No change to what is sent where. Conclusion: the hypotheses can be told apart by these lines.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use sparscale_belief::Belief;
 use sparscale_catalog::{Access, Catalog, Limits};
+use sparscale_quarantine::Fingerprint;
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
@@ -114,11 +115,14 @@
 
 impl Admitted {
     fn into_job(self, head: Head, body: bytes::Bytes, began: Instant) -> Job {
+        let workspace = self.workspace.as_deref();
+        let fingerprint = Fingerprint::of(head.method.as_str(), head.path.as_str(), workspace, &body);
         Job {
             outbound: Outbound {
                 head,
                 body,
-                workspace: self.workspace.as_deref().and_then(header_of),
+                fingerprint,
+                workspace: workspace.and_then(header_of),
                 until: self.until,
                 may_repeat: self.may_repeat,
                 last_event: None,
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use sparscale_catalog::{Incarnation, Seat, Target};
+use sparscale_quarantine::Fingerprint;
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
@@ -25,6 +26,8 @@
 pub(crate) struct Outbound {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
+    /// What the request is, however often it comes.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) workspace: Option<HeaderValue>,
     /// When its answer has to be there.
     pub(crate) until: Instant,
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -180,14 +180,20 @@
                 return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
             };
             let attempt = self.attempt(job, &seat, tries).await;
-            if let Some(answer) = self.settle(job, seat, attempt, tries)? {
+            if let Some(answer) = self.settle(job, seat, attempt, tries).await? {
                 return Ok(answer);
             }
         }
     }
 
     /// Draws what follows from a send: an answer, another send (none), or a refusal.
-    fn settle(&self, job: &Job, seat: Seat, attempt: Attempt, tries: &mut Tries) -> Result<Option<Answer>, Refusal> {
+    async fn settle(
+        &self,
+        job: &Job,
+        seat: Seat,
+        attempt: Attempt,
+        tries: &mut Tries,
+    ) -> Result<Option<Answer>, Refusal> {
         match attempt {
             Attempt::Answered(answer) => {
                 self.loads.note_good(seat.key);
@@ -218,7 +224,7 @@
                 tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
             }
             Attempt::Failed(whole) => tries.failure = Some(whole),
-            Attempt::Lost(loss) => self.lost(job, &seat, loss, tries)?,
+            Attempt::Lost(loss) => self.lost(job, &seat, loss, tries).await?,
         }
         tries.tried.push(seat);
         if self.may_send_again(job, tries) {
@@ -330,9 +336,9 @@
     }
 
     /// A send without a whole answer: final unless the request may run again.
-    fn lost(&self, job: &Job, seat: &Seat, loss: Loss, tries: &mut Tries) -> Result<(), Refusal> {
+    async fn lost(&self, job: &Job, seat: &Seat, loss: Loss, tries: &mut Tries) -> Result<(), Refusal> {
         self.loads.note_failure(seat.key);
-        log::info!(target: DECISION, decision = "lost_answer", request = job.outbound.head.id_text(), at = seat.target.id.as_str(), loss = loss.name(); "no whole answer");
+        self.look_after(job, seat, loss).await;
         let reason = if loss == Loss::Timeout {
             Reason::NoAnswer
         } else {
@@ -346,6 +352,21 @@
         Err(Refusal::new(reason))
     }
 
+    /// Looks whether the target at which an answer was lost has ended, or only the connection to it.
+    pub(crate) async fn look_after(&self, job: &Job, seat: &Seat, loss: Loss) {
+        let ended = loss == Loss::Broken && self.caller.pool.has_ended(seat).await;
+        log::info!(
+            target: DECISION,
+            decision = "lost_answer",
+            request = job.outbound.head.id_text(),
+            content = job.outbound.fingerprint.short().as_str(),
+            at = seat.target.id.as_str(),
+            loss = loss.name(),
+            ended;
+            "no whole answer"
+        );
+    }
+
     pub(crate) fn may_send_again(&self, job: &Job, tries: &Tries) -> bool {
         if tries.tried.len() >= job.route().attempts as usize {
             return false;
@@ -430,6 +451,7 @@
             level,
             decision = "end",
             request = job.outbound.head.id_text(),
+            content = job.outbound.fingerprint.short().as_str(),
             route = job.route().name.as_str(),
             version = job.catalog.version(),
             outcome,
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt as _, Snafu};
 use socket2::SockRef;
-use sparscale_catalog::{Directory, Incarnation};
+use sparscale_catalog::{Directory, Incarnation, Seat};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -106,6 +106,19 @@
         }
     }
 
+    /// Whether the process of a target that broke a connection off is not there any more: nothing listens at its address.
+    /// One that does not answer may be cut off. A connection that comes about is kept.
+    pub(crate) async fn has_ended(&self, seat: &Seat) -> bool {
+        match connect(seat.target.address).await {
+            Ok(connection) => {
+                self.put(seat.key, connection, &HeaderMap::new());
+                false
+            }
+            Err(Error::Connect { source }) => source.kind() == std::io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Closes the connections of targets that are gone.
     pub(crate) fn retain(&self, targets: &Directory) {
         self.lock().retain(|target, _| targets.find(*target).is_some());
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -179,8 +179,7 @@
     /// was left shows as broken.
     async fn leave_slow(&mut self) {
         let sends = self.tries.tried.len();
-        let ids = self.tries.tried.ids();
-        let at = ids.last().copied().unwrap_or_default();
+        let at = self.tries.tried.last().map_or("", |seat| &seat.target.id);
         let left = self.gateway.may_leave(&self.job, at, sends, &self.tries);
         self.stays = !left;
         if left {
@@ -191,6 +190,9 @@
 
     /// Goes on elsewhere after the last event that the caller has, if that may be.
     async fn resume(&mut self, loss: Loss) -> bool {
+        if let Some(seat) = self.tries.tried.last() {
+            self.gateway.look_after(&self.job, seat, loss).await;
+        }
         let resumable = self.job.outbound.may_repeat && loss != Loss::Timeout;
         resumable && self.gateway.may_send_again(&self.job, &self.tries) && self.go_on(loss).await
     }
--- a/crates/sparscale_gateway/src/tries.rs
+++ b/crates/sparscale_gateway/src/tries.rs
@@ -12,18 +12,23 @@
 /// Targets that a request was sent to, in order.
 #[derive(Debug, Default)]
 pub(crate) struct Tried {
-    targets: Vec<(Incarnation, String)>,
+    targets: Vec<Seat>,
 }
 
 impl Tried {
     /// Notes one.
     pub(crate) fn push(&mut self, seat: Seat) {
-        self.targets.push((seat.key, seat.target.id));
+        self.targets.push(seat);
     }
 
     /// Whether the request was sent to this one.
     pub(crate) fn contains(&self, target: Incarnation) -> bool {
-        self.targets.iter().any(|(key, _)| *key == target)
+        self.targets.iter().any(|seat| seat.key == target)
+    }
+
+    /// The one that it was sent to last.
+    pub(crate) fn last(&self) -> Option<&Seat> {
+        self.targets.last()
     }
 
     /// How many there were.
@@ -33,7 +38,7 @@
 
     /// Their ids, for the log.
     pub(crate) fn ids(&self) -> Vec<&str> {
-        self.targets.iter().map(|(_, id)| id.as_str()).collect()
+        self.targets.iter().map(|seat| seat.target.id.as_str()).collect()
     }
 }
 
