Failing tests: a request that crashes its targets comes again, at the same entry and anywhere

An entry knows a request by the id of one attempt, and forgets it with its answer; no other entry, and no process that starts, hears of it.

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -43,6 +43,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether this entry takes callers.
     pub ready: SocketAddr,
+    /// Where other processes connect.
+    pub peers: SocketAddr,
     /// What the entry believes.
     pub board: Arc<Board>,
     /// What it hears from the system's other processes.
@@ -104,6 +106,7 @@
         let entry = Self {
             callers: callers.local_addr().context(AddressSnafu)?,
             ready: ready.local_addr().context(AddressSnafu)?,
+            peers: mesh.address(),
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
             phase,
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -98,13 +98,19 @@
     }
 
     pub fn with(settings: Settings, document: Document, plain: &[&Target], model: &[&Target]) -> Self {
+        Self::on(
+            settings,
+            Store::new(catalog(document), 1),
+            Store::new(roster(plain, model), 1),
+        )
+    }
+
+    fn on(settings: Settings, catalogs: Store<Catalog>, rosters: Store<Roster>) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .expect("a runtime");
-        let catalogs = Store::new(catalog(document), 1);
-        let rosters = Store::new(roster(plain, model), 1);
         let parts = Parts {
             catalog: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
@@ -124,6 +130,11 @@
         world
     }
 
+    /// Another entry on the same store.
+    pub fn beside(&self, settings: Settings) -> Self {
+        Self::on(settings, self.catalogs.clone(), self.rosters.clone())
+    }
+
     /// Sends one request on a connection of its own.
     pub fn ask(&self, request: &Request) -> Answer {
         Caller::open(self).ask(request)
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod beliefs;
 mod bounds;
+mod crashing;
 mod entry;
 mod groups;
 mod requests;
--- a/crates/sparscale_gateway/tests/path/target.rs
+++ b/crates/sparscale_gateway/tests/path/target.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,8 @@
     stream: TcpStream,
     /// Whether the target has ended it: it reads no further request then, not even one that has arrived.
     ended: bool,
+    /// Whether its whole target ends now.
+    crashes: bool,
 }
 
 impl Wire {
@@ -87,6 +90,12 @@
         self.ended = true;
     }
 
+    /// The target crashes.
+    pub fn crash(&mut self) {
+        self.crashes = true;
+        self.ended = true;
+    }
+
     /// Waits until the entry has closed the connection, or `limit` has passed.
     pub fn wait_closed(&mut self, limit: Duration) -> Option<Duration> {
         let began = Instant::now();
@@ -115,6 +124,9 @@
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     connections: Arc<Mutex<usize>>,
+    /// Streams of its open connections.
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    crashed: Arc<AtomicBool>,
 }
 
 impl Target {
@@ -125,12 +137,19 @@
             address: listener.local_addr().expect("an address"),
             arrivals: Arc::default(),
             connections: Arc::default(),
+            open: Arc::default(),
+            crashed: Arc::default(),
         };
         let script: Script = Arc::new(script);
         let serving = target.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(stream) = stream else { return };
+                if serving.crashed.load(Ordering::SeqCst) {
+                    return;
+                }
+                let handle = stream.try_clone().expect("a second handle");
+                serving.open.lock().expect("no panic").push(handle);
                 *serving.connections.lock().expect("no panic") += 1;
                 let (serving, script) = (serving.clone(), Arc::clone(&script));
                 std::thread::spawn(move || serving.serve(stream, &script));
@@ -154,12 +173,39 @@
         *self.connections.lock().expect("no panic")
     }
 
+    /// Whether the target has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::SeqCst)
+    }
+
+    /// Ends its process, so to speak: nothing listens at its address any more, and all its connections are reset.
+    fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts, which drops the listener.
+        drop(TcpStream::connect(self.address));
+        while TcpStream::connect(self.address).is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        for stream in self.open.lock().expect("no panic").drain(..) {
+            let socket = socket2::SockRef::from(&stream);
+            let _unsupported = socket.set_linger(Some(Duration::ZERO));
+            let _closed = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, stream: TcpStream, script: &Script) {
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-        let mut wire = Wire { stream, ended: false };
+        let mut wire = Wire {
+            stream,
+            ended: false,
+            crashes: false,
+        };
         while let Some(arrival) = read(&mut reader) {
             self.arrivals.lock().expect("no panic").push(arrival.clone());
             script(&arrival, &mut wire);
+            if wire.crashes {
+                self.crash();
+            }
             if wire.ended {
                 return;
             }
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -163,6 +163,11 @@
         Arc::new(mesh)
     }
 
+    /// Where this process takes connections from other processes.
+    pub fn address(&self) -> SocketAddr {
+        self.settings.address
+    }
+
     /// What other processes sent to this one.
     pub fn traffic(&self) -> Traffic {
         Traffic {
