--- a/crates/sparscale_gateway/tests/path/target.rs
+++ b/crates/sparscale_gateway/tests/path/target.rs
@@ -1,5 +1,6 @@
 //! A target whose every answer the test writes byte by byte.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -124,8 +125,8 @@
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     connections: Arc<Mutex<usize>>,
-    /// Streams of its open connections.
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    /// Second handles of its open connections, by the order in which they came.
+    open: Arc<Mutex<BTreeMap<usize, TcpStream>>>,
     crashed: Arc<AtomicBool>,
 }
 
@@ -148,11 +149,20 @@
                 if serving.crashed.load(Ordering::SeqCst) {
                     return;
                 }
+                let number = {
+                    let mut connections = serving.connections.lock().expect("no panic");
+                    *connections += 1;
+                    *connections
+                };
                 let handle = stream.try_clone().expect("a second handle");
-                serving.open.lock().expect("no panic").push(handle);
-                *serving.connections.lock().expect("no panic") += 1;
+                serving.open.lock().expect("no panic").insert(number, handle);
                 let (serving, script) = (serving.clone(), Arc::clone(&script));
-                std::thread::spawn(move || serving.serve(stream, &script));
+                std::thread::spawn(move || {
+                    let served = serving.serve(stream, &script);
+                    // Only the last handle of a connection closes it.
+                    serving.open.lock().expect("no panic").remove(&number);
+                    drop(served);
+                });
             }
         });
         target
@@ -186,14 +196,15 @@
         while TcpStream::connect(self.address).is_ok() {
             std::thread::sleep(Duration::from_millis(1));
         }
-        for stream in self.open.lock().expect("no panic").drain(..) {
+        for stream in std::mem::take(&mut *self.open.lock().expect("no panic")).into_values() {
             let socket = socket2::SockRef::from(&stream);
             let _unsupported = socket.set_linger(Some(Duration::ZERO));
             let _closed = stream.shutdown(Shutdown::Both);
         }
     }
 
-    fn serve(&self, stream: TcpStream, script: &Script) {
+    /// Serves one connection until either side ends it.
+    fn serve(&self, stream: TcpStream, script: &Script) -> Wire {
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         let mut wire = Wire {
             stream,
@@ -207,9 +218,10 @@
                 self.crash();
             }
             if wire.ended {
-                return;
+                break;
             }
         }
+        wire
     }
 }
 
