Clock: ages and windows are told by a clock that goes on while the machine is suspended

Ages of beliefs, the ages that peers tell each other, the window of the retry budget, the rest of kept connections and the time that a request has left were differences of the steady clock, which stands still while a machine is suspended: a catalog read before it seemed to be of a moment ago, and a key that was taken away meanwhile would have run. Ruled out: the time of day (it steps). Conductors and agents: what they measure with the steady clock only delays them; that a map is whole hangs on fences and on what each rank says, not on time. Change: sparscale_clock: a Moment is no Instant, so the two do not mix; the machine's clock adds what CLOCK_BOOTTIME has over CLOCK_MONOTONIC. Board, mesh, budget, pool and deadlines use it; the mesh's Clock is called Stamps. Conclusion: a suspended machine counts as one that stood still, everywhere at the entries.

--- a/crates/sparscale_belief/src/belief.rs
+++ b/crates/sparscale_belief/src/belief.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use sparscale_clock::Moment;
 
 /// Something that was read from outside.
 #[derive(Debug)]
@@ -13,7 +13,7 @@
     /// Where in its history it stands: a version or an offset. Positions only rise.
     pub position: u64,
     /// A time before the question was asked: everything acknowledged earlier is in `value`.
-    pub as_of: Instant,
+    pub as_of: Moment,
 }
 
 impl<T> Clone for Belief<T> {
@@ -39,13 +39,13 @@
 
 impl<T: PartialEq> Belief<T> {
     /// Age at `now`.
-    pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.as_of)
+    pub fn age(&self, now: Moment) -> Duration {
+        now.since(self.as_of)
     }
 
     /// Takes in an answer about `position`, asked for at `as_of`. The value of an older position is left out, and so
     /// is its age: it says nothing about what came later.
-    pub fn offer(&mut self, value: Arc<T>, position: u64, as_of: Instant) -> Change {
+    pub fn offer(&mut self, value: Arc<T>, position: u64, as_of: Moment) -> Change {
         if position < self.position {
             return Change::Older;
         }
--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use sparscale_catalog::{Catalog, Directory, Incarnations, Roster};
+use sparscale_clock::{Clock, Moment};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::belief::{Belief, Change};
 use crate::heard::Heard;
@@ -23,21 +23,33 @@
     starts: Mutex<Incarnations>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
+    clock: Arc<dyn Clock>,
 }
 
 impl Default for Board {
     fn default() -> Self {
+        Self::new(sparscale_clock::machine())
+    }
+}
+
+impl Board {
+    /// A board on which nothing is known yet; ages are told by `clock`.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
             catalog: watch::Sender::new(None),
             targets: watch::Sender::new(None),
             heard: Mutex::default(),
             starts: Mutex::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(Arc::clone(&clock)),
+            clock,
         }
     }
-}
 
-impl Board {
+    /// Now, by the clock that ages are told by.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
     /// The catalog as last read.
     pub fn catalog(&self) -> Option<Belief<Catalog>> {
         self.catalog.borrow().clone()
@@ -66,31 +78,31 @@
 
     /// Age of the catalog; none if there is none.
     pub fn catalog_age(&self) -> Option<Duration> {
-        age(&self.catalog)
+        age(&self.catalog, self.now())
     }
 
     /// Age of the roster; none if there is none.
     pub fn roster_age(&self) -> Option<Duration> {
-        age(&self.targets)
+        age(&self.targets, self.now())
     }
 
     /// Takes in a catalog that `source` told.
-    pub fn offer_catalog(&self, catalog: Arc<Catalog>, as_of: Instant, source: &str) -> Change {
+    pub fn offer_catalog(&self, catalog: Arc<Catalog>, as_of: Moment, source: &str) -> Change {
         let version = catalog.version();
         let change = offer(&self.catalog, catalog, version, as_of);
         if change == Change::Replaced {
-            log::info!(target: DECISION, decision = "catalog", version, source, age_ms = as_of.elapsed().as_millis() as u64; "catalog in force");
+            log::info!(target: DECISION, decision = "catalog", version, source, age_ms = self.now().since(as_of).as_millis() as u64; "catalog in force");
         }
         change
     }
 
     /// Notes that version `version` was still the newest at `as_of`.
-    pub fn confirm_catalog(&self, version: u64, as_of: Instant) -> Change {
+    pub fn confirm_catalog(&self, version: u64, as_of: Moment) -> Change {
         confirm(&self.catalog, version, as_of)
     }
 
     /// Takes in a roster that `source` told.
-    pub fn offer_roster(&self, roster: Arc<Roster>, position: u64, as_of: Instant, source: &str) -> Change {
+    pub fn offer_roster(&self, roster: Arc<Roster>, position: u64, as_of: Moment, source: &str) -> Change {
         // Held throughout: two that tell at once must not overtake each other on the way to the readers.
         let mut heard = self.heard();
         let Some(belief) = heard.take_in(roster, position, as_of) else {
@@ -99,7 +111,7 @@
         let targets = belief.value.targets.len();
         let change = replace(&self.targets, self.seat(&belief));
         if change == Change::Replaced {
-            log::info!(target: DECISION, decision = "roster", position, targets, source, age_ms = as_of.elapsed().as_millis() as u64; "roster changed");
+            log::info!(target: DECISION, decision = "roster", position, targets, source, age_ms = self.now().since(as_of).as_millis() as u64; "roster changed");
         }
         change
     }
@@ -133,17 +145,12 @@
     change
 }
 
-fn age<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>) -> Option<Duration> {
-    cell.borrow().as_ref().map(|belief| belief.age(Instant::now()))
+fn age<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, now: Moment) -> Option<Duration> {
+    cell.borrow().as_ref().map(|belief| belief.age(now))
 }
 
 /// Waiting readers are woken for a new value only: ages change all the time.
-fn offer<T: PartialEq>(
-    cell: &watch::Sender<Option<Belief<T>>>,
-    value: Arc<T>,
-    position: u64,
-    as_of: Instant,
-) -> Change {
+fn offer<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, value: Arc<T>, position: u64, as_of: Moment) -> Change {
     let mut change = Change::Replaced;
     cell.send_if_modified(|known| {
         match known {
@@ -155,7 +162,7 @@
     change
 }
 
-fn confirm<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, position: u64, as_of: Instant) -> Change {
+fn confirm<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, position: u64, as_of: Moment) -> Change {
     let mut change = Change::Older;
     cell.send_if_modified(|known| {
         if let Some(belief) = known
--- a/crates/sparscale_belief/src/heard.rs
+++ b/crates/sparscale_belief/src/heard.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use sparscale_catalog::Roster;
+use sparscale_clock::Moment;
 use sparscale_telemetry::DECISION;
-use tokio::time::Instant;
 
 use crate::belief::{Belief, Change};
 use crate::lapse::Lapse;
@@ -26,7 +26,7 @@
     }
 
     /// Takes in what the store said at `as_of`. Tells what to go by now; none if it is older than what was known.
-    pub(crate) fn take_in(&mut self, roster: Arc<Roster>, position: u64, as_of: Instant) -> Option<Belief<Roster>> {
+    pub(crate) fn take_in(&mut self, roster: Arc<Roster>, position: u64, as_of: Moment) -> Option<Belief<Roster>> {
         let Some(belief) = &mut self.belief else {
             let first = Belief {
                 value: roster,
--- a/crates/sparscale_belief/src/lapse.rs
+++ b/crates/sparscale_belief/src/lapse.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sparscale_catalog::{Roster, Standing, Target};
-use tokio::time::Instant;
+use sparscale_clock::Moment;
 
 use crate::belief::Belief;
 
@@ -19,7 +19,7 @@
 /// Targets that were known when the store went away and have not shown up since its return.
 #[derive(Debug)]
 pub(crate) struct Lapse {
-    until: Instant,
+    until: Moment,
     missing: Vec<Target>,
 }
 
@@ -27,7 +27,7 @@
     /// What `now` lacks of the targets that the store showed in `before`; none if it was not away in between, or if
     /// nothing is missing. A target that was leaving is not awaited.
     pub(crate) fn between(before: &Belief<Roster>, now: &Belief<Roster>) -> Option<Self> {
-        if now.as_of.saturating_duration_since(before.as_of) < AWAY {
+        if now.as_of.since(before.as_of) < AWAY {
             return None;
         }
         let shown = before.value.targets.iter();
@@ -47,7 +47,7 @@
     }
 
     /// Whether nothing is awaited any more at `now`.
-    pub(crate) fn is_over(&self, now: Instant) -> bool {
+    pub(crate) fn is_over(&self, now: Moment) -> bool {
         now >= self.until || self.missing.is_empty()
     }
 
--- a/crates/sparscale_belief/src/quarantine.rs
+++ b/crates/sparscale_belief/src/quarantine.rs
@@ -1,9 +1,10 @@
 //! Requests that crash targets, as this process knows them from what it saw, its peers and the store.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_trait::async_trait;
+use sparscale_clock::{Clock, Moment};
 use sparscale_quarantine::{End, Fingerprint, Hold, News, Register, Strike};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
@@ -36,20 +37,20 @@
     /// Shows that something was learnt.
     learnt: watch::Sender<()>,
     /// A time before which everything that the store had taken is in the register; none before it was first read.
-    as_of: Mutex<Option<Instant>>,
+    as_of: Mutex<Option<Moment>>,
+    clock: Arc<dyn Clock>,
 }
 
-impl Default for Quarantine {
-    fn default() -> Self {
+impl Quarantine {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
             register: Mutex::default(),
             learnt: watch::Sender::new(()),
             as_of: Mutex::default(),
+            clock,
         }
     }
-}
 
-impl Quarantine {
     /// Whether a request is held back now.
     pub fn held(&self, request: &Fingerprint) -> Option<Hold> {
         self.register().held(request, now_ms())
@@ -99,16 +100,16 @@
     }
 
     /// Takes in all that the store held when it was asked at `asked`.
-    pub fn offer_reading(&self, strikes: &[Strike], asked: Instant) {
+    pub fn offer_reading(&self, strikes: &[Strike], asked: Moment) {
         let now_ms = now_ms();
-        let asked_ms = now_ms.saturating_sub(asked.elapsed().as_millis() as u64);
+        let asked_ms = now_ms.saturating_sub(self.clock.now().since(asked).as_millis() as u64);
         let news = self.register().read(strikes, asked_ms, TELL_MARGIN, now_ms);
         self.confirm(asked);
         self.tell(news);
     }
 
     /// Notes that everything that the store had taken at `as_of` is known here.
-    pub fn confirm(&self, as_of: Instant) {
+    pub fn confirm(&self, as_of: Moment) {
         let mut known = self.as_of.lock().unwrap_or_else(PoisonError::into_inner);
         *known = Some(known.map_or(as_of, |known| known.max(as_of)));
     }
@@ -116,7 +117,7 @@
     /// Age of what is known of the store; none before it was first read.
     pub fn age(&self) -> Option<Duration> {
         let as_of = *self.as_of.lock().unwrap_or_else(PoisonError::into_inner);
-        as_of.map(|as_of| as_of.elapsed())
+        as_of.map(|as_of| self.clock.now().since(as_of))
     }
 
     /// What was learnt after position `since`, and the position now.
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use sparscale_telemetry::{DECISION, Registry};
-use tokio::time::Instant;
 
 use crate::belief::Change;
 use crate::board::Board;
 use crate::source::{Error, Reading, Source};
 use sparscale_catalog::{Catalog, Roster};
+use sparscale_clock::Moment;
 use sparscale_quarantine::Strike;
 
 /// Time that one reading may take before it is given up.
@@ -114,23 +114,31 @@
 
 /// Keeps the catalog on `board` young; never ends.
 pub async fn read_catalog(board: Arc<Board>, source: Box<dyn Source<Catalog>>, pace: Arc<Pace>, figures: ReadFigures) {
+    let now = {
+        let board = Arc::clone(&board);
+        move || board.now()
+    };
     let age = {
         let board = Arc::clone(&board);
         move || board.catalog_age()
     };
     let offer = move |reading: Reading<Catalog>, asked| board.offer_catalog(reading.value, asked, "store");
-    keep_young("catalog", source, &pace, &figures, age, offer).await;
+    keep_young("catalog", source, &pace, &figures, age, offer, now).await;
 }
 
 /// Keeps the roster on `board` young; never ends.
 pub async fn read_roster(board: Arc<Board>, source: Box<dyn Source<Roster>>, pace: Arc<Pace>, figures: ReadFigures) {
+    let now = {
+        let board = Arc::clone(&board);
+        move || board.now()
+    };
     let age = {
         let board = Arc::clone(&board);
         move || board.roster_age()
     };
     let offer =
         move |reading: Reading<Roster>, asked| board.offer_roster(reading.value, reading.position, asked, "store");
-    keep_young("roster", source, &pace, &figures, age, offer).await;
+    keep_young("roster", source, &pace, &figures, age, offer, now).await;
 }
 
 /// Keeps what is known of requests that crash targets young; never ends.
@@ -140,6 +148,10 @@
     pace: Arc<Pace>,
     figures: ReadFigures,
 ) {
+    let now = {
+        let board = Arc::clone(&board);
+        move || board.now()
+    };
     let age = {
         let board = Arc::clone(&board);
         move || board.quarantine.age()
@@ -148,7 +160,7 @@
         board.quarantine.offer_reading(&reading.value, asked);
         Change::Confirmed
     };
-    keep_young("strikes", source, &pace, &figures, age, offer).await;
+    keep_young("strikes", source, &pace, &figures, age, offer, now).await;
 }
 
 async fn keep_young<T: Send + Sync + 'static>(
@@ -157,14 +169,15 @@
     pace: &Pace,
     figures: &ReadFigures,
     age: impl Fn() -> Option<Duration>,
-    offer: impl Fn(Reading<T>, Instant) -> Change,
+    offer: impl Fn(Reading<T>, Moment) -> Change,
+    now: impl Fn() -> Moment,
 ) {
     let mut reachable = true;
     let mut failures = 0;
-    let started = Instant::now();
+    let started = now();
     loop {
         // What nobody has told yet is as old as this process, less the head start that others get.
-        let known = age().unwrap_or_else(|| started.elapsed() + pace.patience().saturating_sub(pace.head_start));
+        let known = age().unwrap_or_else(|| now().since(started) + pace.patience().saturating_sub(pace.head_start));
         let wait = pace.patience().checked_sub(known);
         if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
             // Somebody told it.
@@ -172,13 +185,13 @@
             tokio::time::sleep(wait).await;
             continue;
         }
-        let asked = Instant::now();
+        let asked = now();
         let answer = tokio::time::timeout(READ_TIMEOUT, source.read()).await;
         let answer = answer.unwrap_or_else(|_elapsed| {
             let message = format!("nothing within {} ms", READ_TIMEOUT.as_millis());
             Err(Error::Unavailable { message })
         });
-        figures.note(what, &answer, asked.elapsed());
+        figures.note(what, &answer, now().since(asked));
         note_reachable(what, &mut reachable, &answer);
         let news = answer.map(|reading| offer(reading, asked));
         // A store that answers from the past says nothing about now: asking at once again would only load it.
--- a/crates/sparscale_belief/tests/lapsed_entries.rs
+++ b/crates/sparscale_belief/tests/lapsed_entries.rs
@@ -42,7 +42,8 @@
     /// Nothing has been written since.
     fn says_again(&mut self, targets: Vec<Target>) {
         let roster = Arc::new(Roster::new(targets));
-        self.board.offer_roster(roster, self.position, Instant::now(), "store");
+        self.board
+            .offer_roster(roster, self.position, self.board.now(), "store");
     }
 
     fn held(&self) -> Vec<String> {
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -5,8 +5,9 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use sparscale_belief::Belief;
+use sparscale_belief::Board;
 use sparscale_catalog::{Access, Catalog, Limits};
+use sparscale_clock::Moment;
 use sparscale_quarantine::Fingerprint;
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
@@ -73,14 +74,14 @@
 
     fn refuse(&self, head: &Head, refused: Refusal) -> Response<Body> {
         self.gateway.figures.refused(refused.reason);
-        log_refusal(head, refused, self.gateway.board.catalog().as_ref());
+        log_refusal(head, refused, &self.gateway.board);
         refused.response(&self.gateway.caller.dialect.request_id, head.id.as_ref())
     }
 
     fn admit(&self, head: &Head, began: Instant) -> Result<Admitted, Refusal> {
         let unsure = |reason| Refusal::retry(reason, UNSURE_RETRY);
         let belief = self.gateway.board.catalog().ok_or_else(|| unsure(Reason::NoCatalog))?;
-        let age = belief.age(Instant::now());
+        let age = belief.age(self.gateway.board.now());
         // What is not there may have been added since the catalog was read.
         let deny = |reason| {
             if age > self.freshness.denial {
@@ -98,7 +99,9 @@
             Access::Workspace(_) if age > self.freshness.keyed => return Err(unsure(Reason::StaleCatalog)),
             Access::Workspace(workspace) => (Some(workspace.name.clone()), workspace.tier),
         };
-        if self.gateway.board.quarantine.age().is_none() && self.gateway.started.elapsed() < STRIKES_LIMIT {
+        if self.gateway.board.quarantine.age().is_none()
+            && self.gateway.board.now().since(self.gateway.started) < STRIKES_LIMIT
+        {
             return Err(unsure(Reason::Starting));
         }
         let described = catalog.route(route);
@@ -108,6 +111,7 @@
         Ok(Admitted {
             workspace,
             until: began + allowed,
+            due: self.gateway.board.now() + allowed.saturating_sub(began.elapsed()),
             tier: tier.unwrap_or(described.tier),
             may_repeat: described.kind.may_repeat(),
             route,
@@ -123,6 +127,7 @@
     workspace: Option<String>,
     tier: u8,
     until: Instant,
+    due: Moment,
     may_repeat: bool,
 }
 
@@ -137,6 +142,7 @@
                 fingerprint,
                 workspace: workspace.and_then(header_of),
                 until: self.until,
+                due: self.due,
                 may_repeat: self.may_repeat,
                 last_event: None,
                 urgency: Some(self.tier.min(9)),
@@ -148,14 +154,15 @@
     }
 }
 
-fn log_refusal(head: &Head, refusal: Refusal, catalog: Option<&Belief<Catalog>>) {
+fn log_refusal(head: &Head, refusal: Refusal, board: &Board) {
+    let catalog = board.catalog();
     log::warn!(
         target: DECISION,
         decision = "refuse",
         request = head.id_text(),
         reason = refusal.reason.name(),
-        version = catalog.map(|belief| belief.position),
-        age_ms = catalog.map(|belief| belief.age(Instant::now()).as_millis() as u64);
+        version = catalog.as_ref().map(|belief| belief.position),
+        age_ms = catalog.map(|belief| belief.age(board.now()).as_millis() as u64);
         "refused"
     );
 }
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use sparscale_catalog::{Incarnation, Seat, Target};
+use sparscale_clock::{Clock, Moment};
 use sparscale_quarantine::Fingerprint;
 use tokio::time::Instant;
 
@@ -31,6 +32,8 @@
     pub(crate) workspace: Option<HeaderValue>,
     /// When its answer has to be there.
     pub(crate) until: Instant,
+    /// The same by the clock that goes on while the machine is suspended: its caller waits no longer for that.
+    pub(crate) due: Moment,
     /// Whether it may run more than once.
     pub(crate) may_repeat: bool,
     /// Where a resumed stream goes on, if not where the caller said.
@@ -132,6 +135,7 @@
 pub(crate) struct Caller {
     pub(crate) pool: Arc<Pool>,
     pub(crate) dialect: Arc<Dialect>,
+    pub(crate) clock: Arc<dyn Clock>,
     /// Longest rest of a connection that a request which may run once is sent on.
     pub(crate) max_rest_once: Duration,
 }
@@ -200,7 +204,7 @@
         if let Ok(id) = HeaderValue::from_str(&target.id) {
             headers.insert(dialect.expected_target.clone(), id);
         }
-        let left = outbound.until.saturating_duration_since(Instant::now());
+        let left = outbound.due.since(self.clock.now());
         headers.insert(dialect.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
         if let Some(workspace) = &outbound.workspace {
             headers.insert(dialect.workspace.clone(), workspace.clone());
--- a/crates/sparscale_gateway/src/budget.rs
+++ b/crates/sparscale_gateway/src/budget.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use sparscale_clock::Moment;
 
 /// Part of what requests allow that they earn one by one; the rest may be held for a burst. A half of each serves a group
 /// that stops and opens again: all its streams go on at once. Mean worth of 30 days with trouble: 0.727 with a half, 0.720 with
@@ -84,7 +84,7 @@
 /// Events of the last while, counted in pieces.
 #[derive(Debug)]
 struct Count {
-    pieces: VecDeque<(Instant, u32)>,
+    pieces: VecDeque<(Moment, u32)>,
     /// Length of a piece.
     length: Duration,
     /// Time after the beginning of a piece at which it is dropped.
@@ -102,7 +102,7 @@
         }
     }
 
-    fn add(&mut self, now: Instant) {
+    fn add(&mut self, now: Moment) {
         self.total += 1;
         match self.pieces.back_mut() {
             Some((began, count)) if now < *began + self.length => *count += 1,
@@ -110,7 +110,7 @@
         }
     }
 
-    fn total(&mut self, now: Instant) -> u32 {
+    fn total(&mut self, now: Moment) -> u32 {
         while let Some((_, count)) = self.pieces.pop_front_if(|(began, _)| *began + self.keep <= now) {
             self.total -= count;
         }
@@ -123,7 +123,7 @@
 pub struct Budget {
     allowance: Allowance,
     /// When the process is older than a window, and nothing that its predecessor sent is on its way any more.
-    slack_from: Instant,
+    slack_from: Moment,
     /// Requests of the last window; forgotten a piece too early rather than too late.
     requests: Count,
     /// Sends that the slack paid for; forgotten when none of them can arrive in a window with the next one.
@@ -133,7 +133,7 @@
 
 impl Budget {
     /// The part of a process that started at `started`.
-    pub fn new(allowance: Allowance, started: Instant) -> Self {
+    pub fn new(allowance: Allowance, started: Moment) -> Self {
         let window = allowance.window;
         let length = window / PIECES;
         Self {
@@ -146,14 +146,14 @@
     }
 
     /// Counts a request.
-    pub fn earn(&mut self, now: Instant) {
+    pub fn earn(&mut self, now: Moment) {
         self.requests.add(now);
         self.credit += self.allowance.ratio * EARNED;
         self.limit(LEAST_HELD, now);
     }
 
     /// Asks for one more send beyond the first; `share` is what this entry may take of the slack in a window.
-    pub fn spend(&mut self, share: f64, now: Instant) -> Verdict {
+    pub fn spend(&mut self, share: f64, now: Moment) -> Verdict {
         let share = if now < self.slack_from { 0.0 } else { share };
         let least = if share < 1.0 { LEAST_HELD } else { 0.0 };
         let requests = self.limit(least, now);
@@ -180,7 +180,7 @@
     }
 
     /// Drops credit beyond what may be held, which is `least` in any case; tells the requests of the last window.
-    fn limit(&mut self, least: f64, now: Instant) -> u32 {
+    fn limit(&mut self, least: f64, now: Moment) -> u32 {
         let requests = self.requests.total(now);
         let held = self.allowance.ratio * (1.0 - EARNED) * f64::from(requests);
         self.credit = self.credit.min(held.max(least));
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -60,7 +60,7 @@
 impl Entry {
     /// Starts an entry's tasks on the present runtime.
     pub async fn start(settings: Settings, parts: Parts) -> Result<Self, Error> {
-        let board = Arc::new(Board::default());
+        let board = Arc::new(Board::new(Arc::clone(&parts.clock)));
         let callers = listen(settings.callers).await?;
         let ready = listen(settings.ready).await?;
         let mesh = mesh(&settings, &board)?;
@@ -100,7 +100,8 @@
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
             caller: Caller {
-                pool: Arc::new(Pool::default()),
+                pool: Arc::new(Pool::new(Arc::clone(&parts.clock))),
+                clock: Arc::clone(&parts.clock),
                 dialect: Arc::new(parts.dialect),
                 max_rest_once: MAX_REST_ONCE,
             },
@@ -112,7 +113,7 @@
             figures: Figures::new(Arc::clone(&registry)),
             queues: Queues::new(Arc::clone(&mesh), Arc::clone(&entries)),
             sharers: AtomicUsize::new(0),
-            started: Instant::now(),
+            started: board.now(),
             gates: Gates::default(),
             deadlines: Deadlines::default(),
         });
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use http::{Response, StatusCode};
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Directory, Kind, Route, RouteKey, Seat};
+use sparscale_clock::Moment;
 use sparscale_mesh::Mesh;
 use sparscale_quarantine::{End, Fingerprint};
 use sparscale_telemetry::DECISION;
@@ -49,7 +50,7 @@
     /// Entries that share the slack of the budgets, this one included; 0 while that is not known.
     pub(crate) sharers: AtomicUsize,
     /// Start of this process.
-    pub(crate) started: Instant,
+    pub(crate) started: Moment,
     pub(crate) queues: Arc<Queues>,
     /// Whether groups run.
     pub(crate) gates: Gates,
@@ -171,7 +172,7 @@
     /// Sends until there is an answer or nothing more may be tried.
     pub(crate) async fn answer(&self, job: &Job, tries: &mut Tries) -> Result<Answer, Refusal> {
         loop {
-            if Instant::now() >= job.outbound.until {
+            if self.board.now() >= job.outbound.due {
                 return tries.give_up(Refusal::at_once(Reason::TooLate));
             }
             if self.closed(job, tries).await {
@@ -403,7 +404,7 @@
 
     fn earn(&self, job: &Job) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
+        let now = self.board.now();
         for share in &job.route().shares {
             let budget = budgets
                 .entry(share.service.clone())
@@ -419,13 +420,13 @@
         };
         let sharers = self.sharers.load(Ordering::Relaxed);
         let share = self.allowance.share((sharers > 0).then_some(sharers));
-        let now = Instant::now();
+        let now = self.board.now();
         let verdict = {
             let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
             budgets.get_mut(service).map(|budget| budget.spend(share, now))
         };
         let Some(verdict) = verdict else { return false };
-        let life_ms = now.saturating_duration_since(self.started).as_millis() as u64;
+        let life_ms = now.since(self.started).as_millis() as u64;
         log::info!(
             target: DECISION,
             decision = "repeat",
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,8 +13,8 @@
 use snafu::{ResultExt as _, Snafu};
 use socket2::SockRef;
 use sparscale_catalog::{Directory, Incarnation, Seat};
+use sparscale_clock::{Clock, Moment};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// Time that a new connection may take: several round trips inside a region. The opening packet of a connection that a
 /// full target drops is sent again after a second only, too late to wait for.
@@ -55,26 +55,35 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    since: Instant,
+    since: Moment,
     /// Rest after which the target may close it.
     rest: Duration,
 }
 
 /// Idle connections to each start of each target: an address may pass to another target, and an id to the next start of
 /// the same one, which knows nothing of what was opened before.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<Incarnation, Vec<Idle>>>,
+    clock: Arc<dyn Clock>,
 }
 
 impl Pool {
+    /// A pool in which nothing rests yet.
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            idle: Mutex::default(),
+            clock,
+        }
+    }
+
     /// The connection that was used last, if it has rested for `max_rest` at most.
     pub(crate) fn take(&self, target: Incarnation, max_rest: Duration) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.lock();
         let waiting = idle.get_mut(&target)?;
         while let Some(last) = waiting.pop() {
-            let rested = now.saturating_duration_since(last.since);
+            let rested = now.since(last.since);
             if rested > last.rest || last.sender.is_closed() {
                 continue;
             }
@@ -100,7 +109,7 @@
         if waiting.len() < MAX_IDLE {
             waiting.push(Idle {
                 sender: connection.sender,
-                since: Instant::now(),
+                since: self.clock.now(),
                 rest: rest_of(answer),
             });
         }
--- a/crates/sparscale_gateway/src/program.rs
+++ b/crates/sparscale_gateway/src/program.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 use sparscale_belief::{Archive, Source};
 use sparscale_catalog::{Catalog, Roster};
+use sparscale_clock::Clock;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::{Registry, Signals};
 use sparscale_wire::EndpointError;
@@ -57,6 +58,8 @@
     pub strikes: Box<dyn Source<Vec<Strike>>>,
     /// Keeps what this process sees of them.
     pub archive: Box<dyn Archive>,
+    /// Tells how old beliefs are.
+    pub clock: Arc<dyn Clock>,
     /// Names of the headers.
     pub dialect: Dialect,
     /// The process's figures.
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -8,6 +8,7 @@
 use async_trait::async_trait;
 use sparscale_belief::{Archive, Error, Reading, Source};
 use sparscale_catalog::{Catalog, Document, Roster, Standing, Target as Listed};
+use sparscale_clock::Clock;
 use sparscale_gateway::{Allowance, Dialect, Entry, Freshness, Parts, Settings};
 use sparscale_quarantine::Strike;
 use sparscale_samples as samples;
@@ -91,6 +92,7 @@
     pub catalogs: Store<Catalog>,
     pub rosters: Store<Roster>,
     pub strikes: Strikes,
+    pub clock: Arc<samples::Sleeper>,
     pub runtime: Runtime,
 }
 
@@ -143,11 +145,13 @@
             .enable_all()
             .build()
             .expect("a runtime");
+        let clock = Arc::new(samples::Sleeper::default());
         let parts = Parts {
             catalog: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
             strikes: Box::new(strikes.clone()),
             archive: Box::new(strikes.clone()),
+            clock: Arc::clone(&clock) as Arc<dyn Clock>,
             dialect: Dialect::own().expect("proper names"),
             registry: Arc::default(),
         };
@@ -157,6 +161,7 @@
             catalogs,
             rosters,
             strikes,
+            clock,
             runtime,
         };
         wait("beliefs", || {
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -12,4 +12,5 @@
 mod shared_budget;
 mod stopping;
 mod streams;
+mod suspended;
 mod target;
--- a/crates/sparscale_gateway/tests/retry_budget.rs
+++ b/crates/sparscale_gateway/tests/retry_budget.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sparscale_clock::{Clock as _, Machine, Moment};
 use sparscale_gateway::{Allowance, Budget, Source};
-use tokio::time::Instant;
 
 const ENTRIES: usize = 6;
 const WINDOW: u64 = 10_000;
@@ -47,7 +47,7 @@
 /// Entries, what came to them, and what targets got.
 struct World {
     allowance: Allowance,
-    began: Instant,
+    began: Moment,
     now: u64,
     budgets: Vec<Budget>,
     requests: Vec<u64>,
@@ -58,7 +58,7 @@
 
 impl World {
     fn new(allowance: Allowance, sharers: Option<usize>) -> Self {
-        let began = Instant::now();
+        let began = Machine::default().now();
         Self {
             allowance,
             began,
@@ -70,29 +70,29 @@
         }
     }
 
-    fn instant(&self) -> Instant {
+    fn moment(&self) -> Moment {
         self.began + Duration::from_millis(self.now)
     }
 
     fn play(&mut self, events: impl IntoIterator<Item = Event>) {
         for event in events {
-            let instant = self.instant();
+            let moment = self.moment();
             match event {
                 Event::Passes(time) => self.now += time,
                 Event::Requests(entry, count) => {
-                    (0..count).for_each(|_| self.budgets[entry].earn(instant));
+                    (0..count).for_each(|_| self.budgets[entry].earn(moment));
                     self.requests.extend((0..count).map(|_| self.now));
                 }
                 Event::Spends(entry, count) => {
                     let share = self.allowance.share(self.sharers);
                     for _ in 0..count {
-                        let verdict = self.budgets[entry].spend(share, instant);
+                        let verdict = self.budgets[entry].spend(share, moment);
                         self.sends.extend(verdict.source.map(|source| (self.now, source)));
                     }
                 }
-                Event::Restarts(entry) => self.budgets[entry] = Budget::new(self.allowance, instant),
+                Event::Restarts(entry) => self.budgets[entry] = Budget::new(self.allowance, moment),
                 Event::AllRestart => {
-                    let fresh = || Budget::new(self.allowance, instant);
+                    let fresh = || Budget::new(self.allowance, moment);
                     self.budgets = (0..ENTRIES).map(|_| fresh()).collect();
                 }
             }
--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -4,9 +4,9 @@
 //! old that is, often and whenever it changes. So few processes read the platform's store, and a process that the
 //! store turns away still hears of every change.
 
-mod clock;
 mod link;
 mod mesh;
+mod stamps;
 
-pub use clock::Clock;
 pub use mesh::{FEW_ENTRIES, LOADS_PAUSE, Line, Mesh, Settings, Traffic};
+pub use stamps::Stamps;
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -8,13 +8,14 @@
 
 use sparscale_belief::Belief;
 use sparscale_catalog::{Catalog, Document, Roster};
+use sparscale_clock::Moment;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, KnownRoster, Receiver, Role, Sender};
 use tokio::time::Instant;
 
-use crate::clock::{Clock, millis};
 use crate::mesh::Mesh;
+use crate::stamps::{Stamps, millis};
 
 /// Time that one message may take to leave; a peer that does not read for so long is given up.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,7 +49,7 @@
     mesh: Arc<Mesh>,
     /// What the other side is.
     role: Role,
-    clock: Clock,
+    stamps: Stamps,
     /// The other side, once it has named itself.
     peer: Option<SocketAddr>,
     their_catalog: u64,
@@ -73,7 +74,7 @@
 impl Link {
     pub(crate) fn new(mesh: Arc<Mesh>, role: Role) -> Self {
         Self {
-            clock: Clock::new(mesh.started),
+            stamps: Stamps::new(mesh.started),
             mesh,
             role,
             peer: None,
@@ -163,7 +164,7 @@
 
     /// Sends what this process believes; none if the other side is gone.
     async fn tell(&mut self, sender: &mut Sender) -> Option<()> {
-        let now = Instant::now();
+        let now = self.mesh.board.now();
         // An agent's catalog has no routes: it is for the agent alone.
         let tells = self.mesh.settings.role == Role::Entry;
         let catalog = self.mesh.board.catalog().filter(|_| tells);
@@ -176,8 +177,8 @@
         }
         let exchange = Exchange {
             sender: self.mesh.settings.address,
-            stamp_ms: self.clock.stamp(now),
-            echo: self.clock.echo(now),
+            stamp_ms: self.stamps.stamp(now),
+            echo: self.stamps.echo(now),
             catalog: catalog.as_ref().map(|belief| known(belief, now)),
             wants_catalog: std::mem::take(&mut self.wants.catalog),
             roster: roster.as_ref().map(|belief| KnownRoster {
@@ -307,8 +308,8 @@
     }
 
     fn exchange(&mut self, exchange: &Exchange) {
-        let now = Instant::now();
-        self.clock.heard(exchange.stamp_ms, now);
+        let now = self.mesh.board.now();
+        self.stamps.heard(exchange.stamp_ms, now);
         if self.role == Role::Entry {
             self.mesh.heard(exchange.sender);
             if self.peer.is_none() {
@@ -331,23 +332,23 @@
         let Some(echo) = exchange.echo else { return };
         let source = exchange.sender.to_string();
         if let Some(known) = exchange.catalog
-            && let Some(as_of) = self.clock.as_of(echo, known.age_ms)
+            && let Some(as_of) = self.stamps.as_of(echo, known.age_ms)
         {
             self.offer_catalog(known, as_of, &source);
         }
         if let Some(age_ms) = exchange.strikes_age_ms
-            && let Some(as_of) = self.clock.as_of(echo, age_ms)
+            && let Some(as_of) = self.stamps.as_of(echo, age_ms)
         {
             self.mesh.board.quarantine.confirm(as_of);
         }
         if let Some(known) = exchange.roster
-            && let Some(as_of) = self.clock.as_of(echo, known.known.age_ms)
+            && let Some(as_of) = self.stamps.as_of(echo, known.known.age_ms)
         {
             self.offer_roster(known, as_of, &source);
         }
     }
 
-    fn offer_catalog(&mut self, known: Known, as_of: Instant, source: &str) {
+    fn offer_catalog(&mut self, known: Known, as_of: Moment, source: &str) {
         let pending = self.pending_catalog.as_ref();
         match pending.filter(|catalog| catalog.version() == known.position) {
             Some(catalog) => self.mesh.board.offer_catalog(Arc::clone(catalog), as_of, source),
@@ -356,7 +357,7 @@
     }
 
     /// A roster with a later position is often the same; another one is asked for.
-    fn offer_roster(&mut self, told: KnownRoster, as_of: Instant, source: &str) {
+    fn offer_roster(&mut self, told: KnownRoster, as_of: Moment, source: &str) {
         let KnownRoster { known, digest } = told;
         let own = self.mesh.board.told_roster().map(|belief| belief.value);
         let mut values = [self.pending_roster.clone(), own].into_iter().flatten();
@@ -367,7 +368,7 @@
     }
 }
 
-fn known<T: PartialEq>(belief: &Belief<T>, now: Instant) -> Known {
+fn known<T: PartialEq>(belief: &Belief<T>, now: Moment) -> Known {
     Known {
         position: belief.position,
         // Rounded up: an age must not look smaller than it is.
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use sparscale_belief::Board;
+use sparscale_clock::Moment;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Ask, Channel, Endpoint, Frame, GroupLoad, Peer, Role};
 use tokio::sync::watch;
@@ -71,10 +72,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     links: usize,
-    heard: Option<Instant>,
+    heard: Option<Moment>,
     dial_at: Instant,
     failures: u32,
-    met: Instant,
+    met: Moment,
 }
 
 /// Position that an entry was asked for last, and when.
@@ -121,7 +122,7 @@
 pub struct Mesh {
     pub(crate) settings: Settings,
     pub(crate) board: Arc<Board>,
-    pub(crate) started: Instant,
+    pub(crate) started: Moment,
     endpoint: Arc<Endpoint>,
     entries: Mutex<BTreeMap<SocketAddr, Known>>,
     line: watch::Sender<Line>,
@@ -144,8 +145,8 @@
     /// A mesh in which nobody is known yet but the seeds.
     pub fn new(settings: Settings, board: Arc<Board>, endpoint: Arc<Endpoint>) -> Arc<Self> {
         let mesh = Self {
+            started: board.now(),
             board,
-            started: Instant::now(),
             endpoint,
             entries: Mutex::default(),
             line: watch::Sender::new(Line {
@@ -262,7 +263,7 @@
 
     /// Notes entries that someone knows.
     pub(crate) fn learn(&self, addresses: &[SocketAddr]) {
-        let now = Instant::now();
+        let (now, met) = (Instant::now(), self.board.now());
         let mut entries = self.lock();
         for address in addresses {
             if *address != self.settings.address {
@@ -271,7 +272,7 @@
                     heard: None,
                     dial_at: now,
                     failures: 0,
-                    met: now,
+                    met,
                 });
             }
         }
@@ -300,7 +301,7 @@
     pub(crate) fn heard(&self, address: SocketAddr) {
         self.learn(&[address]);
         if let Some(known) = self.lock().get_mut(&address) {
-            known.heard = Some(Instant::now());
+            known.heard = Some(self.board.now());
             known.failures = 0;
         }
     }
@@ -345,10 +346,10 @@
 
     /// Entries without a link that may be dialled now.
     fn due(&self) -> Vec<SocketAddr> {
-        let now = Instant::now();
+        let (now, moment) = (Instant::now(), self.board.now());
         let mut due = Vec::new();
         for (address, known) in self.lock().iter_mut() {
-            let polite = *address < self.settings.address && now < known.met + POLITENESS;
+            let polite = *address < self.settings.address && moment < known.met + POLITENESS;
             if known.links == 0 && known.dial_at <= now && !polite {
                 // The next try waits for this one to fail.
                 known.dial_at = now + OPEN_TIMEOUT + FIRST_REDIAL;
@@ -370,16 +371,16 @@
     }
 
     fn forget_silent(&self) {
-        let now = Instant::now();
+        let now = self.board.now();
         let seeds = &self.settings.seeds;
         self.lock().retain(|address, known| {
             let last = known.heard.unwrap_or(known.met);
-            known.links > 0 || now.saturating_duration_since(last) < FORGET || seeds.contains(address)
+            known.links > 0 || now.since(last) < FORGET || seeds.contains(address)
         });
     }
 
     fn update_line(&self) {
-        let now = Instant::now();
+        let now = self.board.now();
         let line = {
             let entries = self.lock();
             let before =
@@ -387,9 +388,7 @@
             let linked = entries.values().filter(|known| known.links > 0).count() + 1;
             let known = entries.len() + 1;
             let live = |known: &&Known| {
-                let lately = known
-                    .heard
-                    .is_some_and(|heard| now.saturating_duration_since(heard) < LATELY);
+                let lately = known.heard.is_some_and(|heard| now.since(heard) < LATELY);
                 known.links > 0 || lately
             };
             Line {
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -7,7 +7,8 @@
 use quickcheck::{Gen, QuickCheck};
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Document, Roster};
-use sparscale_mesh::{Clock, LOADS_PAUSE, Mesh, Settings};
+use sparscale_clock::{Clock, Machine};
+use sparscale_mesh::{LOADS_PAUSE, Mesh, Settings, Stamps};
 use sparscale_samples as samples;
 use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
 use tokio::time::Instant;
@@ -23,10 +24,14 @@
 }
 
 fn process_among(role: Role, seeds: &[SocketAddr], few_entries: usize) -> Process {
+    process_by(sparscale_clock::machine(), role, seeds, few_entries)
+}
+
+fn process_by(clock: Arc<dyn Clock>, role: Role, seeds: &[SocketAddr], few_entries: usize) -> Process {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let endpoint = Endpoint::bind(any, Identity::Made(role)).expect("a free port");
     let address = endpoint.local_address().expect("an address");
-    let board = Arc::new(Board::default());
+    let board = Arc::new(Board::new(clock));
     let settings = Settings {
         address,
         role,
@@ -79,7 +84,7 @@
     let first = process(Role::Entry, &[]);
     let second = process(Role::Entry, &[first.address]);
     let third = process(Role::Entry, &[second.address]);
-    let asked = Instant::now();
+    let asked = first.board.now();
     first.board.offer_catalog(catalog(samples::document(4)), asked, "test");
     first.board.offer_roster(Arc::new(samples::roster()), 9, asked, "test");
     let mut catalogs = third.board.catalogs();
@@ -105,7 +110,7 @@
     const OTHERS: usize = 6;
     let (first, others) = gathered(OTHERS).await;
     for version in 1..=5 {
-        let asked = Instant::now();
+        let asked = first.board.now();
         first
             .board
             .offer_catalog(catalog(samples::document(version)), asked, "test");
@@ -130,7 +135,7 @@
     for position in 1..=5 {
         let target = samples::target("m-1", samples::MODEL, 9_000 + position as u16);
         let roster = Arc::new(Roster::new(vec![target]));
-        first.board.offer_roster(roster, position, Instant::now(), "test");
+        first.board.offer_roster(roster, position, first.board.now(), "test");
         for other in &others {
             let mut rosters = other.board.target_lists();
             let told = rosters.wait_for(|known| known.as_ref().is_some_and(|known| known.position == position));
@@ -151,7 +156,7 @@
     for position in 1..=5 {
         first
             .board
-            .offer_roster(Arc::new(samples::roster()), position, Instant::now(), "test");
+            .offer_roster(Arc::new(samples::roster()), position, first.board.now(), "test");
         while second.board.targets().is_none_or(|known| known.position < position) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -231,7 +236,7 @@
         routes: Vec::new(),
         ..samples::document(4)
     };
-    agent.board.offer_catalog(catalog(short), Instant::now(), "test");
+    agent.board.offer_catalog(catalog(short), agent.board.now(), "test");
     // Loads come over the same stream, behind whatever the agent tells first; a few rounds pass between them.
     let mut news = entry.mesh.group_news();
     for message in 1..=5 {
@@ -250,7 +255,7 @@
     let agent = process(Role::Agent, &[entry.address]);
     entry
         .board
-        .offer_catalog(catalog(samples::document(4)), Instant::now(), "test");
+        .offer_catalog(catalog(samples::document(4)), entry.board.now(), "test");
     let mut catalogs = agent.board.catalogs();
     let heard = catalogs.wait_for(Option::is_some).await.expect("a board").clone();
     let heard = heard.expect("a catalog").value;
@@ -258,15 +263,31 @@
     assert!(!heard.has_workspaces(), "keys stay at the entries");
 }
 
+/// A machine that was suspended tells what it knows for as old as it is, and takes what it hears for no younger.
+#[tokio::test]
+async fn aged_asleep() {
+    const ASLEEP: Duration = Duration::from_secs(30);
+    let clock = Arc::new(samples::Sleeper::default());
+    let first = process_by(Arc::clone(&clock) as Arc<dyn Clock>, Role::Entry, &[], 16);
+    let asked = first.board.now();
+    first.board.offer_catalog(catalog(samples::document(4)), asked, "test");
+    clock.wake_after(ASLEEP);
+    let second = process(Role::Entry, &[first.address]);
+    let mut catalogs = second.board.catalogs();
+    drop(catalogs.wait_for(Option::is_some).await.expect("a board"));
+    let age = second.board.catalog_age().expect("a catalog");
+    assert!(age >= ASLEEP, "taken for {age:?} old");
+}
+
 /// Whatever is delayed on the way or held at either side, the time worked out is not later than the true one.
 #[test]
 fn ages_never_shrink() {
     fn holds(to: u16, held: u16, known_before: u16, back: u16) -> bool {
-        let start = Instant::now();
+        let start = Machine::default().now();
         let at = |millis: u64| start + Duration::from_millis(millis);
         let (to, held, back) = (u64::from(to), u64::from(held), u64::from(back));
-        let mut mine = Clock::new(start);
-        let mut theirs = Clock::new(at(0));
+        let mut mine = Stamps::new(start);
+        let mut theirs = Stamps::new(at(0));
         let stamp = mine.stamp(at(100));
         theirs.heard(stamp, at(100 + to));
         let sent = 100 + to + held;
--- a/crates/sparscale_samples/src/lib.rs
+++ b/crates/sparscale_samples/src/lib.rs
@@ -1,4 +1,6 @@
-//! Sample catalogs and rosters for tests.
+//! Sample catalogs, rosters and clocks for tests.
+
+mod sleeper;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -8,6 +10,8 @@
     Document, Engine, Experts, Kind, Limits, Roster, Route, Service, Share, Standing, Target, Workspace,
 };
 
+pub use sleeper::Sleeper;
+
 /// Key of the sample workspace.
 pub const KEY: &str = "sample-key";
 /// Host of every sample route.
