Soak: requests that end the targets which run them, beside kills of all entries and a store that is away

Cause: no round of the soak had a target whose process ends, nor a request that ends it. Ruled out: using the links' reset for it: something listens then, and a target that has ended is what the entries look for. Change: a link can be closed (nothing listens), a target crashes under one body and is back under another name after 1.5 s; plan deadly, check deadly: three sends after the third end, by entries in touch. in_touch serves that check and the one of leaving targets.

--- a/crates/sparscale_soak/src/caller.rs
+++ b/crates/sparscale_soak/src/caller.rs
@@ -46,6 +46,8 @@
     pub(crate) book: Arc<Book>,
     pub(crate) random: ChaCha8Rng,
     pub(crate) kept: Option<SendRequest<Full<Bytes>>>,
+    /// Body of all its requests; one of its own for each if none.
+    pub(crate) body: Option<&'static str>,
 }
 
 impl Caller {
@@ -124,7 +126,9 @@
             .header(AUTHORIZATION, format!("Bearer {key}"))
             .header(&self.dialect.request_id, id)
             .header(&self.dialect.deadline, DEADLINE.as_millis().to_string())
-            .body(Full::new(Bytes::from(body(id))))
+            .body(Full::new(Bytes::from(
+                self.body.map_or_else(|| body(id), str::to_owned),
+            )))
     }
 }
 
--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -12,6 +12,8 @@
 
 /// Time without trouble after which an entry and the store count as in touch (the users' `contact_ms`).
 const CONTACT: Duration = Duration::from_secs(3);
+/// Sends of a request that ended three targets that may still come.
+const MOST_LATE: usize = 3;
 /// Time that a request may be on its way through a slow link.
 const ON_THE_WAY: Duration = Duration::from_millis(400);
 /// Time beyond its deadline in which a final answer has to have come: some for a busy machine.
@@ -47,6 +49,7 @@
     }
     found.extend(ran_after_revocation(ledger, bounds));
     found.extend(overspent(ledger, bounds));
+    found.extend(deadly_sends(ledger));
     let incidents = ledger.incidents.iter().map(|incident| Violation {
         promise: "process",
         what: format!("entry {}: {}", incident.entry, incident.what),
@@ -178,21 +181,8 @@
                 && run.at > acknowledged.at + bounds.left + ON_THE_WAY
         })
     })?;
-    let out_of_touch = ledger.troubles.iter().any(|trouble| {
-        let store = matches!(
-            trouble.fault,
-            Fault::StoreBusy
-                | Fault::StoreSilent
-                | Fault::StoreLapse
-                | Fault::StoreLink { .. }
-                | Fault::RevokeUnseen { .. }
-                | Fault::GrantUnseen { .. }
-                | Fault::Stall
-        );
-        let own = harms(trouble.fault, attempt.entry);
-        (store || own) && overlaps(trouble, run.at, run.at, CONTACT + bounds.left)
-    });
-    (!out_of_touch).then(|| format!("ran on {} which had left", run.target))
+    in_touch(&ledger.troubles, attempt.entry, run.at, CONTACT + bounds.left)
+        .then(|| format!("ran on {} which had left", run.target))
 }
 
 /// A key that was taken away runs nowhere once the bound has passed, whatever else happens.
@@ -244,6 +234,49 @@
     })
 }
 
+/// A request under which three targets have ended reaches targets three times more at most, from entries that were in touch
+/// for long enough to know.
+fn deadly_sends(ledger: &Ledger) -> Vec<Violation> {
+    let paths: BTreeSet<&str> = ledger.ends.iter().map(|end| end.path.as_str()).collect();
+    let entries: BTreeMap<&str, usize> = ledger
+        .attempts
+        .iter()
+        .map(|attempt| (attempt.request.as_str(), attempt.entry))
+        .collect();
+    let judge = |path: &str| {
+        let ends = ledger.ends.iter().filter(|end| end.path == path);
+        let third = ends.clone().nth(2)?.at + CONTACT;
+        let late = ledger.arrivals.iter().filter(|arrival| {
+            let of_path = arrival.deadly.as_deref() == Some(path) && arrival.at > third;
+            let entry = entries.get(arrival.request.as_str());
+            of_path && entry.is_some_and(|entry| in_touch(&ledger.troubles, *entry, arrival.at, CONTACT))
+        });
+        let late = late.count();
+        (late > MOST_LATE).then(|| Violation {
+            promise: "deadly",
+            what: format!("{path}: {} ended, {late} sends after three had", ends.count()),
+        })
+    };
+    paths.into_iter().filter_map(judge).collect()
+}
+
+/// Whether nothing has harmed an entry, or the store, for as long as `lately`.
+fn in_touch(troubles: &[Trouble], entry: usize, at: Instant, lately: Duration) -> bool {
+    !troubles.iter().any(|trouble| {
+        let store = matches!(
+            trouble.fault,
+            Fault::StoreBusy
+                | Fault::StoreSilent
+                | Fault::StoreLapse
+                | Fault::StoreLink { .. }
+                | Fault::RevokeUnseen { .. }
+                | Fault::GrantUnseen { .. }
+                | Fault::Stall
+        );
+        (store || harms(trouble.fault, entry)) && overlaps(trouble, at, at, lately)
+    })
+}
+
 /// How many of `times` lie in the budget's window that begins at `from`.
 fn within(times: &[Instant], from: Instant, window: Duration) -> usize {
     let inside = times.iter().filter(|at| **at >= from && **at < from + window);
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -48,6 +48,7 @@
     let plan = match matches.get_one::<String>("plan").map(String::as_str) {
         Some("series") => Plan::Series,
         Some("returns") => Plan::Returns,
+        Some("deadly") => Plan::Deadly,
         _ => Plan::Single,
     };
     let length = Duration::from_secs(number(matches, "seconds", 12));
@@ -79,6 +80,7 @@
         round(Plan::Series, 103, 20, USUAL),
         round(Plan::Series, 2, 12, many),
         round(Plan::Returns, 201, 15, USUAL),
+        round(Plan::Deadly, 301, 15, USUAL),
     ]
 }
 
@@ -91,8 +93,8 @@
     };
     let plan = Arg::new("plan")
         .long("plan")
-        .value_parser(["single", "series", "returns"])
-        .help("Faults one at a time, or also in series and all together, or with targets that return under their ids [single]");
+        .value_parser(["single", "series", "returns", "deadly"])
+        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, or with requests that end what runs them [single]");
     // `cargo test NAME` hands names to every test program.
     let names = Arg::new("names")
         .num_args(0..)
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -4,11 +4,15 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 
+use crate::caller::Habit;
 use crate::fault::{Fault, Planned};
 use crate::ledger::{Change, Trouble};
-use crate::places::{KEYS, LATER_KEYS};
+use crate::places::{DEADLY, KEYS, LATER_KEYS};
 use crate::proxy::Link;
+use crate::round::caller;
 use crate::stage::Stage;
 use crate::target::Mood;
 
@@ -19,6 +23,10 @@
 /// Time that a leaving target serves on after the store has taken it.
 const SERVES_ON: Duration = Duration::from_secs(4);
 
+/// Time for which a target is down after a crash.
+const DOWN: Duration = Duration::from_millis(1_500);
+/// Time between two tries of a caller whose request ends what runs it.
+const BETWEEN_DEADLY: Duration = Duration::from_millis(250);
 /// Time that a process of a series has before its next end.
 const LIVES: Duration = Duration::from_millis(900);
 /// Time between two signals to one process, and from its start to its first one.
@@ -103,6 +111,7 @@
             tokio::time::sleep(lasts).await;
             stage.drop_foreign();
         }
+        Fault::Deadly { entry, route } => send_deadly(stage, entry, route, lasts).await,
         Fault::Leave { target } => leave(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
         Fault::Stall => {}
@@ -118,6 +127,44 @@
     }
 }
 
+/// Sends a request that ends what runs it, each time under a new id.
+async fn send_deadly(stage: &Stage, entry: usize, route: usize, lasts: Duration) {
+    let mut caller = caller(stage, entry, Habit::Opens, ChaCha8Rng::from_os_rng());
+    caller.body = Some(DEADLY);
+    let until = Instant::now() + lasts;
+    while Instant::now() < until {
+        caller.ask(route, "key-0").await;
+        tokio::time::sleep(BETWEEN_DEADLY).await;
+    }
+}
+
+/// Lets target `target` crash whenever it says so, and lists its successor when that is there; never ends.
+pub(crate) async fn crash(stage: Arc<Stage>, target: usize) {
+    let place = &stage.targets[target];
+    let mut crashes = place.target.crashes.subscribe();
+    while crashes.changed().await.is_ok() {
+        let from = Instant::now();
+        place.proxy.set(Link::Closed);
+        let id = place.target.incarnation();
+        tokio::time::sleep(DOWN).await;
+        stage.renew(target).await;
+        place.proxy.set(Link::Open);
+        stage.list(target, false);
+        // What it ends with is no fault of the entries.
+        let fault = Fault::Die { target };
+        stage.book.open().troubles.push(Trouble {
+            fault,
+            from,
+            to: Instant::now(),
+        });
+        let stage = Arc::clone(&stage);
+        tokio::spawn(async move {
+            tokio::time::sleep(LAPSE).await;
+            stage.unlist(target, id);
+        });
+    }
+}
+
 /// Kills an entry and starts it again after `pause`, `times` times.
 async fn kill(stage: &Stage, entry: usize, times: u32, pause: Duration) {
     for _ in 0..times {
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -5,7 +5,7 @@
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
-use crate::places::{KEYS, LATER_KEYS, Size};
+use crate::places::{KEYS, LATER_KEYS, ROUTES, Size};
 use crate::proxy::Link;
 use crate::target::Mood;
 
@@ -62,6 +62,8 @@
     Return { target: usize, lapsed: bool },
     /// The same with all targets.
     ReturnAll { lapsed: bool },
+    /// A request that ends each target which runs it comes to an entry, again and again.
+    Deadly { entry: usize, route: usize },
     /// Another writer's records stand in the store's list of targets.
     Foreign { target: usize },
 }
@@ -75,6 +77,8 @@
     Series,
     /// Targets that start again under their ids and records of another writer, beside the first kind.
     Returns,
+    /// Requests that end the targets which run them, beside the first kind and entries that all start again.
+    Deadly,
 }
 
 /// A fault and when it comes.
@@ -117,6 +121,19 @@
         }
     }
 
+    fn draw_deadly(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let entry = random.random_range(0..size.entries);
+        let route = random.random_range(0..ROUTES.len());
+        match random.random_range(0..8) {
+            0..=3 => Self::Deadly { entry, route },
+            4 => Self::KillAll {
+                times: 1,
+                pause: Duration::ZERO,
+            },
+            _ => Self::draw(random, size),
+        }
+    }
+
     fn draw_returns(random: &mut ChaCha8Rng, size: Size) -> Self {
         let target = random.random_range(0..size.targets);
         let lapsed = random.random();
@@ -189,7 +206,7 @@
             | Self::Leave { target }
             | Self::Die { target }
             | Self::Return { target, .. } => Hold::Target(target),
-            Self::Stall | Self::Foreign { .. } => Hold::Nothing,
+            Self::Stall | Self::Foreign { .. } | Self::Deadly { .. } => Hold::Nothing,
             Self::Revoke { key } => Hold::Key(key),
         }
     }
@@ -261,6 +278,7 @@
             Plan::Single => Fault::draw(random, size),
             Plan::Series => Fault::draw_series(random, size),
             Plan::Returns => Fault::draw_returns(random, size),
+            Plan::Deadly => Fault::draw_deadly(random, size),
         };
         planned.push(Planned { fault, at, lasts });
     }
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -21,6 +21,16 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Arrival {
     pub(crate) request: String,
+    /// Path of a request that ends what runs it; none for others.
+    pub(crate) deadly: Option<String>,
+    pub(crate) at: Instant,
+}
+
+/// A target ended under a request.
+#[derive(Debug, Clone)]
+pub(crate) struct End {
+    /// Path of the request.
+    pub(crate) path: String,
     pub(crate) at: Instant,
 }
 
@@ -112,6 +122,7 @@
 pub(crate) struct Ledger {
     pub(crate) arrivals: Vec<Arrival>,
     pub(crate) runs: Vec<Run>,
+    pub(crate) ends: Vec<End>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) troubles: Vec<Trouble>,
     pub(crate) acknowledged: Vec<Acknowledged>,
--- a/crates/sparscale_soak/src/places.rs
+++ b/crates/sparscale_soak/src/places.rs
@@ -26,6 +26,8 @@
 pub(crate) const SERVICE: &str = "soak";
 /// Events of a stream.
 pub(crate) const EVENTS: u64 = 12;
+/// Body of a request that ends each target which runs it.
+pub(crate) const DEADLY: &str = "crashes what runs it";
 /// Time that a caller waits, also told to the entry.
 pub(crate) const DEADLINE: Duration = Duration::from_secs(3);
 
--- a/crates/sparscale_soak/src/proxy.rs
+++ b/crates/sparscale_soak/src/proxy.rs
@@ -11,6 +11,8 @@
 
 /// Bytes taken up at once.
 const BUFFER: usize = 16 << 10;
+/// Pause before a link that could not listen tries again.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
 
 /// State of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     CutDown,
     /// Connections are reset.
     Reset,
+    /// Nothing listens, and connections are reset.
+    Closed,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,7 +45,7 @@
             Self::Silent => true,
             Self::CutUp => way == Way::Up,
             Self::CutDown => way == Way::Down,
-            Self::Open | Self::Slow(_) | Self::Reset => false,
+            Self::Open | Self::Slow(_) | Self::Reset | Self::Closed => false,
         }
     }
 
@@ -64,12 +68,7 @@
     pub(crate) async fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let link = watch::Sender::new(Link::Open);
-        let state = link.subscribe();
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(pass(client, server, state.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, listen, server, link.subscribe()));
         Ok(Self { link })
     }
 
@@ -79,9 +78,36 @@
     }
 }
 
+/// Accepts while the link is not closed, and listens anew once it is open again.
+async fn accept(listener: TcpListener, listen: SocketAddr, server: SocketAddr, mut link: watch::Receiver<Link>) {
+    let mut listening = Some(listener);
+    loop {
+        let closed = *link.borrow_and_update() == Link::Closed;
+        match (&listening, closed) {
+            (Some(listener), false) => tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((client, _)) => drop(tokio::spawn(pass(client, server, link.clone()))),
+                    Err(_error) => return,
+                },
+                changed = link.changed() => if changed.is_err() { return },
+            },
+            (None, false) => match TcpListener::bind(listen).await {
+                Ok(listener) => listening = Some(listener),
+                Err(_error) => tokio::time::sleep(BIND_PAUSE).await,
+            },
+            (_, true) => {
+                listening = None;
+                if link.changed().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 async fn pass(client: TcpStream, server: SocketAddr, link: watch::Receiver<Link>) {
     let state = *link.borrow();
-    if state == Link::Reset {
+    if matches!(state, Link::Reset | Link::Closed) {
         return reset(&client);
     }
     let Ok(upstream) = TcpStream::connect(server).await else {
@@ -115,7 +141,7 @@
     let mut lost = false;
     loop {
         let state = *link.borrow_and_update();
-        if state == Link::Reset || (lost && !state.swallows(way)) {
+        if matches!(state, Link::Reset | Link::Closed) || (lost && !state.swallows(way)) {
             return Ended::Broken;
         }
         let read = tokio::select! {
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -62,7 +62,7 @@
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
     let net = Net::of(std::process::id(), round.seed);
     let bounds = match round.plan {
-        Plan::Single | Plan::Returns => BOUNDS,
+        Plan::Single | Plan::Returns | Plan::Deadly => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let stage = Arc::new(Stage::start(platform, net, round.size, bounds, folder).await?);
@@ -84,6 +84,9 @@
     let over = watch::Sender::new(false);
     let callers = call(stage, seed, &over);
     let watching = tokio::spawn(watch_processes(Arc::clone(stage), over.subscribe()));
+    for target in 0..size.targets {
+        tokio::spawn(drive::crash(Arc::clone(stage), target));
+    }
     let planned = fault::plan(&mut ChaCha8Rng::seed_from_u64(seed), length, plan, size);
     let faults = harm(stage, planned).await;
     let recovered = await_service(stage, RECOVERY).await;
@@ -133,7 +136,7 @@
         .collect()
 }
 
-fn caller(stage: &Stage, entry: usize, habit: Habit, random: ChaCha8Rng) -> Caller {
+pub(crate) fn caller(stage: &Stage, entry: usize, habit: Habit, random: ChaCha8Rng) -> Caller {
     Caller {
         entry,
         address: stage.net.callers(entry),
@@ -142,6 +145,7 @@
         book: Arc::clone(&stage.book),
         random,
         kept: None,
+        body: None,
     }
 }
 
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -12,9 +12,10 @@
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sparscale_gateway::Dialect;
+use tokio::sync::watch;
 
-use crate::ledger::{Arrival, Book, Run};
-use crate::places::EVENTS;
+use crate::ledger::{Arrival, Book, End, Run};
+use crate::places::{DEADLY, EVENTS};
 use crate::server::{self, Broken, Content};
 
 /// Shortest and longest time that a plain request runs.
@@ -44,6 +45,8 @@
     book: Arc<Book>,
     dialect: Dialect,
     state: Mutex<State>,
+    /// Counts its crashes.
+    pub(crate) crashes: watch::Sender<u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -71,6 +74,7 @@
                 born_ms: BORN_MS,
                 mood,
             }),
+            crashes: watch::Sender::new(0),
         });
         let serving = Arc::clone(&target);
         server::serve(address, move |request| {
@@ -113,14 +117,16 @@
         let state = self.state().clone();
         let (head, body) = request.into_parts();
         let id = text(&head.headers, &self.dialect.request_id);
+        // A request that is not whole is not run.
+        let Ok(body) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
+            return self.refusal(StatusCode::BAD_REQUEST, &id);
+        };
+        let deadly = (body == DEADLY).then(|| head.uri.path().to_owned());
         self.book.open().arrivals.push(Arrival {
             request: id.clone(),
+            deadly: deadly.clone(),
             at: Instant::now(),
         });
-        // A request that is not whole is not run.
-        let Ok(body) = body.collect().await else {
-            return self.refusal(StatusCode::BAD_REQUEST, &id);
-        };
         if text(&head.headers, &self.dialect.expected_target) != state.incarnation {
             return self.refusal(StatusCode::MISDIRECTED_REQUEST, &id);
         }
@@ -133,12 +139,19 @@
             workspace: text(&head.headers, &self.dialect.workspace),
             at: Instant::now(),
         });
+        if let Some(path) = deadly {
+            let at = Instant::now();
+            self.book.open().ends.push(End { path, at });
+            self.crashes.send_modify(|crashes| *crashes += 1);
+            // Its connections are reset.
+            return std::future::pending().await;
+        }
         let after = text(&head.headers, &HeaderName::from_static("last-event-id"));
         let streams = matches!(head.uri.path().split('/').nth(1), Some("stream" | "resume"));
         let content = if streams {
             stream(after.parse().unwrap_or(0), state.mood)
         } else {
-            plain(&id, &body.to_bytes(), state.mood).await
+            plain(&id, &body, state.mood).await
         };
         let status = match state.mood {
             Mood::Errors => StatusCode::INTERNAL_SERVER_ERROR,
