Agents: a conductor's stream is heard before its first order, and answers outlast a slow conductor

Cause: the agent's loop took orders before subscribers; and an answer or a word on what a rank holds that found the queue full was lost for good. Ruled out: asking again sooner (hides the loss, and is not bounded by the rank's own time). Change: subscribers first; an answer that was not taken is told with the next state; what a rank holds counts as told when it is.

--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -101,6 +101,8 @@
     /// Serial of the last order that is over.
     serial: u64,
     staging: Option<u64>,
+    /// Answer to the last order, if the conductor was too slow to take it.
+    owed: Option<Answer>,
     cache: Cache,
 }
 
@@ -135,6 +137,7 @@
         told: None,
         serial: 0,
         staging: None,
+        owed: None,
         cache: Cache::default(),
     };
     tokio::spawn(agent.run(received_commands, received_subscribers));
@@ -147,11 +150,13 @@
         loop {
             tokio::select! {
                 biased;
+                // Before orders: one that arrives with its stream would be answered to nobody, and its conductor would wait
+                // out the limit of an order, 2.4 s at 129 ranks.
+                Some(subscriber) = subscribers.recv() => self.subscribe(subscriber).await,
                 command = commands.recv() => match command {
                     Some(command) => self.command(command).await,
                     None => return,
                 },
-                Some(subscriber) = subscribers.recv() => self.subscribe(subscriber).await,
                 () = tokio::time::sleep_until(look_at) => {
                     self.look().await;
                     let pause = if self.is_changing() { CHANGING_PAUSE } else { self.pace().state_pause() };
@@ -212,6 +217,7 @@
             self.subscriber = None;
             self.serial = 0;
             self.staging = None;
+            self.owed = None;
         }
         self.led.send_replace(Led {
             claim: Some(claim),
@@ -343,6 +349,7 @@
     }
 
     fn tell_state(&mut self, state: Option<EngineState>, answer: Option<Answer>) {
+        let answer = answer.or(self.owed.take());
         let report = Report {
             serial: self.serial,
             answer,
@@ -357,7 +364,9 @@
             return;
         }
         self.told = Some((report.view.map(unstepped), Instant::now()));
-        self.tell(RankNews::Report { report, load });
+        if !self.tell(RankNews::Report { report, load }) {
+            self.owed = answer;
+        }
     }
 
     /// Whether the conductor has to hear of this state: something but the step has changed, or it was not told for a while.
@@ -387,12 +396,15 @@
         let Ok(held) = self.engine.held().await else {
             return;
         };
-        self.told_map = Some((held.epoch, held.number));
-        self.tell(RankNews::Holds(Placement {
+        let told = (held.epoch, held.number);
+        let holds = Placement {
             epoch: held.epoch,
             number: held.number,
             sets: held.sets,
-        }));
+        };
+        if self.tell(RankNews::Holds(holds)) {
+            self.told_map = Some(told);
+        }
     }
 
     async fn tell_picks(&mut self) {
@@ -413,23 +425,26 @@
         let Some(picks) = picks.filter(|picks| same && picks.iter().any(|picks| *picks > 0)) else {
             return;
         };
-        self.tell(RankNews::Picks {
+        // Picks that are not taken are missed: the next ones show the demand as well.
+        let _missed = self.tell(RankNews::Picks {
             epoch: counts.epoch,
             span_ms: now.saturating_duration_since(at).as_millis() as u64,
             picks,
         });
     }
 
-    /// A conductor that does not read loses news; it hears the next state.
-    fn tell(&mut self, news: RankNews) {
-        let full = self.subscriber.as_ref().is_some_and(|subscriber| {
-            matches!(
-                subscriber.news.try_send(news),
-                Err(mpsc::error::TrySendError::Closed(_))
-            )
-        });
-        if full {
-            self.subscriber = None;
+    /// A conductor that does not read loses news; it hears the next state. Tells whether it will hear this.
+    fn tell(&mut self, news: RankNews) -> bool {
+        let Some(subscriber) = &self.subscriber else {
+            return true;
+        };
+        match subscriber.news.try_send(news) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Full(_)) => false,
+            Err(mpsc::error::TrySendError::Closed(_)) => {
+                self.subscriber = None;
+                true
+            }
         }
     }
 }
