Changes of map: no hold is begun while a rank is silent

Cause: two boxes stood still after their ranks had loaded; the change went on to the hold, could not be armed, and its taking back waited for the same boxes: the group was held for 3.4 s. Ruled out: releasing without their word (they may be armed: two maps in one pass); a shorter limit of the hold (the wait comes after it). Conclusion: a box that stands still costs the next map its time, not the group its passes.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -279,6 +279,8 @@
             // Entries hold back at once what would make the passes of the next half second longer.
             self.tell_now |= trend == Some(Trend::Shifted);
         }
+        let silent = self.silent().next().is_some();
+        self.conductor.set_silent(silent);
         self.note_progress();
         if self.conductor.progress() == Progress::Idle && self.undecided {
             self.undecided = false;
--- a/crates/sparscale_conduct/src/leader/talk.rs
+++ b/crates/sparscale_conduct/src/leader/talk.rs
@@ -45,11 +45,10 @@
             return;
         }
         self.looked = Instant::now();
-        for rank in 0..self.members.len() {
-            let heard = self.members[rank].load.map(|(_, at)| at.elapsed());
-            if heard.is_some_and(|age| age < self.pace.helper_age()) && !self.members[rank].direct {
-                continue;
-            }
+        let direct = |rank: &usize| self.members[*rank].direct;
+        let mut missing: Vec<usize> = self.silent().collect();
+        missing.extend((0..self.members.len()).filter(direct));
+        for rank in missing {
             if let Some(order) = self.conductor.look_at(rank) {
                 self.members[rank].ordered = Some((order.serial, Instant::now()));
                 self.send_own(rank, order);
@@ -57,6 +56,16 @@
         }
     }
 
+    /// Ranks that nobody has told of lately.
+    pub(super) fn silent(&self) -> impl Iterator<Item = usize> {
+        let age = self.pace.helper_age();
+        let is_silent = move |member: &Member| member.load.is_none_or(|(_, at)| at.elapsed() >= age);
+        let members = self.members.iter().enumerate();
+        members
+            .filter(move |(_, member)| is_silent(member))
+            .map(|(rank, _)| rank)
+    }
+
     /// Sends maps as far as the link carries them now.
     pub(super) fn send_maps(&mut self) {
         while let Some((rank, order)) = self.outbox.next(Instant::now()) {
--- a/crates/sparscale_place/src/barrier/conductor.rs
+++ b/crates/sparscale_place/src/barrier/conductor.rs
@@ -102,6 +102,8 @@
     overtaken: bool,
     /// Surveys that it began.
     surveys: u64,
+    /// Whether some rank is silent, so that a hold now might last until it speaks again.
+    silent: bool,
 }
 
 impl Conductor {
@@ -122,6 +124,7 @@
             failed: false,
             overtaken: false,
             surveys: 1,
+            silent: false,
         }
     }
 
@@ -216,6 +219,15 @@
         self.lead = lead.max(1);
     }
 
+    /// Says whether some rank is silent. No hold is begun then: a rank that has been armed, or may have been, and says nothing
+    /// keeps the whole group held until it does.
+    pub fn set_silent(&mut self, silent: bool) {
+        if self.silent != silent {
+            self.silent = silent;
+            self.advance();
+        }
+    }
+
     /// Starts a change to map `number`, which no rank has had before in this epoch; only while idle and nothing is held.
     pub fn begin(&mut self, number: u64) -> bool {
         if self.phase != Phase::Idle || self.overtaken || self.any(|view| view.held.is_some()) {
@@ -440,7 +452,8 @@
             Phase::Idle if self.any(|view| self.is_left_over(view)) => self.survey(),
             Phase::Stage { number, .. } => {
                 let number = *number;
-                if self.all(|view| view.staged == Some(number))
+                if !self.silent
+                    && self.all(|view| view.staged == Some(number))
                     && let Some(step) = self.next_step()
                 {
                     self.phase = Phase::Hold { number, step };
--- a/crates/sparscale_place/tests/barrier_switch/main.rs
+++ b/crates/sparscale_place/tests/barrier_switch/main.rs
@@ -2,6 +2,7 @@
 //! late, never or carried out seconds later, groups that re-form, conductors that die or wake.
 
 mod group;
+mod silent_rank;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sparscale_place::barrier::{Answer, Conductor, Order, Progress, Report};
