--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use line::{Line, Room, Ticket};
 pub use program::{Error, Parts, Settings, run};
 pub use refusal::{Reason, Refusal};
-pub use room::{Recall, capacity, capacity_now, held};
+pub use room::{capacity, capacity_now, held};
 pub use server::{Body, Phase};
 pub use slow::slow_ranks;
 pub use spent::Deadlines;
--- a/crates/sparscale_gateway/src/line.rs
+++ b/crates/sparscale_gateway/src/line.rs
@@ -28,14 +28,6 @@
         late: f64::INFINITY,
     };
 
-    /// The same room for all.
-    pub fn for_all(requests: f64) -> Self {
-        Self {
-            timely: requests,
-            late: requests,
-        }
-    }
-
     /// Adds `requests`, or takes them away.
     pub fn add(&mut self, requests: f64) {
         self.timely += requests;
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_gateway/src/room.rs
@@ -8,7 +8,6 @@
 
 use sparscale_catalog::Engine;
 use sparscale_wire::{GroupLoad, RankLoad};
-use tokio::time::Instant;
 
 use crate::line::Room;
 
@@ -23,12 +22,6 @@
 /// Requests that a rank is filled with while streams are late however few there are: more would be late for long after
 /// that.
 const LATE_RANK: f64 = 6.0;
-/// Requests that a rank is filled with while nobody tells loads, and nobody told any before: a group that begins anew deals its
-/// experts in turn, and with more its passes outlast the pauses of streams.
-const UNTOLD_RANK: f64 = 6.0;
-/// Time for which a capacity stands in for one that is not measured: longer than another conductor takes to be there and to
-/// have timed passes.
-const RECALLED: Duration = Duration::from_secs(5);
 /// Least requests a rank is filled with, whatever the figures say: with fewer nothing gets done.
 const MIN_RANK: f64 = 3.0;
 
@@ -104,32 +97,6 @@
     Room { timely, late: timely }
 }
 
-/// What a group could hold when its passes were measured last, for the time in which nobody measures them: its conductor is gone,
-/// or has just taken over.
-///
-/// Without it a group was filled up to its places in the second after its conductor had died, on experts that nobody evens out
-/// then, and every stream of the next five seconds was late.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Recall {
-    known: Option<(f64, Instant)>,
-}
-
-impl Recall {
-    /// Notes what `load` says, if passes were measured.
-    pub fn note(&mut self, load: &GroupLoad, engine: &Engine, pause: Duration, now: Instant) {
-        if load.pass_micros > 0 {
-            self.known = Some((capacity(load, engine, pause), now));
-        }
-    }
-
-    /// Requests that a group of `ranks` ranks may hold at `now`, in all.
-    pub fn capacity(&self, ranks: usize, now: Instant) -> f64 {
-        let most = UNTOLD_RANK * ranks as f64;
-        let known = self.known.filter(|(_, told)| now < *told + RECALLED);
-        known.map_or(most, |(known, _)| known.min(most))
-    }
-}
-
 /// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
 pub fn held(load: &GroupLoad) -> f64 {
     let heard: Vec<f64> = load
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -13,7 +13,7 @@
 
 use crate::line::{Line, Room, Ticket};
 use crate::refusal::{Reason, Refusal};
-use crate::room::{Recall, capacity_now, held};
+use crate::room::{capacity_now, held};
 
 /// Least part of the latency objective for which a request may wait and still be in time.
 const WAIT_PART: f64 = 0.4;
@@ -32,6 +32,9 @@
 const SILENT_PART: f64 = 0.6;
 /// Loads that are older than this say nothing: everyone is let in.
 const LOAD_AGE: Duration = Duration::from_millis(900);
+/// Requests that a rank is filled with while nobody tells loads: a group that begins anew deals its experts in turn, and
+/// with more its passes outlast the pauses of streams.
+const UNTOLD_RANK: f64 = 6.0;
 /// Time for which a request is not yet part of what the conductor tells.
 const UNTOLD: Duration = Duration::from_millis(120);
 /// First time after which a refused caller is told to come back; it rises with the queue.
@@ -79,8 +82,6 @@
     told: Instant,
     /// This entry's share of the room, as last worked out, less what it has let in since.
     room: Room,
-    /// What the group could hold when that was known last.
-    recall: Recall,
     /// When this entry let requests in that the conductor may not have told yet.
     untold: Vec<Instant>,
     line: Line<Arc<()>>,
@@ -236,7 +237,6 @@
             order: (0, 0),
             told: Instant::now(),
             room: Room::OPEN,
-            recall: Recall::default(),
             untold: Vec::new(),
             line: Line::default(),
             token: Arc::new(()),
@@ -250,12 +250,7 @@
         self.order = load.order;
         self.told = now;
         self.untold.retain(|let_in| *let_in + UNTOLD > now);
-        self.recall.note(load, arrival.engine, arrival.pause, now);
-        let capacity = if load.pass_micros > 0 {
-            capacity_now(load, arrival.engine, arrival.pause)
-        } else {
-            Room::for_all(self.recall.capacity(load.ranks.len(), now))
-        };
+        let capacity = capacity_now(load, arrival.engine, arrival.pause);
         let held = held(load);
         let share = |capacity: f64| (capacity - held) / entries.max(1) as f64 - self.untold.len() as f64;
         self.room = Room {
@@ -267,8 +262,11 @@
     /// The room while nobody tells loads, as after a restart of all processes: what this entry has let in is known.
     fn untold_room(&mut self, ranks: usize, entries: usize) {
         let inside = Arc::strong_count(&self.token) - 1;
-        let capacity = self.recall.capacity(ranks, Instant::now());
-        self.room = Room::for_all(capacity / entries.max(1) as f64 - inside as f64);
+        let share = UNTOLD_RANK * ranks as f64 / entries.max(1) as f64 - inside as f64;
+        self.room = Room {
+            timely: share,
+            late: share,
+        };
     }
 
     fn admit(&mut self) -> Arc<()> {
--- a/crates/sparscale_gateway/tests/group_room.rs
+++ b/crates/sparscale_gateway/tests/group_room.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use sparscale_gateway::{Recall, capacity, capacity_now, held, slow_ranks};
+use sparscale_gateway::{capacity, capacity_now, held, slow_ranks};
 use sparscale_samples as samples;
 use sparscale_wire::{GroupLoad, RankLoad};
-use tokio::time::Instant;
 
 const RANKS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(120);
@@ -121,33 +120,3 @@
     load.ranks.fill(paced(5_000));
     assert_eq!(slow_ranks(&load), [0_usize; 0], "all alike");
 }
-
-/// The conductor of a full group dies, and its successor has timed no pass yet: the group is filled no further than it was,
-/// until that is too long ago to mean anything.
-#[test]
-fn unmeasured_as_before() {
-    let (engine, now) = (samples::engine(), Instant::now());
-    let after = |seconds| now + Duration::from_secs(seconds);
-    let mut recall = Recall::default();
-    let full = group(8, Duration::from_millis(95));
-    let known = capacity(&full, &engine, PAUSE);
-    assert!(known < 6.0 * RANKS as f64, "{known}");
-    recall.note(&full, &engine, PAUSE, now);
-    let successor = group(8, Duration::ZERO);
-    recall.note(&successor, &engine, PAUSE, after(1));
-    for seconds in [1, 4] {
-        assert!((recall.capacity(RANKS, after(seconds)) - known).abs() < f64::EPSILON);
-    }
-    assert!((recall.capacity(RANKS, after(6)) - 6.0 * RANKS as f64).abs() < f64::EPSILON);
-}
-
-/// Nobody has told anything, as after a restart of all processes; and what was known of an empty group fills it no further
-/// than that.
-#[test]
-fn unmeasured_at_start() {
-    let (engine, now) = (samples::engine(), Instant::now());
-    let mut recall = Recall::default();
-    assert!((recall.capacity(RANKS, now) - 6.0 * RANKS as f64).abs() < f64::EPSILON);
-    recall.note(&group(1, Duration::from_millis(30)), &engine, PAUSE, now);
-    assert!(recall.capacity(RANKS, now) <= 6.0 * RANKS as f64);
-}
