--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -8,7 +8,7 @@
 use crate::claims::{Claim, Claims};
 use crate::engine::EngineState;
 use crate::inquiry::{self, Verdict};
-use crate::leader::{Charge, Context, Leader};
+use crate::leader::{Context, Leader, Term};
 use crate::pace::Pace;
 use crate::rank::Led;
 
@@ -136,14 +136,14 @@
         match claiming {
             Ok(Ok(Claim::Won { offset })) => {
                 self.context.figures.claimed("won");
-                let charge = Charge {
+                let term = Term {
                     group,
                     service: self.service.clone(),
                     own: state.rank,
                     size: state.size,
                     claim: offset,
                 };
-                Leader::new(self.context.clone(), charge).run().await;
+                Leader::new(self.context.clone(), term).run().await;
                 self.waited_since = Instant::now();
             }
             Ok(Ok(Claim::Lost { end: claims })) => {
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -21,7 +21,7 @@
 use crate::figures::Figures;
 use crate::link::{DIALS, Event};
 use crate::maps::Offer;
-use crate::member::{Change, Errand, Member, Proof, assemble, member};
+use crate::member::{Change, Delegation, Member, Proof, assemble, member};
 use crate::outbox::Outbox;
 use crate::pace::Pace;
 use crate::rank::Handle;
@@ -59,9 +59,9 @@
     pub(crate) figures: Figures,
 }
 
-/// The group that is led.
+/// One term of leadership: the group that is led, and the claim by which it is.
 #[derive(Debug, Clone)]
-pub(crate) struct Charge {
+pub(crate) struct Term {
     pub(crate) group: String,
     pub(crate) service: String,
     pub(crate) own: usize,
@@ -72,7 +72,7 @@
 
 pub(crate) struct Leader {
     pub(crate) context: Context,
-    pub(crate) charge: Charge,
+    pub(crate) term: Term,
     pub(crate) conductor: Conductor,
     pub(crate) members: Vec<Member>,
     events: mpsc::Receiver<Event>,
@@ -82,7 +82,7 @@
     change: Option<Change>,
     /// The last map that was sent and did not come in force, with its number: agents may have it.
     dropped: Option<(u64, Arc<Map>)>,
-    pub(crate) errand: Option<Errand>,
+    pub(crate) delegation: Option<Delegation>,
     pub(crate) pace: Pace,
     /// Maps that wait for the link.
     outbox: Outbox,
@@ -107,27 +107,27 @@
 }
 
 impl Leader {
-    pub(crate) fn new(context: Context, charge: Charge) -> Self {
+    pub(crate) fn new(context: Context, term: Term) -> Self {
         let (sender, events) = mpsc::channel(QUEUE);
         let dials = Arc::new(Semaphore::new(DIALS));
-        let pace = Pace::new(charge.size);
+        let pace = Pace::new(term.size);
         let outbox = Outbox::new(context.bandwidth);
-        let members = (0..charge.size)
-            .map(|rank| member(&context, &charge, rank, sender.clone(), &dials, pace))
+        let members = (0..term.size)
+            .map(|rank| member(&context, &term, rank, sender.clone(), &dials, pace))
             .collect();
-        let fence = (charge.claim + 1) * FENCES_PER_CLAIM;
+        let fence = (term.claim + 1) * FENCES_PER_CLAIM;
         let now = Instant::now();
         Self {
-            conductor: Conductor::new(charge.size, charge.own, fence),
+            conductor: Conductor::new(term.size, term.own, fence),
             context,
-            charge,
+            term,
             members,
             events,
             decider: None,
             map: None,
             change: None,
             dropped: None,
-            errand: None,
+            delegation: None,
             pace,
             outbox,
             answered: Vec::new(),
@@ -149,7 +149,7 @@
     /// Leads until another conductor has taken over.
     pub(crate) async fn run(mut self) {
         self.context.figures.leading.set(1.0);
-        log::info!(target: DECISION, decision = "lead", group = self.charge.group.as_str(), claim = self.charge.claim, rank = self.charge.own; "leading a group");
+        log::info!(target: DECISION, decision = "lead", group = self.term.group.as_str(), claim = self.term.claim, rank = self.term.own; "leading a group");
         let mut rosters = self.context.board.target_lists();
         self.place_members();
         let mut tick = Instant::now();
@@ -170,20 +170,20 @@
                     let busy = self.conductor.progress() != Progress::Idle;
                     tick = Instant::now() + if busy { BUSY_TICK } else { CALM_TICK };
                     self.ask_for_proof();
-                    self.check_errand();
+                    self.check_delegation();
                     self.check_times();
                 }
             }
             self.step();
-            if let Some(Errand {
+            if let Some(Delegation {
                 proof: Proof::Due(at), ..
-            }) = &self.errand
+            }) = &self.delegation
             {
                 tick = tick.min(*at);
             }
         }
         self.context.figures.leading.set(0.0);
-        log::info!(target: DECISION, decision = "step_down", group = self.charge.group.as_str(), claim = self.charge.claim; "another conductor leads the group");
+        log::info!(target: DECISION, decision = "step_down", group = self.term.group.as_str(), claim = self.term.claim; "another conductor leads the group");
     }
 
     fn take_in(&mut self, event: Event) {
@@ -204,17 +204,17 @@
     fn hear(&mut self, rank: usize, news: RankNews) {
         let now = Instant::now();
         match news {
-            RankNews::Errand { serial, answer } => self.errand_answered(serial, answer),
+            RankNews::Delegation { serial, answer } => self.delegation_answered(serial, answer),
             RankNews::Report { mut report, load } => {
-                if rank != self.charge.own {
+                if rank != self.term.own {
                     self.members[rank].direct = false;
                 }
-                let errand = self.errand.take_if(|errand| {
-                    let over = errand.answer.is_some() && errand.proof == Proof::Given;
-                    rank == self.charge.own && over && errand.order.serial == report.serial
+                let delegation = self.delegation.take_if(|delegation| {
+                    let over = delegation.answer.is_some() && delegation.proof == Proof::Given;
+                    rank == self.term.own && over && delegation.order.serial == report.serial
                 });
-                if let Some(errand) = errand {
-                    report.answer = errand.answer;
+                if let Some(delegation) = delegation {
+                    report.answer = delegation.answer;
                 }
                 if let Some(load) = load {
                     self.members[rank].load = Some((load, now));
@@ -226,7 +226,7 @@
                         .extend(sent.map(|(_, at)| now.saturating_duration_since(at)));
                     self.members[rank].settle_sending(report.answer);
                 }
-                if rank == self.charge.own
+                if rank == self.term.own
                     && let Some(view) = report.view
                 {
                     self.time_passes(view.step, now);
@@ -245,7 +245,7 @@
                 }
                 member.holds = Some(placement);
             }
-            RankNews::Overtaken { claim } => self.overtaken |= claim > self.charge.claim,
+            RankNews::Overtaken { claim } => self.overtaken |= claim > self.term.claim,
         }
     }
 
@@ -303,10 +303,10 @@
         let Some(catalog) = self.context.board.catalog() else {
             return;
         };
-        let service = catalog.value.find_service(&self.charge.service);
+        let service = catalog.value.find_service(&self.term.service);
         let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
         if let Some(experts) = engine.and_then(|engine| engine.experts) {
-            self.decider = Some(Decider::new(experts, self.charge.size));
+            self.decider = Some(Decider::new(experts, self.term.size));
         }
     }
 
@@ -316,7 +316,7 @@
             return;
         }
         let step = self.conductor.step();
-        log::info!(target: DECISION, decision = "switch", group = self.charge.group.as_str(), from:? = self.progress, to:? = progress, epoch = self.conductor.epoch(), number = self.change.as_ref().map(|change| change.offer.number), step; "map switch");
+        log::info!(target: DECISION, decision = "switch", group = self.term.group.as_str(), from:? = self.progress, to:? = progress, epoch = self.conductor.epoch(), number = self.change.as_ref().map(|change| change.offer.number), step; "map switch");
         self.progress = progress;
         self.drop_maps();
         let answered = std::mem::take(&mut self.answered);
@@ -346,7 +346,7 @@
             let took_ms = change.began.elapsed().as_millis() as u64;
             let held_ms = change.held.map(|held| held.elapsed().as_millis() as u64);
             let in_force = change.offer.number == number && !failed;
-            log::info!(target: DECISION, decision = "map", group = self.charge.group.as_str(), epoch, number, in_force, took_ms, held_ms; "map switch over");
+            log::info!(target: DECISION, decision = "map", group = self.term.group.as_str(), epoch, number, in_force, took_ms, held_ms; "map switch over");
             self.note_switch(&change, in_force);
             if change.offer.number == number {
                 self.map = Some((epoch, number, change.offer.map));
@@ -407,7 +407,7 @@
             .map(|member| member.load.map_or(1.0, |(load, _)| load.pace()));
         let paces = paces.collect();
         let pause = self.context.board.catalog();
-        let pause = pause.and_then(|catalog| catalog.value.pause_of(&self.charge.service));
+        let pause = pause.and_then(|catalog| catalog.value.pause_of(&self.term.service));
         let (Some(decider), Some((_, base, map))) = (&mut self.decider, &self.map) else {
             return;
         };
@@ -416,7 +416,7 @@
         self.decided = Instant::now();
         let Some(refined) = decider.next(map) else { return };
         self.changes += 1;
-        let number = (self.charge.claim + 1) * FENCES_PER_CLAIM + self.changes;
+        let number = (self.term.claim + 1) * FENCES_PER_CLAIM + self.changes;
         if self.conductor.begin(number) {
             let base = match base {
                 0 => Base::Initial(decider.shape()),
@@ -475,6 +475,6 @@
             .take(NAMED)
             .map(|rank| self.describe(rank))
             .collect();
-        log::info!(target: DECISION, decision = "stalled", group = self.charge.group.as_str(), reason, progress:? = self.conductor.progress(), surveys = self.conductor.surveys(), awaited:? = awaited, unheard:? = unheard; "nothing can be decided");
+        log::info!(target: DECISION, decision = "stalled", group = self.term.group.as_str(), reason, progress:? = self.conductor.progress(), surveys = self.conductor.surveys(), awaited:? = awaited, unheard:? = unheard; "nothing can be decided");
     }
 }
--- a/crates/sparscale_conduct/src/leader/talk.rs
+++ b/crates/sparscale_conduct/src/leader/talk.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::{Leader, SURVEY_PAUSE};
-use crate::link::Place;
+use crate::link::{Place, lag_of};
 use crate::member::{Member, is_stage};
 
 /// Bytes of an order to load, with what the transport adds, but for the map.
@@ -26,13 +26,13 @@
             self.surveyed = Instant::now();
         }
         for (rank, order) in self.conductor.orders() {
-            if is_stage(&order) && rank != self.charge.own {
+            if is_stage(&order) && rank != self.term.own {
                 self.outbox.push(rank, order);
                 continue;
             }
             self.members[rank].ordered = Some((order.serial, Instant::now()));
             self.members[rank].spoken = Instant::now();
-            if !self.send_errand(rank, order) {
+            if !self.send_delegation(rank, order) {
                 self.send_own(rank, order);
             }
         }
@@ -94,7 +94,7 @@
                 MapUpdate::Whole(_) => None,
                 MapUpdate::Change { base, .. } => Some(*base),
             };
-            if rank != self.charge.own {
+            if rank != self.term.own {
                 self.outbox.spend(bytes_of(map));
             }
             self.members[rank].sending = Some((change.offer.number, base));
@@ -132,7 +132,7 @@
         }
         let Some(change) = &self.change else { return };
         let load_ms = self.context.board.catalog().map_or(0.0, |catalog| {
-            let service = catalog.value.find_service(&self.charge.service);
+            let service = catalog.value.find_service(&self.term.service);
             let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
             engine
                 .and_then(|engine| engine.experts)
@@ -141,7 +141,8 @@
         let staging =
             Duration::from_secs_f64(load_ms * f64::from(change.deepest) / 1_000.0) + self.pace.stage_slack() + on_link;
         let hold_limit = if self.members.iter().any(|member| member.direct) {
-            self.pace.direct_hold_limit(self.lag())
+            self.pace
+                .direct_hold_limit(lag_of(&self.context.board, &self.term.service).unwrap_or_default())
         } else {
             self.pace.hold_limit()
         };
@@ -151,27 +152,17 @@
             _ => false,
         };
         if over {
-            log::warn!(target: DECISION, decision = "abandon", group = self.charge.group.as_str(), number = change.offer.number, progress:? = self.conductor.progress(); "a map switch took too long");
+            log::warn!(target: DECISION, decision = "abandon", group = self.term.group.as_str(), number = change.offer.number, progress:? = self.conductor.progress(); "a map switch took too long");
             self.conductor.abandon();
         }
     }
 
-    /// Age of what an engine tells other boxes.
-    fn lag(&self) -> Duration {
-        let lag = self.context.board.catalog().and_then(|catalog| {
-            let service = catalog.value.find_service(&self.charge.service)?;
-            let engine = catalog.value.service(service).engine.as_ref()?;
-            Some(Duration::from_secs_f64(engine.report_lag_ms / 1_000.0))
-        });
-        lag.unwrap_or_default()
-    }
-
     pub(super) fn place_members(&self) {
         let Some(targets) = self.context.board.targets() else {
             return;
         };
         for (rank, member) in self.members.iter().enumerate() {
-            let engines = targets.value.places(&self.charge.group, rank);
+            let engines = targets.value.places(&self.term.group, rank);
             // A rank that is not listed now may only have lapsed; where it was is the best guess.
             if engines.is_empty() {
                 continue;
@@ -207,8 +198,8 @@
         self.context.figures.skew.set(skew);
         self.context.figures.pass_seconds.set(self.pass_micros / 1.0e6);
         let load = GroupLoad {
-            group: self.charge.group.clone(),
-            order: (self.charge.claim, self.messages),
+            group: self.term.group.clone(),
+            order: (self.term.claim, self.messages),
             open: self.conductor.progress() != Progress::Surveying,
             skew,
             pass_micros: self.pass_micros as u64,
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -7,10 +7,10 @@
 mod bandwidth;
 mod claims;
 mod decision;
+mod delegation;
 mod distant;
 mod duty;
 mod engine;
-mod errand;
 mod figures;
 mod inquiry;
 mod leader;
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -273,7 +273,10 @@
         let Some(place) = place_of(&self.places.borrow(), self.turn) else {
             return Some(Event::Lost { rank });
         };
-        let mut engine = Distant::new(self.engines.at(place.engine), self.lag());
+        let mut engine = Distant::new(
+            self.engines.at(place.engine),
+            lag_of(&self.board, &self.service).unwrap_or(UNKNOWN_LAG),
+        );
         if !engine.is_rank(&self.lead.group, rank).await {
             return Some(Event::Lost { rank });
         }
@@ -284,17 +287,14 @@
             news: RankNews::Report { report, load },
         })
     }
+}
 
-    /// Age of what the engine tells other boxes.
-    fn lag(&self) -> Duration {
-        let catalog = self.board.catalog();
-        let lag_ms = catalog.and_then(|catalog| {
-            let service = catalog.value.find_service(&self.service)?;
-            let engine = catalog.value.service(service).engine.as_ref()?;
-            Some(engine.report_lag_ms)
-        });
-        lag_ms.map_or(UNKNOWN_LAG, |lag_ms| Duration::from_secs_f64(lag_ms / 1_000.0))
-    }
+/// Age of what engines of `service` tell other boxes, once the catalog is known that says it.
+pub(crate) fn lag_of(board: &Board, service: &str) -> Option<Duration> {
+    let catalog = board.catalog()?;
+    let service = catalog.value.find_service(service)?;
+    let engine = catalog.value.service(service).engine.as_ref()?;
+    Some(Duration::from_secs_f64(engine.report_lag_ms / 1_000.0))
 }
 
 /// Since when an agent is missing, and after which time its engine is ordered directly.
--- a/crates/sparscale_conduct/src/member.rs
+++ b/crates/sparscale_conduct/src/member.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
-use crate::leader::{Charge, Context, QUEUE};
+use crate::leader::{Context, QUEUE, Term};
 use crate::link::{Event, Lead, Link, Place, Remote, lead_own};
 use crate::maps::{Offer, Sent};
 use crate::pace::Pace;
@@ -26,7 +26,7 @@
     pub(crate) spoken: Instant,
     /// Whether its engine is ordered directly, its agent not being reached.
     pub(crate) direct: bool,
-    pub(crate) failed_errand: Option<Instant>,
+    pub(crate) failed_delegation: Option<Instant>,
     /// Maps that the agent has.
     pub(crate) sent: Sent,
     /// The map that it was sent and has not answered for: its number, and the one that it was sent as a change of.
@@ -50,7 +50,7 @@
 }
 
 /// An order that another rank's agent carries out.
-pub(crate) struct Errand {
+pub(crate) struct Delegation {
     pub(crate) order: Order,
     pub(crate) helper: usize,
     pub(crate) sent: Instant,
@@ -85,7 +85,7 @@
 
 pub(crate) fn member(
     context: &Context,
-    charge: &Charge,
+    term: &Term,
     rank: usize,
     events: mpsc::Sender<Event>,
     dials: &Arc<Semaphore>,
@@ -95,11 +95,11 @@
     let places = watch::Sender::new(Vec::new());
     let link = Link { orders, events };
     let lead = Lead {
-        group: charge.group.clone(),
+        group: term.group.clone(),
         rank,
-        claim: charge.claim,
+        claim: term.claim,
     };
-    if rank == charge.own {
+    if rank == term.own {
         tokio::spawn(lead_own(lead, context.handle.clone(), link));
     } else {
         let remote = Remote {
@@ -110,7 +110,7 @@
             dials: Arc::clone(dials),
             engines: Arc::clone(&context.engines),
             board: Arc::clone(&context.board),
-            service: charge.service.clone(),
+            service: term.service.clone(),
             pace,
         };
         tokio::spawn(remote.lead(link));
@@ -123,7 +123,7 @@
         ordered: None,
         spoken: Instant::now(),
         direct: false,
-        failed_errand: None,
+        failed_delegation: None,
         sent: Sent::default(),
         sending: None,
     }
--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -233,21 +233,21 @@
         match command.order {
             RankOrder::Heartbeat => {}
             RankOrder::Own { order, map } => self.own(command.lead.claim, order, map).await,
-            RankOrder::Errand { order, engine } => self.errand(order, engine),
+            RankOrder::Delegation { order, engine } => self.delegation(order, engine),
         }
     }
 
     /// An order to another engine goes beside this rank's own: it must not wait for them, nor they for it.
-    fn errand(&self, order: Order, engine: SocketAddr) {
+    fn delegation(&self, order: Order, engine: SocketAddr) {
         let mut engine = self.engines.at(engine);
         let news = self.subscriber.as_ref().map(|subscriber| subscriber.news.clone());
         tokio::spawn(async move {
             let answer = engine.order(&order, None).await;
-            log::info!(target: DECISION, decision = "errand", fence = order.fence, act:? = order.act, answer:? = answer; "ordered another engine");
+            log::info!(target: DECISION, decision = "delegation", fence = order.fence, act:? = order.act, answer:? = answer; "ordered another engine");
             if let Some(news) = news {
                 // A conductor that is gone does not wait for it.
                 let _gone = news
-                    .send(RankNews::Errand {
+                    .send(RankNews::Delegation {
                         serial: order.serial,
                         answer,
                     })
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -75,7 +75,7 @@
     /// The target was not reached: nothing was sent.
     NotSent,
     /// The target says that it has not run the request.
-    Refused(Turned),
+    Refused(Rejection),
     /// A whole answer.
     Whole(Whole),
     /// The head of an answer that goes on.
@@ -86,7 +86,7 @@
 
 /// A refusal by a target.
 #[derive(Debug)]
-pub(crate) struct Turned {
+pub(crate) struct Rejection {
     pub(crate) status: StatusCode,
     /// Target at fault, if it is another one.
     pub(crate) at_fault: Option<String>,
@@ -94,7 +94,7 @@
     pub(crate) retry_after: Option<Duration>,
 }
 
-impl Turned {
+impl Rejection {
     /// Whether it says that `target` is not there any more: another incarnation has its address.
     pub(crate) fn is_gone(&self, target: &str) -> bool {
         let other = self.at_fault.as_deref().is_some_and(|at_fault| at_fault != target);
@@ -187,9 +187,9 @@
         match self.judge(&parts, outbound) {
             Verdict::Lost(loss) => Outcome::Lost(loss),
             Verdict::Refused => {
-                let turned = self.turned(&parts);
+                let rejection = self.rejection(&parts);
                 self.give_back(chosen.key, connection, incoming, &parts.headers).await;
-                Outcome::Refused(turned)
+                Outcome::Refused(rejection)
             }
             Verdict::Answered => self.collect(chosen.key, parts, incoming, connection).await,
         }
@@ -246,10 +246,10 @@
         Verdict::Answered
     }
 
-    fn turned(&self, parts: &Parts) -> Turned {
+    fn rejection(&self, parts: &Parts) -> Rejection {
         let text = |name: &header::HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let seconds = text(&header::RETRY_AFTER).and_then(|value| value.parse::<f64>().ok());
-        Turned {
+        Rejection {
             status: parts.status,
             at_fault: text(&self.dialect.at_fault).map(str::to_owned),
             retry_after: seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()),
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Turned, Whole};
+use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Whole};
 use crate::budget::{Allowance, Budget, Source};
 use crate::figures::Figures;
 use crate::gate::{Gates, Pass, TAKEN_AFTER};
@@ -65,7 +65,7 @@
     /// The target was not reached: nothing was sent.
     NotSent,
     /// The target says that it has not run the request.
-    Refused(Turned),
+    Refused(Rejection),
     /// The target failed, and the request may run again.
     Failed(Whole),
     /// It may have run; no whole answer came.
@@ -222,14 +222,14 @@
                 self.loads.note_failure(seat.key);
                 return tries.pass_over(Refusal::retry(Reason::Unreachable, TURNED_AWAY_RETRY), |_| true);
             }
-            Attempt::Refused(turned) if turned.is_gone(&seat.target.id) => {
+            Attempt::Refused(rejection) if rejection.is_gone(&seat.target.id) => {
                 self.loads.note_gone(seat.key);
                 let paid = |tries: &Tries| self.spend(job, tries, Cause::Gone);
                 return tries.pass_over(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY), paid);
             }
-            Attempt::Refused(turned) => {
-                self.note_turned(&seat, &turned);
-                let wait = turned.retry_after.unwrap_or(TURNED_AWAY_RETRY);
+            Attempt::Refused(rejection) => {
+                self.note_rejection(&seat, &rejection);
+                let wait = rejection.retry_after.unwrap_or(TURNED_AWAY_RETRY);
                 tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
             }
             Attempt::Failed(whole) => tries.failure = Some(whole),
@@ -276,7 +276,7 @@
             Outcome::Whole(whole) if is_failure(whole.status) && job.outbound.may_repeat => Attempt::Failed(whole),
             Outcome::Whole(whole) => Attempt::Answered(Answer::Whole(whole)),
             Outcome::NotSent => Attempt::NotSent,
-            Outcome::Refused(turned) => Attempt::Refused(turned),
+            Outcome::Refused(rejection) => Attempt::Refused(rejection),
             Outcome::Lost(loss) => Attempt::Lost(loss),
         }
     }
@@ -324,20 +324,20 @@
         self.splits.next(&job.route().name, shares, there)
     }
 
-    fn note_turned(&self, seat: &Seat, turned: &Turned) {
+    fn note_rejection(&self, seat: &Seat, rejection: &Rejection) {
         if let Some(place) = &seat.target.membership
-            && turned.status == StatusCode::SERVICE_UNAVAILABLE
+            && rejection.status == StatusCode::SERVICE_UNAVAILABLE
         {
             self.gates.turned_away(&place.group);
         }
         // The target at fault may be another one, on which this one waited.
-        let other = turned.at_fault.as_deref().filter(|id| *id != seat.target.id);
+        let other = rejection.at_fault.as_deref().filter(|id| *id != seat.target.id);
         let at_fault = match other {
             Some(id) => self
                 .board
                 .targets()
                 .and_then(|targets| Some(targets.value.find_id(id)?.key)),
-            None => (turned.status == StatusCode::MISDIRECTED_REQUEST).then_some(seat.key),
+            None => (rejection.status == StatusCode::MISDIRECTED_REQUEST).then_some(seat.key),
         };
         if let Some(at_fault) = at_fault {
             self.loads.note_failure(at_fault);
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -74,7 +74,7 @@
         map: Option<MapUpdate>,
     },
     /// An order to the engine of another rank, on behalf of the conductor.
-    Errand {
+    Delegation {
         /// The order.
         order: Order,
         /// The other rank's engine.
@@ -126,8 +126,8 @@
     },
     /// The experts that the rank holds.
     Holds(Placement),
-    /// What another rank's engine said to an errand.
-    Errand {
+    /// What another rank's engine said to a delegation.
+    Delegation {
         /// Serial of the order.
         serial: u64,
         /// What it said.
