--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -262,6 +262,12 @@
         }
     }
 
+    /// Whether the process called `name` has ended by itself.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        let process = self.processes.get_mut(name);
+        process.is_some_and(|process| process.exit_status().is_some())
+    }
+
     /// Process id of the process called `name`.
     pub fn process_id(&self, name: &str) -> Option<u32> {
         self.processes.get(name).map(Process::id)
--- a/crates/sparscale_fleet/tests/process/main.rs
+++ b/crates/sparscale_fleet/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod answer_check;
 mod box_drain;
 mod broken_answers;
+mod crashing_calls;
 mod key_resend;
 mod log_outage;
 mod map_change;
--- a/crates/sparscale_standin/src/service.rs
+++ b/crates/sparscale_standin/src/service.rs
@@ -26,6 +26,11 @@
     pub request: String,
 }
 
+/// Body of a call that ends the process which runs it.
+pub const DEADLY_BODY: &str = "{\"deadly\":true}";
+/// What the process then ends with.
+const DEADLY_STATUS: i32 = 3;
+
 /// The service's state.
 #[derive(Debug)]
 pub struct Store {
@@ -52,6 +57,10 @@
 #[endpoint { method = POST, path = "/calls/{name}" }]
 async fn call(context: Context, path: Path<Call>, body: UntypedBody) -> Result<Response<Body>, HttpError> {
     let store = context.context();
+    if body.as_bytes() == DEADLY_BODY.as_bytes() {
+        log::warn!("a call ends this process");
+        std::process::exit(DEADLY_STATUS);
+    }
     store.faults.before_effect().await?;
     let header = context.request.headers().get("x-request-id");
     let effect = Effect {
