Own path: calls that end their targets are known again by every entry, through the log

Ruled out: a register in each entry alone (a bound of two targets times the entries, gone with each start). The time of day in milliseconds is worked out in one place (sparscale_clock). Conclusion: both paths hold the bound by the same decision.

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -292,7 +292,8 @@
             // The target may still work on it; a cancel that fails costs only that work.
             let _cancelled = self.engine.cancel(&attempt.id.to_string()).await;
         }
-        self.finish(&attempt, &answer, result, cost, began.elapsed());
+        let ended = matches!(result, Err(CallError::Lost { .. })) && self.engine.has_ended().await;
+        self.finish(&attempt, &answer, result, ended, cost, began.elapsed());
         self.dispatch();
     }
 
@@ -317,7 +318,15 @@
         Ok(sequence)
     }
 
-    fn finish(&self, attempt: &Attempt, answer: &Answer, result: Result<u64, CallError>, cost: f64, held: Duration) {
+    fn finish(
+        &self,
+        attempt: &Attempt,
+        answer: &Answer,
+        result: Result<u64, CallError>,
+        ended: bool,
+        cost: f64,
+        held: Duration,
+    ) {
         let mut state = self.lock();
         state.queue.finished(cost, held);
         state.leave(attempt.id);
@@ -335,8 +344,13 @@
             }
             Err(CallError::Lost { message }) => {
                 state.ledger.end(ledger_id(attempt.id));
-                log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "no whole answer from the target");
-                Part::Failed(Failure::Unknown { message })
+                log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(), ended; "no whole answer from the target");
+                let failure = if ended {
+                    Failure::Ended { message }
+                } else {
+                    Failure::Unknown { message }
+                };
+                Part::Failed(failure)
             }
         };
         answer.push(part);
--- a/crates/sparscale_agent/src/engine.rs
+++ b/crates/sparscale_agent/src/engine.rs
@@ -75,6 +75,9 @@
     /// Hands a request on.
     async fn call(&self, attempt: &Attempt) -> Result<Started, CallError>;
 
+    /// Whether nothing listens at the target's address: its process has ended.
+    async fn has_ended(&self) -> bool;
+
     /// Stops a request that may be repeated.
     async fn cancel(&self, request: &str) -> Result<(), CallError>;
 
--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -1,6 +1,7 @@
 //! A target that speaks HTTP: a model engine with chat completions, or a plain service.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
@@ -14,10 +15,14 @@
 use serde::de::DeserializeOwned;
 use sparscale_place::switch::{Order, Report};
 use sparscale_wire::{Attempt, Call};
+use tokio::net::TcpStream;
 
 use crate::engine::{CallError, Chunks, Engine, EngineLoad, Numbered, Started};
 use crate::settings::Kind;
 
+/// Time that a look at whether the target still listens may take; it is on the same box.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Longest answer of a plain service, and longest piece of a model answer, in bytes.
 const MAX_ANSWER: usize = 8 << 20;
 /// Ends a piece of a streamed answer.
@@ -142,6 +147,12 @@
         })
     }
 
+    async fn has_ended(&self) -> bool {
+        let address = self.base.strip_prefix("http://").unwrap_or(&self.base);
+        let connecting = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address));
+        matches!(connecting.await, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     async fn cancel(&self, request: &str) -> Result<(), CallError> {
         if self.kind == Kind::Service {
             return Ok(());
--- a/crates/sparscale_belief/src/quarantine.rs
+++ b/crates/sparscale_belief/src/quarantine.rs
@@ -1,10 +1,10 @@
 //! Requests that crash targets, as this process knows them from what it saw, its peers and the store.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use async_trait::async_trait;
-use sparscale_clock::{Clock, Moment};
+use sparscale_clock::{Clock, Moment, unix_ms};
 use sparscale_quarantine::{End, Fingerprint, Hold, News, Register, Strike};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
@@ -53,12 +53,12 @@
 
     /// Whether a request is held back now.
     pub fn held(&self, request: &Fingerprint) -> Option<Hold> {
-        self.register().held(request, now_ms())
+        self.register().held(request, unix_ms())
     }
 
     /// Notes that a target ended under a request. Tells how many have.
     pub fn note_end(&self, request: Fingerprint, end: End) -> usize {
-        let now_ms = now_ms();
+        let now_ms = unix_ms();
         let strike = Strike {
             request,
             end,
@@ -76,7 +76,7 @@
 
     /// Notes a whole answer to a request.
     pub fn note_answer(&self, request: &Fingerprint) {
-        let cleared = self.register().note_answer(request, now_ms());
+        let cleared = self.register().note_answer(request, unix_ms());
         if cleared {
             log::info!(target: DECISION, decision = "cleared", content = request.short().as_str(); "the request is answered well: it is not what ended targets");
         }
@@ -85,7 +85,7 @@
 
     /// Takes in what the peer `source` told.
     pub fn offer(&self, strikes: &[Strike], source: &str) {
-        let now_ms = now_ms();
+        let now_ms = unix_ms();
         let news = {
             let mut register = self.register();
             let taken = strikes
@@ -101,7 +101,7 @@
 
     /// Takes in all that the store held when it was asked at `asked`.
     pub fn offer_reading(&self, strikes: &[Strike], asked: Moment) {
-        let now_ms = now_ms();
+        let now_ms = unix_ms();
         let asked_ms = now_ms.saturating_sub(self.clock.now().since(asked).as_millis() as u64);
         let news = self.register().read(strikes, asked_ms, TELL_MARGIN, now_ms);
         self.confirm(asked);
@@ -141,7 +141,7 @@
                 changed = learnt.changed() => if changed.is_err() { return },
                 () = tokio::time::sleep_until(expiry) => {
                     expiry = Instant::now() + EXPIRY_PAUSE;
-                    let dropped = self.register().expire(now_ms());
+                    let dropped = self.register().expire(unix_ms());
                     if !dropped.is_empty() && is_first() {
                         note_failure("forget", &archive.forget(&dropped).await);
                     }
@@ -163,7 +163,7 @@
                 pause = (pause * 2).min(MAX_RETRY);
                 continue;
             }
-            let now_ms = now_ms();
+            let now_ms = unix_ms();
             let mut register = self.register();
             for strike in untold {
                 register.take_in(strike, News::Read, now_ms);
@@ -190,9 +190,3 @@
     }
     done.is_ok()
 }
-
-/// Milliseconds since 1970: strikes outlive the process, so its own clock does not do.
-fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/sparscale_cli/src/bundle.rs
+++ b/crates/sparscale_cli/src/bundle.rs
@@ -283,7 +283,7 @@
         )),
         Body::Approve(approve) => Some(format!("{} approved version {}", approve.author, approve.version)),
         Body::Roll(roll) => Some(format!("{} rolled version {}", roll.author, roll.version)),
-        Body::Claim(_) | Body::Map(_) | Body::Bind(_) | Body::Snapshot(_) => None,
+        Body::Claim(_) | Body::Map(_) | Body::Bind(_) | Body::Snapshot(_) | Body::Strike(_) => None,
     }
 }
 
--- a/crates/sparscale_clock/src/lib.rs
+++ b/crates/sparscale_clock/src/lib.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::ops::Add;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
@@ -84,6 +84,12 @@
     Arc::new(Machine::default())
 }
 
+/// Milliseconds since 1970, for what outlives the process or is compared between processes that tell no age.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Time for which the machine was suspended since it started; nothing where it does not tell.
 fn asleep() -> Duration {
     for _ in 0..TRIES {
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::limits::RetryBudget;
 use crate::live::Live;
 use crate::problem::Problem;
+use crate::quarantine::Quarantine;
 use crate::ticket::{RequestName, Seal};
 
 /// Dispatches of one request at most.
@@ -92,6 +93,7 @@
     pub(crate) seal: Seal,
     pub(crate) metrics: Metrics,
     retries: RetryBudget,
+    pub(crate) quarantine: Quarantine,
     incarnation: u64,
     counter: AtomicU64,
 }
@@ -102,6 +104,7 @@
         endpoint: Arc<Endpoint>,
         seal: Seal,
         metrics: Metrics,
+        quarantine: Quarantine,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -110,6 +113,7 @@
             seal,
             metrics,
             retries: RetryBudget::default(),
+            quarantine,
             incarnation,
             counter: AtomicU64::new(1),
         }
@@ -121,6 +125,10 @@
         let mut tried = Vec::new();
         let mut last = None;
         for index in 0..MAX_TRIES {
+            // Before each send: a target may have ended under it here or at another entry.
+            if let Some(held) = self.quarantine.held(job) {
+                return Err(last.unwrap_or(held));
+            }
             if index > 0 && !self.retries.spend() {
                 break;
             }
@@ -134,6 +142,9 @@
             if !matches!(began, Began::Live(_)) {
                 self.note_ended(&sent);
             }
+            if matches!(&began, Began::Failed(Failure::Ended { .. })) {
+                self.quarantine.note_end(job, &sent);
+            }
             let problem = match began {
                 Began::Live(live) => return Ok(*live),
                 Began::Refused(refusal) => self.refused(job, &sent, &refusal)?,
@@ -483,8 +494,8 @@
 pub(crate) fn failed(job: &Job, failure: &Failure) -> Problem {
     match failure {
         Failure::Target { message } => Problem::failed(message),
-        Failure::Unknown { message } if job.repeatable => Problem::failed(message),
-        Failure::Unknown { message } => Problem::unknown(message),
+        Failure::Unknown { message } | Failure::Ended { message } if job.repeatable => Problem::failed(message),
+        Failure::Unknown { message } | Failure::Ended { message } => Problem::unknown(message),
     }
 }
 
--- a/crates/sparscale_entry/src/lib.rs
+++ b/crates/sparscale_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod placer_group;
 mod problem;
 mod program;
+mod quarantine;
 mod respond;
 mod settings;
 mod ticket;
--- a/crates/sparscale_entry/src/live.rs
+++ b/crates/sparscale_entry/src/live.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use sparscale_board::TargetKey;
-use sparscale_wire::{Channel, Frame, Head};
+use sparscale_wire::{Channel, Failure, Frame, Head};
 use tokio::time::Instant;
 
 use crate::assembly::{Assembly, Step};
@@ -101,9 +101,15 @@
                 self.ready.extend(chunks);
                 self.over = true;
                 self.dispatcher.note_load(&self.sent, &load);
+                self.dispatcher.quarantine.note_answer(&self.job);
                 Ok(())
             }
-            Step::Failed(failure) => Err(failed(&self.job, &failure)),
+            Step::Failed(failure) => {
+                if matches!(failure, Failure::Ended { .. }) {
+                    self.dispatcher.quarantine.note_end(&self.job, &self.sent);
+                }
+                Err(failed(&self.job, &failure))
+            }
             Step::Refused(_) => self.resume("refused after the answer began").await,
             Step::Broken(reason) => self.resume(reason).await,
         }
--- a/crates/sparscale_entry/src/program.rs
+++ b/crates/sparscale_entry/src/program.rs
@@ -17,6 +17,7 @@
 use crate::limits::InFlight;
 use crate::peer;
 use crate::placer::Placers;
+use crate::quarantine::Quarantine;
 use crate::settings::{Raw, Settings};
 use crate::ticket::Seal;
 
@@ -87,6 +88,7 @@
         Arc::clone(&process.endpoint),
         Seal::new(&settings.secret),
         process.metrics.clone(),
+        Quarantine::new(Arc::clone(&process.journal)),
         process.incarnation,
     );
     let api = Arc::new(Api {
--- a/crates/sparscale_fleet/tests/process/crashing_calls.rs
+++ b/crates/sparscale_fleet/tests/process/crashing_calls.rs
@@ -3,7 +3,8 @@
 //! An entry knows a call by its attempts and forgets it with its answer, so each coming is the first: found by reading, after
 //! the same had been seen on the users' platform. Two comings of one call that may be repeated end all six targets.
 
-use sparscale_fleet::{Error, Fleet, Plan};
+use http::StatusCode;
+use sparscale_fleet::{Error, Fleet, Plan, eventually};
 use sparscale_standin::DEADLY_BODY;
 
 const SERVICES: usize = 6;
@@ -25,3 +26,34 @@
     assert!(ended <= MOST_ENDED, "{ended} of {SERVICES} ended");
     Ok(())
 }
+
+/// What one entry saw holds at the other one, and at one that has just started.
+#[tokio::test]
+async fn held_anywhere() -> Result<(), Error> {
+    let plan = Plan {
+        services: SERVICES,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start("crashing-anywhere", plan).await?;
+    let names: Vec<String> = (0..SERVICES).map(|index| format!("service-{index}")).collect();
+    for _ in 0..2 {
+        fleet.call_service("entry-0", "rates", DEADLY_BODY, &[]).await?;
+    }
+    let ended = names.iter().filter(|name| fleet.has_ended(name)).count();
+    // Each strike is in the log once its entry has heard so.
+    eventually("entry-1 holds the call", || async {
+        let reply = fleet.call_service("entry-1", "rates", DEADLY_BODY, &[]).await.ok()?;
+        (reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.text().contains("held back")).then_some(())
+    })
+    .await?;
+    fleet.kill("entry-0");
+    fleet.start_entry("entry-0")?;
+    fleet.wait_until_entry_ready("entry-0").await?;
+    let reply = fleet.call_service("entry-0", "rates", DEADLY_BODY, &[]).await?;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{}", reply.text());
+    let other = fleet.call_service("entry-0", "rates", "{\"n\":1}", &[]).await?;
+    assert_eq!(other.status, StatusCode::OK, "{}", other.text());
+    let later = names.iter().filter(|name| fleet.has_ended(name)).count();
+    assert!(ended <= MOST_ENDED && later <= ended + 1, "{ended} ended, then {later}");
+    Ok(())
+}
--- a/crates/sparscale_journal/src/budget.rs
+++ b/crates/sparscale_journal/src/budget.rs
@@ -21,17 +21,26 @@
     Bind,
     /// Snapshots.
     Snapshot,
+    /// Targets that ended under requests.
+    Strike,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 5] = [Self::Operator, Self::Claim, Self::Map, Self::Bind, Self::Snapshot];
+    pub const ALL: [Self; 6] = [
+        Self::Operator,
+        Self::Claim,
+        Self::Map,
+        Self::Bind,
+        Self::Snapshot,
+        Self::Strike,
+    ];
 
     /// Appends that the whole fleet may make in [`WINDOW`]; together they stay under half of the log's rate.
     pub fn fleet_limit(self) -> usize {
         match self {
             Self::Operator | Self::Claim => 100,
-            Self::Map => 50,
+            Self::Map | Self::Strike => 50,
             // 4 a second: the fold's 16,384 bindings then last over an hour.
             Self::Bind => 40,
             Self::Snapshot => 5,
@@ -46,6 +55,7 @@
             Body::Map(_) => Self::Map,
             Body::Bind(_) => Self::Bind,
             Body::Snapshot(_) => Self::Snapshot,
+            Body::Strike(_) => Self::Strike,
         }
     }
 }
--- a/crates/sparscale_journal/src/fold.rs
+++ b/crates/sparscale_journal/src/fold.rs
@@ -7,11 +7,12 @@
 use snafu::{OptionExt as _, Snafu, ensure};
 use sparscale_bundle::{Bundle, Fleet, Group, Hash, sign};
 use sparscale_place::Shape;
+use sparscale_quarantine::Strike;
 
 use crate::record::{
     Approve, Binding, BindingKey, Body, Claim, Content, DecodeError, Id, MapChange, Publish, Record, Roll, Snapshot,
 };
-use crate::state::{Holder, PlacedMap, Proposal, REMEMBERED_BINDINGS, REMEMBERED_IDS, State};
+use crate::state::{Holder, PlacedMap, Proposal, REMEMBERED_BINDINGS, REMEMBERED_IDS, REMEMBERED_STRIKES, State};
 
 /// Proposals that may wait at one time; more are refused until one is rolled.
 const MAX_PROPOSALS: usize = 32;
@@ -227,6 +228,10 @@
             Body::Claim(claim) => self.claim(offset, claim),
             Body::Map(change) => self.change_map(offset, change),
             Body::Bind(binding) => self.bind(binding),
+            Body::Strike(strike) => {
+                self.strike(*strike);
+                Ok(())
+            }
             Body::Snapshot(snapshot) => return self.check_snapshot(snapshot),
         };
         result.map_or_else(Verdict::Refused, |()| Verdict::Accepted)
@@ -408,6 +413,19 @@
         Ok(())
     }
 
+    /// A strike that is known already may only be cleared.
+    fn strike(&mut self, strike: Strike) {
+        let same = |known: &&mut Strike| (known.request, known.end) == (strike.request, strike.end);
+        if let Some(known) = self.strikes.iter_mut().find(same) {
+            known.standing = known.standing.max(strike.standing);
+            return;
+        }
+        self.strikes.push_back(strike);
+        if self.strikes.len() > REMEMBERED_STRIKES {
+            self.strikes.pop_front();
+        }
+    }
+
     fn forget_oldest_binding(&mut self) {
         let oldest: Option<BindingKey> = self.binding_order.pop_front();
         if let Some(oldest) = oldest {
--- a/crates/sparscale_journal/src/record.rs
+++ b/crates/sparscale_journal/src/record.rs
@@ -7,6 +7,7 @@
 use snafu::{ResultExt as _, Snafu, ensure};
 use sparscale_bundle::{Bundle, Delta, Hash, sign};
 use sparscale_place::Map;
+use sparscale_quarantine::Strike;
 
 /// First byte of every encoded record.
 const FORMAT: u8 = 1;
@@ -72,6 +73,8 @@
     Bind(Binding),
     /// The folded state, appended again before the records behind it expire.
     Snapshot(Snapshot),
+    /// A target ended under a request.
+    Strike(Strike),
 }
 
 /// Offer of a bundle version.
--- a/crates/sparscale_journal/src/state.rs
+++ b/crates/sparscale_journal/src/state.rs
@@ -6,11 +6,14 @@
 use serde::{Deserialize, Serialize};
 use sparscale_bundle::{Bundle, Operator, sign};
 use sparscale_place::Map;
+use sparscale_quarantine::{Fingerprint, Strike};
 
 use crate::record::{Approve, Binding, BindingKey, Duty, Id, Publish, Roll};
 
 /// Record ids that the fold remembers; a writer stops sending a record again long before that many have passed.
 pub(crate) const REMEMBERED_IDS: usize = 4_096;
+/// Strikes that the fold remembers: some 40 bytes each, and an entry looks through them for each request.
+pub(crate) const REMEMBERED_STRIKES: usize = 2_048;
 /// Bindings that the fold remembers; [`crate::Budget`] keeps that above an hour's worth.
 pub(crate) const REMEMBERED_BINDINGS: usize = 16_384;
 /// Chain digests that a reader keeps to check snapshots against.
@@ -116,6 +119,7 @@
     pub(crate) maps: BTreeMap<String, PlacedMap>,
     pub(crate) bindings: BTreeMap<BindingKey, Binding>,
     pub(crate) binding_order: VecDeque<BindingKey>,
+    pub(crate) strikes: VecDeque<Strike>,
     pub(crate) snapshot_at: u64,
 }
 
@@ -130,6 +134,7 @@
     holders: Vec<(Duty, Holder)>,
     maps: Vec<(String, PlacedMap)>,
     bindings: Vec<Binding>,
+    strikes: Vec<Strike>,
 }
 
 impl State {
@@ -148,6 +153,7 @@
             maps: BTreeMap::new(),
             bindings: BTreeMap::new(),
             binding_order: VecDeque::new(),
+            strikes: VecDeque::new(),
             snapshot_at: 0,
         }
     }
@@ -187,6 +193,14 @@
         self.bindings.get(key)
     }
 
+    /// Targets that ended under `request`.
+    pub fn strikes_of(&self, request: Fingerprint) -> impl Iterator<Item = Strike> {
+        self.strikes
+            .iter()
+            .filter(move |strike| strike.request == request)
+            .copied()
+    }
+
     /// Offset at which the latest snapshot in the log was taken.
     pub fn snapshot_at(&self) -> u64 {
         self.snapshot_at
@@ -222,6 +236,7 @@
                 .map(|(name, map)| (name.clone(), map.clone()))
                 .collect(),
             bindings: in_order.cloned().collect(),
+            strikes: self.strikes.iter().copied().collect(),
         }
     }
 
@@ -243,6 +258,7 @@
             .into_iter()
             .map(|binding| (binding.key, binding))
             .collect();
+        state.strikes = image.strikes.into();
         state.remember_chain();
         state
     }
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -301,6 +301,11 @@
         /// What is known.
         message: String,
     },
+    /// The same, and the target's process had ended a moment later.
+    Ended {
+        /// What is known.
+        message: String,
+    },
 }
 
 /// What became of an attempt.
