Failing tests: a target that falls silent keeps its requests until their callers give up

Cause: nothing bounds the time to a first event or between two events but the request's deadline. Red on the code as it is: told_before_first, unheard_before_first, told_between_events (no answer within the callers' two seconds of silence), nothing_late (a target that stood still is handed a request as it wakes whose caller had left). Green already, kept as bounds of the mend: spared, stopped_waited_for, slow_not_silent.

--- a/crates/sparscale_gateway/tests/path/groups.rs
+++ b/crates/sparscale_gateway/tests/path/groups.rs
@@ -13,7 +13,7 @@
 const GROUP: &str = "g";
 
 /// An entry before `targets`, which are the ranks of one group.
-fn world(targets: &[Target]) -> World {
+pub fn world(targets: &[Target]) -> World {
     let listed: Vec<&Target> = targets.iter().collect();
     let world = World::new(&[], &listed);
     let mut ranks = roster(&[], &listed).targets;
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod returned;
 mod shared_budget;
+mod silent;
 mod stopping;
 mod streams;
 mod suspended;
--- /dev/null
+++ b/crates/sparscale_gateway/tests/path/silent.rs
@@ -0,0 +1,245 @@
+//! Targets that fall silent: a box that stands still takes requests and says nothing, and wakes up later.
+//!
+//! Requests that were sent to a box just before it stood still lay there until their callers gave up after two seconds of
+//! silence; as the box woke, it was given work that nobody waited for. Nothing bounded the time to a first event or between
+//! two events but the request's own deadline.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::entry::{Caller, Request, World, wait};
+use crate::groups::{load, serve_from, world};
+use crate::target::{Arrival, Target, Wire};
+
+/// Time in which the samples' streams should begin.
+const OBJECTIVE: Duration = Duration::from_millis(300);
+/// Longer than any caller waits.
+const ASLEEP: Duration = Duration::from_secs(4);
+
+/// Ranks of which the first to be asked falls silent after `events` events of the stream, if `sleeps` says so; the others serve.
+struct Ranks {
+    targets: Vec<Target>,
+    asleep: Arc<AtomicUsize>,
+}
+
+/// No rank is asleep.
+const NONE: usize = usize::MAX;
+
+impl Ranks {
+    fn start(count: usize, events: u64) -> Self {
+        let asleep = Arc::new(AtomicUsize::new(NONE));
+        let armed = Arc::new(AtomicBool::new(false));
+        let targets = (0..count)
+            .map(|rank| {
+                let (asleep, armed) = (Arc::clone(&asleep), Arc::clone(&armed));
+                Target::start(move |arrival, wire| {
+                    let sleeps = arrival.id().starts_with("asleep");
+                    if sleeps && !armed.swap(true, Ordering::SeqCst) {
+                        asleep.store(rank, Ordering::SeqCst);
+                    }
+                    if asleep.load(Ordering::SeqCst) == rank {
+                        fall_silent(arrival, wire, events);
+                        return;
+                    }
+                    serve_rest(arrival, wire);
+                })
+            })
+            .collect();
+        Self { targets, asleep }
+    }
+
+    fn asleep(&self) -> Option<usize> {
+        let rank = self.asleep.load(Ordering::SeqCst);
+        (rank != NONE).then_some(rank)
+    }
+}
+
+fn fall_silent(arrival: &Arrival, wire: &mut Wire, events: u64) {
+    if events > 0 {
+        wire.stream_head(arrival, "d");
+    }
+    for id in 1..=events {
+        wire.event(id);
+    }
+    sleep(ASLEEP);
+}
+
+fn serve_rest(arrival: &Arrival, wire: &mut Wire) {
+    let last = arrival.header("last-event-id").and_then(|id| id.parse().ok());
+    serve_from(arrival, wire, last.unwrap_or(0));
+}
+
+fn stream(id: &str) -> Request {
+    Request::new("POST", "/stream/x", id)
+}
+
+/// Asks for a stream whose first target falls silent, while `meanwhile` goes on until it is answered.
+fn ask_beside(world: &World, meanwhile: impl Fn() + Sync) -> crate::entry::Answer {
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !over.load(Ordering::SeqCst) {
+                meanwhile();
+                sleep(Duration::from_millis(20));
+            }
+        });
+        let answer = world.ask(&stream("asleep"));
+        over.store(true, Ordering::SeqCst);
+        answer
+    })
+}
+
+/// The group's conductor tells that it hears nothing of the rank; the group's passes go on.
+fn tell_silent(world: &World, serial: &AtomicUsize, ranks: &Ranks) {
+    let serial = serial.fetch_add(1, Ordering::SeqCst) as u64 + 1;
+    let mut told = load(serial, &vec![1_000; ranks.targets.len()]);
+    if let Some(asleep) = ranks.asleep() {
+        told.ranks[asleep] = None;
+    }
+    world.entry.mesh.offer_group(told, true);
+}
+
+/// A request whose target falls silent before the first event is served elsewhere while its caller waits, by what the
+/// conductor says of the rank.
+#[test]
+fn told_before_first() {
+    let ranks = Ranks::start(4, 0);
+    let world = world(&ranks.targets);
+    let serial = AtomicUsize::new(0);
+    let answer = ask_beside(&world, || tell_silent(&world, &serial, &ranks));
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert!(answer.took < 2 * OBJECTIVE, "took {:?}", answer.took);
+}
+
+/// The same while no conductor tells anything: other ranks of the group are heard, this one is not.
+#[test]
+fn unheard_before_first() {
+    let ranks = Ranks::start(4, 0);
+    let world = world(&ranks.targets);
+    let others = AtomicUsize::new(0);
+    let answer = ask_beside(&world, || {
+        let number = others.fetch_add(1, Ordering::SeqCst);
+        world.ask(&stream(&format!("other-{number}")));
+    });
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert!(answer.took < 3 * OBJECTIVE, "took {:?}", answer.took);
+}
+
+/// A stream whose target falls silent between two events goes on elsewhere after the last event.
+#[test]
+fn told_between_events() {
+    let ranks = Ranks::start(4, 2);
+    let world = world(&ranks.targets);
+    let serial = AtomicUsize::new(0);
+    let answer = ask_beside(&world, || tell_silent(&world, &serial, &ranks));
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body.matches("id: ").count(), 3, "{}", answer.body);
+    assert!(answer.took < 2 * OBJECTIVE, "took {:?}", answer.took);
+}
+
+/// A rank that the conductor does not hear gets no new request, as soon as that is told.
+#[test]
+fn spared() {
+    let ranks = Ranks::start(4, 0);
+    let world = world(&ranks.targets);
+    let mut told = load(1, &[1_000; 4]);
+    told.ranks[2] = None;
+    world.entry.mesh.offer_group(told, true);
+    for round in 0..40 {
+        assert_eq!(world.ask(&stream(&format!("r-{round}"))).status, 200);
+    }
+    assert_eq!(ranks.targets[2].arrivals().len(), 0);
+}
+
+/// A group that stands still as a whole is waited for: to send its requests to other ranks of it would be in vain.
+#[test]
+fn stopped_waited_for() {
+    let targets: Vec<Target> = (0..4)
+        .map(|_| {
+            Target::start(|arrival, wire| {
+                sleep(Duration::from_millis(1_500));
+                serve_rest(arrival, wire);
+            })
+        })
+        .collect();
+    let world = world(&targets);
+    world.entry.mesh.offer_group(load(1, &[1_000; 4]), true);
+    let answers = std::thread::scope(|scope| {
+        let asking: Vec<_> = (0..8)
+            .map(|number| {
+                let world = &world;
+                scope.spawn(move || world.ask(&stream(&format!("r-{number}"))))
+            })
+            .collect();
+        let answers = asking.into_iter().map(|asking| asking.join().expect("no panic"));
+        answers.collect::<Vec<_>>()
+    });
+    assert!(answers.iter().all(|answer| answer.status == 200 && answer.whole));
+    let arrivals: usize = targets.iter().map(|target| target.arrivals().len()).sum();
+    assert_eq!(arrivals, 8);
+}
+
+/// A target that is slow is not dead: while all ranks of a group work with long pauses, nothing is sent twice.
+#[test]
+fn slow_not_silent() {
+    let targets: Vec<Target> = (0..4)
+        .map(|_| {
+            Target::start(|arrival, wire| {
+                sleep(Duration::from_millis(250));
+                wire.stream_head(arrival, "d");
+                wire.event(1);
+                for id in 2..=3 {
+                    sleep(Duration::from_millis(320));
+                    wire.event(id);
+                }
+                wire.end_chunks();
+            })
+        })
+        .collect();
+    let world = world(&targets);
+    world.entry.mesh.offer_group(load(1, &[1_000; 4]), true);
+    std::thread::scope(|scope| {
+        for number in 0..12 {
+            let world = &world;
+            scope.spawn(move || {
+                sleep(Duration::from_millis(40) * number);
+                let answer = world.ask(&stream(&format!("r-{number}")));
+                assert_eq!((answer.status, answer.whole), (200, true));
+            });
+        }
+    });
+    let arrivals: usize = targets.iter().map(|target| target.arrivals().len()).sum();
+    assert_eq!(arrivals, 12);
+}
+
+/// A target that stops reading: what was written to it and is given up must not be worked on as it wakes.
+#[test]
+fn nothing_late() {
+    let asleep = Arc::new(AtomicBool::new(false));
+    let seen_late = Arc::new(AtomicUsize::new(0));
+    let target = {
+        let (asleep, seen_late) = (Arc::clone(&asleep), Arc::clone(&seen_late));
+        Target::start(move |arrival, wire| {
+            if arrival.id() == "sleeps" {
+                wire.answer(arrival, "200 OK", "x");
+                asleep.store(true, Ordering::SeqCst);
+                sleep(Duration::from_millis(800));
+                return;
+            }
+            seen_late.fetch_add(1, Ordering::SeqCst);
+            wire.answer(arrival, "200 OK", "x");
+        })
+    };
+    let world = World::new(&[&target], &[]);
+    assert_eq!(world.ask(&Request::new("GET", "/any/x", "sleeps")).status, 200);
+    wait("the target to fall asleep", || asleep.load(Ordering::SeqCst));
+    // It goes to the connection that rests, which the target does not read from now; its caller leaves.
+    let mut caller = Caller::open(&world);
+    caller.send(&Request::new("GET", "/any/x", "left").text());
+    sleep(Duration::from_millis(200));
+    drop(caller);
+    sleep(Duration::from_millis(1_200));
+    assert_eq!(seen_late.load(Ordering::SeqCst), 0);
+}
