Several groups of a service: each has its own line, and a request goes to one that runs and has room

Cause: the line, the room and the gate of a service were those of the one group that most targets name, while its requests went to all of them. On a service of three groups the load of one decided who waits and who is refused for three; a group that had its next map later, or had lost a rank, held up all callers, or none of its own. Ruled out: one line with the rooms summed up (a group without room gets its part all the same); the roomiest group (all entries send there what they have until the next news). Change: sparscale_policy::group draws a group in proportion to the room that this entry has there, the shortest wait where none has any; one that does not run is passed over, and left if it closes while a request is on its way to it. Targets are drawn within the group.

--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -1,6 +1,6 @@
 //! The targets as one process goes by them: each with the key of its present start.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use crate::incarnation::{Incarnation, Incarnations};
@@ -96,17 +96,25 @@
         places
     }
 
-    /// The group that most targets of `service` name: one entry of another writer does not decide for all.
-    pub fn group_of(&self, service: &str) -> Option<Group<'_>> {
-        let mut votes: HashMap<Group<'_>, usize> = HashMap::new();
+    /// The groups that the targets of `service` make up, in order of their names: those that most of their ranks name, or
+    /// the one that is named most often. An entry of another writer makes no group.
+    pub fn groups_of(&self, service: &str) -> Vec<Group<'_>> {
+        let mut votes: BTreeMap<Group<'_>, usize> = BTreeMap::new();
         let ours = self.seats.iter().filter(|seat| seat.target.service == service);
         for place in ours.filter_map(|seat| seat.target.membership.as_ref()) {
             *votes.entry(Group::from(place)).or_default() += 1;
         }
-        votes
-            .into_iter()
-            .max_by_key(|(group, votes)| (*votes, *group))
-            .map(|(group, _)| group)
+        let Some(most) = votes.values().copied().max() else {
+            return Vec::new();
+        };
+        // Of two that are named by equally few, the last stands.
+        let named_most = votes.iter().rev().find(|(_, votes)| **votes == most);
+        let named_most = named_most.map(|(group, _)| *group);
+        let stands = |group: &Group<'_>, votes: usize| {
+            Some(*group) == named_most || (votes * 2 > group.size && votes * 2 > most)
+        };
+        let standing = votes.iter().filter(|(group, votes)| stands(group, **votes));
+        standing.map(|(group, _)| *group).collect()
     }
 
     /// The service whose targets make up the group called `group`: the one that most of them name, and the group's ranks.
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Waits at the queue of the group that serves the request, if a group does.
+    /// Waits at the queue of the group that is to serve the request, if a group does.
     async fn permit(&self, job: &Job, tries: &mut Tries) -> Result<Option<Permit>, Refusal> {
         let Some(belief) = self.board.targets() else {
             return Ok(None);
@@ -177,11 +177,12 @@
         };
         let engine = job.catalog.find_service(service);
         let engine = engine.and_then(|key| job.catalog.service(key).engine.as_ref());
-        let group = belief.value.group_of(service);
-        let (Some(engine), Some(group), Some(pause)) = (engine, group, longest_pause) else {
+        let (Some(engine), Some(pause)) = (engine, longest_pause) else {
             return Ok(None);
         };
-        let arrival = Arrival {
+        let spent = self.spent(job);
+        let groups = belief.value.groups_of(service).into_iter();
+        let arrivals = groups.map(|group| Arrival {
             request: job.outbound.head.id_text(),
             group: group.name,
             engine,
@@ -190,9 +191,13 @@
             tier: job.outbound.urgency.unwrap_or_default(),
             ranks: group.size,
             began: job.began,
-            spent: self.spent(job),
+            spent,
+        });
+        let arrivals: Vec<Arrival<'_>> = arrivals.collect();
+        let Some(arrival) = self.queues.choose(&arrivals, |group| !self.gates.is_closed(group)) else {
+            return Ok(None);
         };
-        tries.group = Some(group.name.to_owned());
+        tries.group = Some(arrival.group.to_owned());
         self.queues.enter(arrival).await.map(Some)
     }
 
@@ -209,6 +214,7 @@
             if self.board.now() >= job.outbound.due {
                 return tries.give_up(Refusal::at_once(Reason::TooLate));
             }
+            self.leave_closed_group(job, tries);
             if self.closed(job, tries).await {
                 return tries.give_up(Refusal::retry(Reason::GroupClosed, NO_TARGET_RETRY));
             }
@@ -276,6 +282,26 @@
         tries.give_up(Refusal::new(Reason::NoAnswer)).map(Some)
     }
 
+    /// Turns to another group of the service if the request's own does not run and another one does.
+    fn leave_closed_group(&self, job: &Job, tries: &mut Tries) {
+        let (Some(group), Some(service)) = (&tries.group, &tries.service) else {
+            return;
+        };
+        if !self.gates.is_closed(group) {
+            return;
+        }
+        let Some(targets) = self.board.targets() else { return };
+        let groups = targets.value.groups_of(service).into_iter();
+        let runs = |name: &str| !self.gates.is_closed(name) && self.mesh.group(name).is_some();
+        let others: Vec<&str> = groups.map(|other| other.name).filter(|name| runs(name)).collect();
+        if others.is_empty() {
+            return;
+        }
+        let other = others[rand::random_range(0..others.len())];
+        log::info!(target: DECISION, decision = "leave_group", request = job.outbound.head.id_text(), group = group.as_str(), other; "its group does not run");
+        tries.group = Some(other.to_owned());
+    }
+
     /// Whether the request's group stays closed for longer than it can wait.
     async fn closed(&self, job: &Job, tries: &Tries) -> bool {
         let Some(group) = &tries.group else { return false };
@@ -376,10 +402,22 @@
         }
         let service = tries.service.clone()?;
         let reported = |seat: &Seat| self.reported(seat);
-        let choose = |tried: &Tried| self.loads.choose(&targets, &service, tried, &self.hall, reported);
-        let untried = choose(&tries.tried);
+        let choose = |tried: &Tried, group: Option<&str>| {
+            self.loads
+                .choose(&targets, &service, group, tried, &self.hall, reported)
+        };
+        let in_group = tries
+            .group
+            .as_deref()
+            .and_then(|group| choose(&tries.tried, Some(group)));
+        let untried = in_group.or_else(|| choose(&tries.tried, None));
         // All were tried: what may run more than once may go to one of them again.
-        untried.or_else(|| job.outbound.may_repeat.then(|| choose(&Tried::default())).flatten())
+        untried.or_else(|| {
+            job.outbound
+                .may_repeat
+                .then(|| choose(&Tried::default(), None))
+                .flatten()
+        })
     }
 
     /// Load of a rank as its group's conductor told it; none of one that the conductor does not hear. Of one that has
--- a/crates/sparscale_gateway/src/gate.rs
+++ b/crates/sparscale_gateway/src/gate.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Whether `group` does not run as far as is known here, and it is not yet time to try again.
+    pub(crate) fn is_closed(&self, group: &str) -> bool {
+        let gates = self.lock();
+        let closed = gates.get(group).and_then(|gate| gate.closed);
+        closed.is_some_and(|(_, next)| Instant::now() < next)
+    }
+
     /// Notes that a target of `group` has turned a request away.
     pub(crate) fn turned_away(&self, group: &str) {
         let mut gates = self.lock();
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    /// The target for a request of `service`, other than those tried, for an entry in `hall`.
+    /// The target for a request of `service`, other than those tried, for an entry in `hall`; of one group only, if
+    /// `group` names it.
     ///
     /// Among ranks whose loads were told, so that all entries together fill them evenly (see [`crate::spread`]); else the
     /// one that this entry has least at. A target that failed a moment ago is taken only if there is no other.
@@ -90,16 +91,22 @@
         &self,
         targets: &Directory,
         service: &str,
+        group: Option<&str>,
         tried: &Tried,
         hall: &str,
         reported: impl Fn(&Seat) -> Option<RankLoad>,
     ) -> Option<Seat> {
         let ready = |seat: &&Seat| seat.target.standing == Standing::Ready && !tried.contains(seat.key);
-        let open: Vec<&Seat> = targets
-            .of_service(service)
-            .filter(ready)
-            .filter(|seat| !self.is_superseded(targets, seat))
-            .collect();
+        let of_group = |seat: &&Seat| {
+            group.is_none_or(|group| {
+                let place = seat.target.membership.as_ref();
+                place.is_some_and(|place| place.group == group)
+            })
+        };
+        let all = targets.of_service(service).filter(ready);
+        let all: Vec<&Seat> = all.filter(|seat| !self.is_superseded(targets, seat)).collect();
+        let open: Vec<&Seat> = all.iter().copied().filter(of_group).collect();
+        let part = open.len() as f64 / all.len().max(1) as f64;
         let mut told: Vec<(&Seat, RankLoad)> = open
             .iter()
             .filter_map(|seat| reported(seat).map(|load| (*seat, load)))
@@ -110,7 +117,7 @@
         if told.is_empty() {
             return self.least(open.into_iter(), hall).cloned();
         }
-        self.spread(&told, hall).cloned()
+        self.spread(&told, part, hall).cloned()
     }
 
     /// Whether a later entry names the address of `seat`, and nothing has shown yet that this one is not there.
@@ -148,10 +155,11 @@
         best.map(|(_, seat)| seat)
     }
 
-    /// One of the targets whose load was told, drawn so that all entries together fill them evenly.
-    fn spread<'t>(&self, told: &[(&'t Seat, RankLoad)], hall: &str) -> Option<&'t Seat> {
+    /// One of the targets whose load was told, drawn so that all entries together fill them evenly; `part` of their
+    /// requests come to these.
+    fn spread<'t>(&self, told: &[(&'t Seat, RankLoad)], part: f64, hall: &str) -> Option<&'t Seat> {
         let now = Instant::now();
-        let expected = self.expected(now);
+        let expected = self.expected(now) * part;
         let targets = self.lock();
         let avoided = |seat: &Seat| targets.get(&seat.key).is_some_and(|state| state.avoided(now));
         let mut open: Vec<&(&Seat, RankLoad)> = told.iter().filter(|(seat, _)| !avoided(seat)).collect();
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -7,6 +7,7 @@
 
 use sparscale_catalog::Engine;
 use sparscale_mesh::Mesh;
+use sparscale_policy::group;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::GroupLoad;
 use tokio::time::Instant;
@@ -112,6 +113,28 @@
         })
     }
 
+    /// Which of the groups a request is to wait for; `open` tells whether one runs.
+    pub(crate) fn choose<'a>(&self, arrivals: &[Arrival<'a>], open: impl Fn(&str) -> bool) -> Option<Arrival<'a>> {
+        if let [arrival] = arrivals {
+            return Some(*arrival);
+        }
+        // A group that nobody leads is no choice while others are led: its targets may be another writer's.
+        let led = |arrival: &Arrival<'_>| self.mesh.group(arrival.group).is_some();
+        let any_led = arrivals.iter().any(led);
+        let mut queues = self.lock();
+        let candidate = |arrival: &Arrival<'a>| {
+            let queue = self.refreshed(&mut queues, *arrival);
+            group::Candidate {
+                open: open(arrival.group) && (led(arrival) || !any_led),
+                room: queue.room.timely - queue.line.len() as f64,
+                wait: queue.expected_wait().as_secs_f64(),
+                ranks: arrival.ranks,
+            }
+        };
+        let candidates: Vec<group::Candidate> = arrivals.iter().map(candidate).collect();
+        group::choose(&candidates, rand::random()).map(|chosen| arrivals[chosen])
+    }
+
     /// Lets a request in, at once or when room comes free; or refuses it with the time to come back.
     pub(crate) async fn enter(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Refusal> {
         let ticket = (arrival.tier, self.tickets.fetch_add(1, Ordering::Relaxed));
--- a/crates/sparscale_gateway/tests/path/returned.rs
+++ b/crates/sparscale_gateway/tests/path/returned.rs
@@ -180,6 +180,7 @@
     });
     tell(&world, Roster::new(list), 2);
     let known = world.entry.board.targets().expect("a list").value;
-    let group = known.group_of(samples::MODEL).expect("a group");
-    assert_eq!((group.name, group.size), ("g", 2));
+    let groups = known.groups_of(samples::MODEL);
+    let named: Vec<_> = groups.iter().map(|group| (group.name, group.size)).collect();
+    assert_eq!(named, [("g", 2)]);
 }
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -1,4 +1,5 @@
 //! Decisions about requests, each with the load pattern that it answers. Pure: times and loads go in, a decision comes out;
 //! no clock, socket or lock of its own.
 
+pub mod group;
 pub mod silence;
