Soak: a store that comes back from older copies

Cause: the soak's store never forgot what it had acknowledged; the platform's may, in a drill. The checks hold a change to the acknowledgement that survives (a key taken away: refused from the first one on).

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -123,9 +123,9 @@
 /// that it did not know the newest configuration.
 fn is_in_force(attempt: &Attempt, acknowledged: &[Acknowledged], bounds: &Bounds) -> bool {
     let at_start = (0..KEYS).any(|key| attempt.key == format!("key-{key}"));
-    let granted = acknowledged
-        .iter()
-        .any(|known| known.what == Change::Granted(attempt.key.clone()) && attempt.began > known.at + bounds.applied);
+    let granted = acknowledged.iter().any(|known| {
+        known.what == Change::Granted(attempt.key.clone()) && attempt.began > known.stands + bounds.applied
+    });
     let revoked = Change::Revoked(attempt.key.clone());
     let taken = acknowledged
         .iter()
@@ -178,7 +178,7 @@
     let run = runs.iter().find(|run| {
         ledger.acknowledged.iter().any(|acknowledged| {
             acknowledged.what == Change::Leaving(run.target.clone())
-                && run.at > acknowledged.at + bounds.left + ON_THE_WAY
+                && run.at > acknowledged.stands + bounds.left + ON_THE_WAY
         })
     })?;
     in_touch(&ledger.troubles, attempt.entry, run.at, CONTACT + bounds.left)
@@ -188,7 +188,7 @@
 /// A key that was taken away runs nowhere once the bound has passed, whatever else happens.
 fn ran_after_revocation(ledger: &Ledger, bounds: &Bounds) -> Vec<Violation> {
     let revoked = ledger.acknowledged.iter().filter_map(|known| match &known.what {
-        Change::Revoked(key) => Some((key, known.at)),
+        Change::Revoked(key) => Some((key, known.stands)),
         Change::Leaving(_) | Change::Granted(_) => None,
     });
     let broken = revoked.flat_map(|(key, at)| {
@@ -268,6 +268,7 @@
             Fault::StoreBusy
                 | Fault::StoreSilent
                 | Fault::StoreLapse
+                | Fault::Restore { .. }
                 | Fault::StoreLink { .. }
                 | Fault::RevokeUnseen { .. }
                 | Fault::GrantUnseen { .. }
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -48,6 +48,7 @@
     let plan = match matches.get_one::<String>("plan").map(String::as_str) {
         Some("series") => Plan::Series,
         Some("returns") => Plan::Returns,
+        Some("restores") => Plan::Restores,
         Some("deadly") => Plan::Deadly,
         _ => Plan::Single,
     };
@@ -93,8 +94,8 @@
     };
     let plan = Arg::new("plan")
         .long("plan")
-        .value_parser(["single", "series", "returns", "deadly"])
-        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, or with requests that end what runs them [single]");
+        .value_parser(["single", "series", "returns", "restores", "deadly"])
+        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, with a store that comes back from older copies, or with requests that end what runs them [single]");
     // `cargo test NAME` hands names to every test program.
     let names = Arg::new("names")
         .num_args(0..)
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -6,9 +6,10 @@
 use nix::sys::signal::Signal;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
 
 use crate::caller::Habit;
-use crate::fault::{Fault, Planned};
+use crate::fault::{Before, Fault, Planned};
 use crate::ledger::{Change, Trouble};
 use crate::places::{DEADLY, KEYS, LATER_KEYS};
 use crate::proxy::Link;
@@ -23,6 +24,14 @@
 /// Time that a leaving target serves on after the store has taken it.
 const SERVES_ON: Duration = Duration::from_secs(4);
 
+/// Longest time for which a store is away that comes back from an older copy, and time after which what others wrote is there again.
+const MOST_AWAY: Duration = Duration::from_secs(3);
+const WRITTEN_AGAIN: Duration = Duration::from_millis(1_500);
+/// Time between two words of a target.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time in which some entry has read what was written right before.
+const READ: Duration = Duration::from_millis(400);
+
 /// Time for which a target is down after a crash.
 const DOWN: Duration = Duration::from_millis(1_500);
 /// Time between two tries of a caller whose request ends what runs it.
@@ -111,6 +120,7 @@
             tokio::time::sleep(lasts).await;
             stage.drop_foreign();
         }
+        Fault::Restore { copy, before } => restore(stage, copy, before, lasts).await,
         Fault::Deadly { entry, route } => send_deadly(stage, entry, route, lasts).await,
         Fault::Leave { target } => leave(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
@@ -165,6 +175,14 @@
     }
 }
 
+/// Lets targets write their entries again and again, so that a list that came back from a copy soon ends behind where it did.
+pub(crate) async fn beat(stage: Arc<Stage>, over: watch::Receiver<bool>) {
+    while !*over.borrow() {
+        stage.beat();
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
 /// Kills an entry and starts it again after `pause`, `times` times.
 async fn kill(stage: &Stage, entry: usize, times: u32, pause: Duration) {
     for _ in 0..times {
@@ -259,6 +277,42 @@
     }
 }
 
+/// The store is away and comes back from an older copy; what operators and targets wrote since is written again soon.
+async fn restore(stage: &Stage, copy: Duration, before: Before, lasts: Duration) {
+    let leaves = match before {
+        Before::Nothing => None,
+        Before::Revoke { key } => {
+            revoke(stage, key).await;
+            None
+        }
+        Before::Leave { target } => {
+            stage.list(target, true);
+            stage
+                .book
+                .acknowledge(Change::Leaving(stage.targets[target].target.incarnation()));
+            Some(target)
+        }
+    };
+    tokio::time::sleep(READ).await;
+    let copied = Instant::now().checked_sub(copy).unwrap_or_else(Instant::now);
+    stage.store.set_busy(true);
+    tokio::time::sleep(lasts.min(MOST_AWAY)).await;
+    let lost = stage.store.restore(copied);
+    let back = Instant::now();
+    stage.store.set_busy(false);
+    tokio::time::sleep(WRITTEN_AGAIN).await;
+    for record in lost {
+        stage.store.add_again(record, back);
+    }
+    stage.book.acknowledge_again(copied);
+    if let Some(target) = leaves {
+        tokio::time::sleep(SERVES_ON).await;
+        stage.unlist(target, stage.targets[target].target.incarnation());
+        stage.renew(target).await;
+        stage.list(target, false);
+    }
+}
+
 async fn leave(stage: &Stage, target: usize) {
     let place = &stage.targets[target];
     let id = place.target.incarnation();
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -64,10 +64,23 @@
     ReturnAll { lapsed: bool },
     /// A request that ends each target which runs it comes to an entry, again and again.
     Deadly { entry: usize, route: usize },
+    /// The store is away for a moment and comes back from a copy that is as old as `copy`; `before` happens right before.
+    Restore { copy: Duration, before: Before },
     /// Another writer's records stand in the store's list of targets.
     Foreign { target: usize },
 }
 
+/// What is written right before the store is restored, so that the copy lacks it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Before {
+    /// Nothing.
+    Nothing,
+    /// A key is taken away.
+    Revoke { key: usize },
+    /// A target says that it leaves.
+    Leave { target: usize },
+}
+
 /// What kind of faults a round has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Plan {
@@ -77,6 +90,9 @@
     Series,
     /// Targets that start again under their ids and records of another writer, beside the first kind.
     Returns,
+    /// A store that comes back from older copies, beside the first kind, requests that end targets, and entries that all
+    /// start again.
+    Restores,
     /// Requests that end the targets which run them, beside the first kind and entries that all start again.
     Deadly,
 }
@@ -95,6 +111,8 @@
 const PAUSE: std::ops::Range<u64> = 200..1_500;
 /// Length of a fault, in milliseconds; the longest outlast every bound on beliefs.
 const LASTS: std::ops::Range<u64> = 300..8_000;
+/// Age of the copy that a store comes back from, in milliseconds.
+const COPY: std::ops::Range<u64> = 1_000..10_000;
 /// Delay on a slow link, in milliseconds.
 const SLOW: std::ops::Range<u64> = 20..300;
 
@@ -134,6 +152,24 @@
         }
     }
 
+    fn draw_restores(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let copy = Duration::from_millis(random.random_range(COPY));
+        let before = match random.random_range(0..4) {
+            0 => Before::Revoke {
+                key: random.random_range(1..KEYS),
+            },
+            1 => Before::Leave {
+                target: random.random_range(0..size.targets),
+            },
+            _ => Before::Nothing,
+        };
+        match random.random_range(0..8) {
+            0..=3 => Self::Restore { copy, before },
+            4 => Self::draw_deadly(random, size),
+            _ => Self::draw(random, size),
+        }
+    }
+
     fn draw_returns(random: &mut ChaCha8Rng, size: Size) -> Self {
         let target = random.random_range(0..size.targets);
         let lapsed = random.random();
@@ -190,7 +226,7 @@
     pub(crate) fn holds(self) -> Hold {
         match self {
             Self::StoreBusy | Self::StoreSilent | Self::RevokeUnseen { .. } | Self::GrantUnseen { .. } => Hold::Store,
-            Self::StoreLapse => Hold::StoreAndTargets,
+            Self::StoreLapse | Self::Restore { .. } => Hold::StoreAndTargets,
             Self::StoreLink { entry, .. } => Hold::StoreLink(entry),
             Self::Kill { entry }
             | Self::Freeze { entry }
@@ -278,6 +314,7 @@
             Plan::Single => Fault::draw(random, size),
             Plan::Series => Fault::draw_series(random, size),
             Plan::Returns => Fault::draw_returns(random, size),
+            Plan::Restores => Fault::draw_restores(random, size),
             Plan::Deadly => Fault::draw_deadly(random, size),
         };
         planned.push(Planned { fault, at, lasts });
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -96,7 +96,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Acknowledged {
     pub(crate) what: Change,
+    /// When it was acknowledged first.
     pub(crate) at: Instant,
+    /// Since when it stands: a store that came back from an older copy had lost it meanwhile.
+    pub(crate) stands: Instant,
 }
 
 /// What was acknowledged.
@@ -141,6 +144,14 @@
 
     pub(crate) fn acknowledge(&self, what: Change) {
         let at = Instant::now();
-        self.open().acknowledged.push(Acknowledged { what, at });
+        self.open().acknowledged.push(Acknowledged { what, at, stands: at });
+    }
+
+    /// Notes that what was acknowledged after `copied` was lost and is now acknowledged again.
+    pub(crate) fn acknowledge_again(&self, copied: Instant) {
+        let now = Instant::now();
+        let mut ledger = self.open();
+        let lost = ledger.acknowledged.iter_mut().filter(|known| known.stands > copied);
+        lost.for_each(|known| known.stands = now);
     }
 }
--- a/crates/sparscale_soak/src/platform.rs
+++ b/crates/sparscale_soak/src/platform.rs
@@ -145,6 +145,12 @@
     /// copy `listed`.
     fn foreign(&self, listed: &Listed) -> Vec<Record>;
 
+    /// Whether the system itself writes `topic`.
+    fn is_own(&self, topic: &str) -> bool;
+
+    /// Says in an answer of the store how often it came back from an older copy.
+    fn stamp(&self, answer: &mut Response<Full<Bytes>>, era: u64);
+
     /// The store's answer to a call while it holds `records`, to which a call may add.
     fn answer(&self, call: &Request<Bytes>, records: &mut Records) -> Response<Full<Bytes>>;
 }
--- a/crates/sparscale_soak/src/records.rs
+++ b/crates/sparscale_soak/src/records.rs
@@ -1,6 +1,7 @@
 //! What the stand-in of the store holds: for each topic, all records in order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
 
 use bytes::Bytes;
 
@@ -19,11 +20,16 @@
 #[derive(Debug, Default)]
 pub struct Records {
     topics: BTreeMap<&'static str, Vec<Record>>,
+    /// When each record was added, in the same order.
+    added: BTreeMap<&'static str, Vec<Instant>>,
+    /// How often it came back from an older copy.
+    era: u64,
 }
 
 impl Records {
     /// Adds a record at the end of its topic.
     pub fn add(&mut self, record: Record) {
+        self.added.entry(record.topic).or_default().push(Instant::now());
         self.topics.entry(record.topic).or_default().push(record);
     }
 
@@ -43,4 +49,37 @@
         }
         newest
     }
+
+    /// How often it came back from an older copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Comes back from a copy made at `copied`; tells the newest lost record of each key, in the order in which they were written.
+    pub(crate) fn restore(&mut self, copied: Instant) -> Vec<Record> {
+        self.era += 1;
+        let mut lost = Vec::new();
+        for (topic, records) in &mut self.topics {
+            let added = self.added.entry(topic).or_default();
+            let kept = added.partition_point(|at| *at <= copied);
+            added.truncate(kept);
+            lost.extend(records.split_off(kept));
+        }
+        let mut known = BTreeSet::new();
+        let newest = lost
+            .into_iter()
+            .rev()
+            .filter(|record| known.insert((record.topic, record.key.clone())));
+        let mut newest: Vec<Record> = newest.collect();
+        newest.reverse();
+        newest
+    }
+
+    /// Whether the key of `record` was written since `when`.
+    pub(crate) fn is_written_since(&self, record: &Record, when: Instant) -> bool {
+        let records = self.of(record.topic);
+        let added = self.added.get(record.topic).map_or(&[][..], Vec::as_slice);
+        let since = added.partition_point(|at| *at <= when);
+        records[since..].iter().any(|later| later.key == record.key)
+    }
 }
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -62,7 +62,7 @@
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
     let net = Net::of(std::process::id(), round.seed);
     let bounds = match round.plan {
-        Plan::Single | Plan::Returns | Plan::Deadly => BOUNDS,
+        Plan::Single | Plan::Returns | Plan::Restores | Plan::Deadly => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let stage = Arc::new(Stage::start(platform, net, round.size, bounds, folder).await?);
@@ -87,6 +87,9 @@
     for target in 0..size.targets {
         tokio::spawn(drive::crash(Arc::clone(stage), target));
     }
+    if plan == Plan::Restores {
+        tokio::spawn(drive::beat(Arc::clone(stage), over.subscribe()));
+    }
     let planned = fault::plan(&mut ChaCha8Rng::seed_from_u64(seed), length, plan, size);
     let faults = harm(stage, planned).await;
     let recovered = await_service(stage, RECOVERY).await;
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -247,6 +247,18 @@
         self.store.add(self.platform.listed(&listed));
     }
 
+    /// All targets write their entries again.
+    pub(crate) fn beat(&self) {
+        let any = Listed {
+            id: String::new(),
+            service: SERVICE,
+            address: self.net.listed(0),
+            leaving: false,
+            born_ms: 0,
+        };
+        self.store.beat(self.platform.listed(&any).topic);
+    }
+
     /// Drops the entry of an incarnation.
     pub(crate) fn unlist(&self, index: usize, id: String) {
         let listed = Listed {
--- a/crates/sparscale_soak/src/store.rs
+++ b/crates/sparscale_soak/src/store.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -48,6 +49,34 @@
         self.busy.store(busy, Ordering::SeqCst);
     }
 
+    /// Writes the newest record of each key of `topic` again, as its writers do.
+    pub(crate) fn beat(&self, topic: &'static str) {
+        let mut records = self.records();
+        let newest = records.newest(topic).into_iter();
+        let again = newest.map(|(key, value)| Record {
+            topic,
+            key: key.to_owned(),
+            value: Some(value.clone()),
+        });
+        let again: Vec<Record> = again.collect();
+        again.into_iter().for_each(|record| records.add(record));
+    }
+
+    /// Comes back from a copy made at `copied`, with what the system itself wrote since gone. Tells what others wrote since.
+    pub(crate) fn restore(&self, copied: Instant) -> Vec<Record> {
+        let mut lost = self.records().restore(copied);
+        lost.retain(|record| !self.platform.is_own(record.topic));
+        lost
+    }
+
+    /// Adds a record that was lost, unless its key was written since.
+    pub(crate) fn add_again(&self, record: Record, since: Instant) {
+        let mut records = self.records();
+        if !records.is_written_since(&record, since) {
+            records.add(record);
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Content> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map(http_body_util::Collected::to_bytes);
@@ -57,6 +86,7 @@
                 .answer(&Request::from_parts(head, body), &mut self.records()),
             _ => refusal(),
         };
+        self.platform.stamp(&mut answer, self.records().era());
         let content = std::mem::take(answer.body_mut());
         answer.map(|_taken| content.map_err(|never: Infallible| match never {}).boxed_unsync())
     }
