Places of a store that may come back from an older copy: era first, then offset

Cause: every belief that hangs on an offset took offsets for something that only rises. After a restore the list of targets was refused as older until its topic had grown past where it was; a keyed topic that had grown past the next offset again was read on from there, and the records between were never seen; the list of claims could not be learnt again, so a group whose conductor died had none; a claim on a restored list could have the number of an earlier one, and with it the very same fences; strikes that were lost were not written again. Ruled out: taking any lower offset for a restore (a late answer looks the same); reading everything anew with each poll. Change: sparscale_history::Place, ordered by era; the adapter reads the era from the head of every answer, refused ones too, drops answers of an era before the latest, and counts and logs each rise. Keyed topics start over when it rises; beliefs and the mesh order by place. Whoever read that a target left goes on by that for 30 s, whatever a copy shows; entries that a copy lacks are awaited as after an outage. The reader of strikes tells the store again what it lost.

--- a/crates/sparscale_belief/src/belief.rs
+++ b/crates/sparscale_belief/src/belief.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sparscale_clock::Moment;
+use sparscale_history::Place;
 
 /// Something that was read from outside.
 #[derive(Debug)]
@@ -11,7 +12,7 @@
     /// What was read.
     pub value: Arc<T>,
     /// Where in its history it stands: a version or an offset. Positions only rise.
-    pub position: u64,
+    pub position: Place,
     /// A time before the question was asked: everything acknowledged earlier is in `value`.
     pub as_of: Moment,
 }
@@ -45,7 +46,7 @@
 
     /// Takes in an answer about `position`, asked for at `as_of`. The value of an older position is left out, and so
     /// is its age: it says nothing about what came later.
-    pub fn offer(&mut self, value: Arc<T>, position: u64, as_of: Moment) -> Change {
+    pub fn offer(&mut self, value: Arc<T>, position: Place, as_of: Moment) -> Change {
         if position < self.position {
             return Change::Older;
         }
--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -5,6 +5,7 @@
 
 use sparscale_catalog::{Catalog, Directory, Incarnations, Roster};
 use sparscale_clock::{Clock, Moment};
+use sparscale_history::Place;
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
 
@@ -89,7 +90,7 @@
     /// Takes in a catalog that `source` told.
     pub fn offer_catalog(&self, catalog: Arc<Catalog>, as_of: Moment, source: &str) -> Change {
         let version = catalog.version();
-        let change = offer(&self.catalog, catalog, version, as_of);
+        let change = offer(&self.catalog, catalog, Place::from(version), as_of);
         if change == Change::Replaced {
             log::info!(target: DECISION, decision = "catalog", version, source, age_ms = self.now().since(as_of).as_millis() as u64; "catalog in force");
         }
@@ -98,11 +99,12 @@
 
     /// Notes that version `version` was still the newest at `as_of`.
     pub fn confirm_catalog(&self, version: u64, as_of: Moment) -> Change {
-        confirm(&self.catalog, version, as_of)
+        confirm(&self.catalog, Place::from(version), as_of)
     }
 
     /// Takes in a roster that `source` told.
-    pub fn offer_roster(&self, roster: Arc<Roster>, position: u64, as_of: Moment, source: &str) -> Change {
+    pub fn offer_roster(&self, roster: Arc<Roster>, position: impl Into<Place>, as_of: Moment, source: &str) -> Change {
+        let position = position.into();
         // Held throughout: two that tell at once must not overtake each other on the way to the readers.
         let mut heard = self.heard();
         let Some(belief) = heard.take_in(roster, position, as_of) else {
@@ -111,7 +113,7 @@
         let targets = belief.value.targets.len();
         let change = replace(&self.targets, self.seat(&belief));
         if change == Change::Replaced {
-            log::info!(target: DECISION, decision = "roster", position, targets, source, age_ms = self.now().since(as_of).as_millis() as u64; "roster changed");
+            log::info!(target: DECISION, decision = "roster", position = position.to_string().as_str(), targets, source, age_ms = self.now().since(as_of).as_millis() as u64; "roster changed");
         }
         change
     }
@@ -150,7 +152,12 @@
 }
 
 /// Waiting readers are woken for a new value only: ages change all the time.
-fn offer<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, value: Arc<T>, position: u64, as_of: Moment) -> Change {
+fn offer<T: PartialEq>(
+    cell: &watch::Sender<Option<Belief<T>>>,
+    value: Arc<T>,
+    position: Place,
+    as_of: Moment,
+) -> Change {
     let mut change = Change::Replaced;
     cell.send_if_modified(|known| {
         match known {
@@ -162,7 +169,7 @@
     change
 }
 
-fn confirm<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, position: u64, as_of: Moment) -> Change {
+fn confirm<T: PartialEq>(cell: &watch::Sender<Option<Belief<T>>>, position: Place, as_of: Moment) -> Change {
     let mut change = Change::Older;
     cell.send_if_modified(|known| {
         if let Some(belief) = known
--- a/crates/sparscale_belief/src/heard.rs
+++ b/crates/sparscale_belief/src/heard.rs
@@ -4,9 +4,11 @@
 
 use sparscale_catalog::Roster;
 use sparscale_clock::Moment;
+use sparscale_history::Place;
 use sparscale_telemetry::DECISION;
 
 use crate::belief::{Belief, Change};
+use crate::departed::Departed;
 use crate::lapse::Lapse;
 
 /// Targets that one log line names; a lost hall would make it too long.
@@ -17,6 +19,9 @@
 pub(crate) struct Heard {
     belief: Option<Belief<Roster>>,
     lapse: Option<Lapse>,
+    departed: Departed,
+    /// Whether the list came back from an older copy, and so may show what has left.
+    restored: bool,
 }
 
 impl Heard {
@@ -26,7 +31,7 @@
     }
 
     /// Takes in what the store said at `as_of`. Tells what to go by now; none if it is older than what was known.
-    pub(crate) fn take_in(&mut self, roster: Arc<Roster>, position: u64, as_of: Moment) -> Option<Belief<Roster>> {
+    pub(crate) fn take_in(&mut self, roster: Arc<Roster>, position: Place, as_of: Moment) -> Option<Belief<Roster>> {
         let Some(belief) = &mut self.belief else {
             let first = Belief {
                 value: roster,
@@ -41,6 +46,13 @@
             return None;
         }
         let heard = belief.clone();
+        let era = heard.position.era;
+        if era > before.position.era {
+            self.restored = true;
+            log::info!(target: DECISION, decision = "restored", era, before = before.position.to_string().as_str(), now = heard.position.to_string().as_str(), targets = heard.value.targets.len(); "the list of targets came back from an older copy");
+        } else {
+            self.departed.note(&before.value, &heard.value, heard.as_of);
+        }
         if let Some(lapse) = Lapse::between(&before, &heard) {
             note_lapse(&lapse);
             self.lapse = Some(lapse);
@@ -48,8 +60,25 @@
         Some(self.fill(heard))
     }
 
+    /// What is known better than the store says it after it came back from an older copy.
+    fn correct(&self, heard: Belief<Roster>) -> Belief<Roster> {
+        let corrected = if self.restored {
+            self.departed.correct(&heard.value, heard.as_of)
+        } else {
+            None
+        };
+        match corrected {
+            Some(roster) => Belief {
+                value: Arc::new(roster),
+                ..heard
+            },
+            None => heard,
+        }
+    }
+
     /// What to go by when the store says `heard`.
     fn fill(&mut self, heard: Belief<Roster>) -> Belief<Roster> {
+        let heard = self.correct(heard);
         let Some(lapse) = &mut self.lapse else {
             return heard;
         };
--- a/crates/sparscale_belief/src/lapse.rs
+++ b/crates/sparscale_belief/src/lapse.rs
@@ -27,7 +27,9 @@
     /// What `now` lacks of the targets that the store showed in `before`; none if it was not away in between, or if
     /// nothing is missing. A target that was leaving is not awaited.
     pub(crate) fn between(before: &Belief<Roster>, now: &Belief<Roster>) -> Option<Self> {
-        if now.as_of.since(before.as_of) < AWAY {
+        // A copy may lack entries that were written after it was made.
+        let restored = now.position.era > before.position.era;
+        if !restored && now.as_of.since(before.as_of) < AWAY {
             return None;
         }
         let shown = before.value.targets.iter();
--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod belief;
 mod board;
+mod departed;
 mod heard;
 mod lapse;
 mod quarantine;
--- a/crates/sparscale_belief/src/quarantine.rs
+++ b/crates/sparscale_belief/src/quarantine.rs
@@ -38,6 +38,8 @@
     learnt: watch::Sender<()>,
     /// A time before which everything that the store had taken is in the register; none before it was first read.
     as_of: Mutex<Option<Moment>>,
+    /// Era of the store as last read.
+    era: Mutex<Option<u64>>,
     clock: Arc<dyn Clock>,
 }
 
@@ -47,6 +49,7 @@
             register: Mutex::default(),
             learnt: watch::Sender::new(()),
             as_of: Mutex::default(),
+            era: Mutex::default(),
             clock,
         }
     }
@@ -99,8 +102,19 @@
         self.tell(news > 0);
     }
 
-    /// Takes in all that the store held when it was asked at `asked`.
-    pub fn offer_reading(&self, strikes: &[Strike], asked: Moment) {
+    /// Takes in all that the store held in era `era` when it was asked at `asked`. A store that came back from an older copy
+    /// has lost what was written since: whoever reads that writes it again.
+    pub fn offer_reading(&self, strikes: &[Strike], era: u64, asked: Moment) {
+        let restored = {
+            let mut known = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+            if known.is_some_and(|known| era < known) {
+                return;
+            }
+            known.replace(era).is_some_and(|known| known < era)
+        };
+        if restored {
+            self.register().doubt_store();
+        }
         let now_ms = unix_ms();
         let asked_ms = now_ms.saturating_sub(self.clock.now().since(asked).as_millis() as u64);
         let news = self.register().read(strikes, asked_ms, TELL_MARGIN, now_ms);
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -157,7 +157,9 @@
         move || board.quarantine.age()
     };
     let offer = move |reading: Reading<Vec<Strike>>, asked| {
-        board.quarantine.offer_reading(&reading.value, asked);
+        board
+            .quarantine
+            .offer_reading(&reading.value, reading.position.era, asked);
         Change::Confirmed
     };
     keep_young("strikes", source, &pace, &figures, age, offer, now).await;
--- a/crates/sparscale_belief/src/source.rs
+++ b/crates/sparscale_belief/src/source.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use snafu::Snafu;
+use sparscale_history::Place;
 
 /// Why a source gave no reading.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -29,7 +30,7 @@
     /// What is there.
     pub value: Arc<T>,
     /// Where in its history it stands.
-    pub position: u64,
+    pub position: Place,
 }
 
 /// Gives something that changes outside: the operators' catalog, the roster of targets.
--- a/crates/sparscale_belief/tests/store_outage.rs
+++ b/crates/sparscale_belief/tests/store_outage.rs
@@ -32,7 +32,7 @@
         }
         Ok(Reading {
             value: Arc::new(samples::roster()),
-            position: u64::from(position),
+            position: u64::from(position).into(),
         })
     }
 }
--- a/crates/sparscale_catalog/src/roster.rs
+++ b/crates/sparscale_catalog/src/roster.rs
@@ -107,13 +107,13 @@
     /// A roster of targets, each with the place in the platform's list at which its start showed up. Of several at one
     /// address all but the last are marked: a target that lost power has an entry until it lapses, and what is sent to it
     /// meets its successor. None is left out, as the last one may be of another writer.
-    pub fn of_latest(listed: Vec<(Target, u64)>) -> Self {
-        let mut latest: HashMap<(SocketAddr, String), u64> = HashMap::with_capacity(listed.len());
+    pub fn of_latest<P: Copy + Default + Ord>(listed: Vec<(Target, P)>) -> Self {
+        let mut latest: HashMap<(SocketAddr, String), P> = HashMap::with_capacity(listed.len());
         for (target, since) in &listed {
             let last = latest.entry((target.address, target.service.clone())).or_default();
             *last = (*last).max(*since);
         }
-        let mark = |(target, since): (Target, u64)| Target {
+        let mark = |(target, since): (Target, P)| Target {
             superseded: latest
                 .get(&(target.address, target.service.clone()))
                 .is_some_and(|last| since < *last),
--- a/crates/sparscale_conduct/src/duty.rs
+++ b/crates/sparscale_conduct/src/duty.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use sparscale_history::Place;
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
-use crate::claims::{Claim, Claims};
+use crate::claims::{self, Claim, Claims};
 use crate::engine::EngineState;
 use crate::inquiry::{self, Verdict};
 use crate::leader::{Context, Leader, Term};
@@ -59,7 +60,7 @@
     context: Context,
     claims: Box<dyn Claims>,
     service: String,
-    /// Where the list of claims ends, once that is known.
+    /// Number of the next claim, once it is known where the list of claims ends.
     end: Option<u64>,
     /// When that was learnt.
     learnt: Instant,
@@ -131,30 +132,42 @@
     async fn claim(&mut self, group: String, state: &EngineState) {
         let holder = format!("{}/{}", self.service, state.rank);
         let end = self.end.unwrap_or_default();
-        let claiming = tokio::time::timeout(CLAIM_TIMEOUT, self.claims.claim(&group, &holder, end)).await;
+        let claiming = self.claims.claim(&group, &holder, claims::place(end));
+        let claimed = tokio::time::timeout(CLAIM_TIMEOUT, claiming).await;
         self.waited_since = Instant::now();
-        match claiming {
-            Ok(Ok(Claim::Won { offset })) => {
-                self.context.figures.claimed("won");
-                let term = Term {
-                    group,
-                    service: self.service.clone(),
-                    own: state.rank,
-                    size: state.size,
-                    claim: offset,
-                };
-                Leader::new(self.context.clone(), term).run().await;
-                self.waited_since = Instant::now();
-            }
-            Ok(Ok(Claim::Lost { end: claims })) => {
+        match claimed {
+            Ok(Ok(Claim::Won { place })) => self.lead(group, state, place).await,
+            Ok(Ok(Claim::Lost { end })) => {
                 self.context.figures.claimed("lost");
-                self.note_end(claims);
+                match claims::number(end) {
+                    Some(number) => self.note_end(number),
+                    None => self.unanswered(&group, "more claims than numbers"),
+                }
             }
             Ok(Err(error)) => self.unanswered(&group, &error.to_string()),
             Err(_elapsed) => self.unanswered(&group, "timeout"),
         }
     }
 
+    async fn lead(&mut self, group: String, state: &EngineState, place: Place) {
+        // A claim of a list that has been restored since is none: what stands there now is another one.
+        let number = claims::number(place).filter(|number| self.end.is_none_or(|end| *number >= end));
+        let Some(claim) = number else {
+            self.unanswered(&group, "the claim has no number, or is older than what is known");
+            return;
+        };
+        self.context.figures.claimed("won");
+        let term = Term {
+            group,
+            service: self.service.clone(),
+            own: state.rank,
+            size: state.size,
+            claim,
+        };
+        Leader::new(self.context.clone(), term).run().await;
+        self.waited_since = Instant::now();
+    }
+
     fn unanswered(&self, group: &str, error: &str) {
         self.context.figures.claimed("unanswered");
         log::info!(target: DECISION, decision = "claim_failed", group, error; "no answer to a claim");
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -66,7 +66,7 @@
     pub(crate) service: String,
     pub(crate) own: usize,
     pub(crate) size: usize,
-    /// Offset of the claim.
+    /// Number of the claim.
     pub(crate) claim: u64,
 }
 
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -25,7 +25,7 @@
 mod standby;
 
 pub use bandwidth::Bandwidth;
-pub use claims::{Claim, Claims, Error as ClaimError};
+pub use claims::{Claim, Claims, Error as ClaimError, number as claim_number, place as claim_place};
 pub use distant::Distant;
 pub use engine::{Counts, Engine, EngineError, EngineState, Engines, Held};
 pub use inquiry::{Verdict, verdict};
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -43,7 +43,7 @@
     pub(crate) group: String,
     /// Rank that the conductor takes the agent's engine for.
     pub(crate) rank: usize,
-    /// Offset of the claim by which it leads.
+    /// Number of the claim by which it leads.
     pub(crate) claim: u64,
 }
 
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -12,6 +12,7 @@
     Bandwidth, Claim, ClaimError, Claims, Counts, Engine, EngineError, EngineState, Engines, Held, Parts, Settings,
     start,
 };
+use sparscale_history::Place;
 use sparscale_place::barrier::{Act, Answer, Change, Order, View};
 use sparscale_place::{Map, Shape};
 use sparscale_samples as samples;
@@ -53,6 +54,8 @@
     pub mixed: bool,
     pub changes: u32,
     pub claims: Vec<String>,
+    /// How often the list of claims came back from an older copy.
+    pub era: u64,
     /// When claims were lost.
     pub lost_claims: Vec<Instant>,
     /// Agents (by rank) that stand still once they have placed a hold.
@@ -324,7 +327,7 @@
     async fn read(&mut self) -> Result<Reading<T>, SourceError> {
         Ok(Reading {
             value: Arc::clone(&self.0),
-            position: 1,
+            position: 1.into(),
         })
     }
 }
@@ -333,15 +336,15 @@
 
 #[async_trait]
 impl Claims for Listed {
-    async fn claim(&mut self, _group: &str, holder: &str, end: u64) -> Result<Claim, ClaimError> {
+    async fn claim(&mut self, _group: &str, holder: &str, end: Place) -> Result<Claim, ClaimError> {
         let mut group = self.0.lock();
-        let standing = group.claims.len() as u64;
-        if standing != end || group.others_lead {
+        let standing = Place::new(group.era, group.claims.len() as u64);
+        if standing.offset != end.offset || group.others_lead {
             group.lost_claims.push(Instant::now());
             return Ok(Claim::Lost { end: standing });
         }
         group.claims.push(holder.to_owned());
-        Ok(Claim::Won { offset: standing })
+        Ok(Claim::Won { place: standing })
     }
 }
 
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -67,6 +67,38 @@
     end(agents);
 }
 
+/// The list of claims comes back from an older copy without those of conductors that led: when the present one is gone the
+/// next one is found all the same, and the engines obey it.
+#[test]
+fn claims_forgotten() {
+    let world = World::new(21);
+    world.lock().claims = vec!["before".to_owned(); 3];
+    let mut agents = agents(&world);
+    world.wait("a change of map", |group| group.changes >= 1);
+    let leader = world.lock().claims.last().cloned().expect("a claim");
+    let rank: usize = leader
+        .rsplit('/')
+        .next()
+        .and_then(|rank| rank.parse().ok())
+        .expect("a rank");
+    {
+        let mut group = world.lock();
+        group.claims.truncate(1);
+        group.era += 1;
+    }
+    kill(&mut agents, rank);
+    world.wait("a claim on the restored list", |group| group.claims.len() > 1);
+    agents.insert(rank, world.agent(rank));
+    let changes = world.lock().changes;
+    world.lock().shift();
+    world.wait("a change of map under the next conductor", |group| {
+        group.changes > changes
+    });
+    world.wait("a group that runs", |group| !group.is_held());
+    assert!(!world.lock().mixed);
+    end(agents);
+}
+
 /// The box that has just placed a hold stands still: the group must not stand still with it.
 #[test]
 fn holder_frozen() {
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -161,7 +161,7 @@
         decision = "refuse",
         request = head.id_text(),
         reason = refusal.reason.name(),
-        version = catalog.as_ref().map(|belief| belief.position),
+        version = catalog.as_ref().map(|belief| belief.position.offset),
         age_ms = catalog.map(|belief| belief.age(board.now()).as_millis() as u64);
         "refused"
     );
--- a/crates/sparscale_gateway/src/figures.rs
+++ b/crates/sparscale_gateway/src/figures.rs
@@ -112,7 +112,7 @@
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
         catalog_age.set(seconds(board.catalog_age()));
         roster_age.set(seconds(board.roster_age()));
-        version.set(board.catalog().map_or(0.0, |belief| belief.position as f64));
+        version.set(board.catalog().map_or(0.0, |belief| belief.position.offset as f64));
         place.set(line.borrow().place as f64);
         entries.set(line.borrow().entries as f64);
         connections.set(progress.connections.load(Ordering::Relaxed) as f64);
--- a/crates/sparscale_gateway/tests/path/beliefs.rs
+++ b/crates/sparscale_gateway/tests/path/beliefs.rs
@@ -85,7 +85,10 @@
     wait("the catalog to be too old", || {
         world.ask(&Request::new("GET", "/any/x", "r-1")).status == 503
     });
-    assert_eq!(world.entry.board.catalog().map(|belief| belief.position), Some(5));
+    assert_eq!(
+        world.entry.board.catalog().map(|belief| belief.position),
+        Some(5.into())
+    );
 }
 
 /// An entry that knows no catalog promises nothing about routes and keys.
@@ -111,7 +114,11 @@
     let next = sparscale_catalog::Roster::new(vec![gone.targets[0].clone(), both.targets[1].clone()]);
     world.rosters.put(next, 2);
     wait("the roster", || {
-        world.entry.board.targets().is_some_and(|belief| belief.position == 2)
+        world
+            .entry
+            .board
+            .targets()
+            .is_some_and(|belief| belief.position == 2.into())
     });
     let before = leaves.arrivals().len();
     for round in 0..10 {
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -52,7 +52,7 @@
         })?;
         Ok(Reading {
             value: Arc::clone(&held.value),
-            position: held.position,
+            position: held.position.into(),
         })
     }
 }
@@ -67,7 +67,7 @@
         let kept = self.0.lock().expect("no panic");
         Ok(Reading {
             value: Arc::new(kept.clone()),
-            position: kept.len() as u64,
+            position: (kept.len() as u64).into(),
         })
     }
 }
--- a/crates/sparscale_gateway/tests/path/returned.rs
+++ b/crates/sparscale_gateway/tests/path/returned.rs
@@ -28,7 +28,7 @@
     world.rosters.put(list, position);
     wait("the list", || {
         let known = world.entry.board.targets();
-        known.is_some_and(|belief| belief.position == position)
+        known.is_some_and(|belief| belief.position == position.into())
     });
 }
 
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -9,6 +9,7 @@
 use sparscale_belief::Belief;
 use sparscale_catalog::{Catalog, Document, Roster};
 use sparscale_clock::Moment;
+use sparscale_history::Place;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, KnownRoster, Receiver, Role, Sender};
@@ -52,8 +53,8 @@
     stamps: Stamps,
     /// The other side, once it has named itself.
     peer: Option<SocketAddr>,
-    their_catalog: u64,
-    their_roster: u64,
+    their_catalog: Place,
+    their_roster: Place,
     /// What the other side asked for.
     owes: Request,
     /// What to ask the other side for.
@@ -78,8 +79,8 @@
             mesh,
             role,
             peer: None,
-            their_catalog: 0,
-            their_roster: 0,
+            their_catalog: Place::default(),
+            their_roster: Place::default(),
             owes: Request::default(),
             wants: Request::default(),
             sent_roster: None,
@@ -350,9 +351,9 @@
 
     fn offer_catalog(&mut self, known: Known, as_of: Moment, source: &str) {
         let pending = self.pending_catalog.as_ref();
-        match pending.filter(|catalog| catalog.version() == known.position) {
+        match pending.filter(|catalog| Place::from(catalog.version()) == known.position) {
             Some(catalog) => self.mesh.board.offer_catalog(Arc::clone(catalog), as_of, source),
-            None => self.mesh.board.confirm_catalog(known.position, as_of),
+            None => self.mesh.board.confirm_catalog(known.position.offset, as_of),
         };
     }
 
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -8,6 +8,7 @@
 
 use sparscale_belief::Board;
 use sparscale_clock::Moment;
+use sparscale_history::Place;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Ask, Channel, Endpoint, Frame, GroupLoad, Peer, Role};
 use tokio::sync::watch;
@@ -80,11 +81,11 @@
 
 /// Position that an entry was asked for last, and when.
 #[derive(Debug, Default)]
-struct Asked(Mutex<Option<(u64, Instant)>>);
+struct Asked(Mutex<Option<(Place, Instant)>>);
 
 impl Asked {
     /// Notes a question, unless an entry was asked for this position or a later one a moment ago.
-    fn ask(&self, position: u64) -> bool {
+    fn ask(&self, position: Place) -> bool {
         let now = Instant::now();
         let mut asked = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if asked.is_some_and(|(of, at)| of >= position && now < at + ASK_TIMEOUT) {
@@ -288,13 +289,13 @@
     }
 
     /// Whether to ask an entry for its catalog, of this version. An agent is told without asking.
-    pub(crate) fn may_ask_catalog(&self, version: u64) -> bool {
+    pub(crate) fn may_ask_catalog(&self, version: Place) -> bool {
         let known = self.board.catalog().map(|belief| belief.position);
         self.settings.role == Role::Entry && known < Some(version) && self.asked_catalog.ask(version)
     }
 
     /// The same for its roster, at this position.
-    pub(crate) fn may_ask_roster(&self, position: u64) -> bool {
+    pub(crate) fn may_ask_roster(&self, position: Place) -> bool {
         let known = self.board.told_roster().map(|belief| belief.position);
         self.settings.role == Role::Entry && known < Some(position) && self.asked_roster.ask(position)
     }
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -98,7 +98,7 @@
     let heard = third.board.told_roster();
     assert_eq!(
         heard.map(|belief| (belief.position, belief.value)),
-        Some((9, Arc::new(samples::roster())))
+        Some((9.into(), Arc::new(samples::roster())))
     );
     let goes_by = third.board.targets().expect("a list of targets").value;
     let targets: Vec<_> = goes_by.seats().iter().map(|seat| seat.target.clone()).collect();
@@ -117,7 +117,7 @@
             .offer_catalog(catalog(samples::document(version)), asked, "test");
         for other in &others {
             let mut catalogs = other.board.catalogs();
-            let told = catalogs.wait_for(|known| known.as_ref().is_some_and(|known| known.position == version));
+            let told = catalogs.wait_for(|known| known.as_ref().is_some_and(|known| known.position == version.into()));
             drop(told.await.expect("a board"));
         }
         // What is still on its way arrives.
@@ -139,7 +139,7 @@
         first.board.offer_roster(roster, position, first.board.now(), "test");
         for other in &others {
             let mut rosters = other.board.target_lists();
-            let told = rosters.wait_for(|known| known.as_ref().is_some_and(|known| known.position == position));
+            let told = rosters.wait_for(|known| known.as_ref().is_some_and(|known| known.position == position.into()));
             drop(told.await.expect("a board"));
         }
         // What is still on its way arrives.
@@ -158,7 +158,11 @@
         first
             .board
             .offer_roster(Arc::new(samples::roster()), position, first.board.now(), "test");
-        while second.board.targets().is_none_or(|known| known.position < position) {
+        while second
+            .board
+            .targets()
+            .is_none_or(|known| known.position < position.into())
+        {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
--- a/crates/sparscale_quarantine/src/register.rs
+++ b/crates/sparscale_quarantine/src/register.rs
@@ -207,6 +207,14 @@
         news
     }
 
+    /// The store may have lost what it had: whatever its next reading does not show is told to it again.
+    pub fn doubt_store(&mut self) {
+        let known = self.cases.values_mut().flat_map(|case| case.ends.values_mut());
+        for known in known.filter(|known| known.source == News::Read) {
+            known.source = News::Told;
+        }
+    }
+
     /// Forgets what is too old to matter, and tells what that was.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Strike> {
         let old = |case: &Case| case.remembered_until_ms() <= now_ms;
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use sparscale_history::Place;
 use sparscale_place::barrier::{Answer, Order, Report};
 use sparscale_place::{Map, Patch, Shape};
 
@@ -47,7 +48,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
     /// Where in its history it stands.
-    pub position: u64,
+    pub position: Place,
     /// Age when this was sent, in milliseconds.
     pub age_ms: u64,
 }
