Targets that are gone may name themselves by their address

Cause: found while tracing refusals: the name of the target at fault was compared with ids alone; this platform names addresses, so no 421 with a name was known as one of a target that is gone, and its refusals counted as sends. Change: a name is an id or an address.

--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -96,12 +96,17 @@
 
 impl Rejection {
     /// Whether it says that `target` is not there any more: another incarnation has its address.
-    pub(crate) fn is_gone(&self, target: &str) -> bool {
-        let other = self.at_fault.as_deref().is_some_and(|at_fault| at_fault != target);
+    pub(crate) fn is_gone(&self, target: &Target) -> bool {
+        let other = self.at_fault.as_deref().is_some_and(|name| !is_named(target, name));
         self.status == StatusCode::MISDIRECTED_REQUEST && !other
     }
 }
 
+/// Whether `name`, an id or an address, is that of `target`.
+pub(crate) fn is_named(target: &Target, name: &str) -> bool {
+    name == target.id || name.parse() == Ok(target.address)
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub(crate) struct Reply {
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -18,7 +18,7 @@
 use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply};
+use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply, is_named};
 use crate::figures::Figures;
 use crate::gate::{Gates, Pass, TAKEN_AFTER};
 use crate::loads::{Loads, Running};
@@ -262,7 +262,7 @@
                 self.loads.note_failure(seat.key);
                 return tries.pass_over(Refusal::retry(Reason::Unreachable, TURNED_AWAY_RETRY), |_| true);
             }
-            Attempt::Refused(rejection) if rejection.is_gone(&seat.target.id) => {
+            Attempt::Refused(rejection) if rejection.is_gone(&seat.target) => {
                 self.loads.note_gone(seat.key);
                 let paid = |tries: &Tries| self.spend(job, tries, Cause::Gone);
                 return tries.pass_over(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY), paid);
@@ -448,12 +448,14 @@
             self.gates.turned_away(&place.group);
         }
         // The target at fault may be another one, on which this one waited.
-        let other = rejection.at_fault.as_deref().filter(|id| *id != seat.target.id);
+        let named = rejection.at_fault.as_deref();
+        let other = named.filter(|name| !is_named(&seat.target, name));
         let at_fault = match other {
-            Some(id) => self
-                .board
-                .targets()
-                .and_then(|targets| Some(targets.value.find_id(id)?.key)),
+            Some(name) => self.board.targets().and_then(|targets| {
+                let mut seats = targets.value.seats().iter();
+                let named = seats.find(|seat| is_named(&seat.target, name));
+                named.map(|seat| seat.key)
+            }),
             None => (rejection.status == StatusCode::MISDIRECTED_REQUEST).then_some(seat.key),
         };
         if let Some(at_fault) = at_fault {
