A request that a group turned away goes on in another one; the exchange split by job

Cause: found by a test over sockets, other_group_serves: a request whose group had just stopped was sent to two of its ranks, turned away twice, and refused, while the other group of its service served.

--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -17,6 +17,13 @@
     }
 }
 
+/// The rank whose agent claimed last.
+fn leader(world: &World) -> usize {
+    let claim = world.lock().claims.last().cloned().expect("a claim");
+    let rank = claim.rsplit('/').next().and_then(|rank| rank.parse().ok());
+    rank.expect("a rank")
+}
+
 #[test]
 fn follows_demand() {
     let world = World::new(1);
@@ -47,12 +54,7 @@
     let world = World::new(3);
     let mut agents = agents(&world);
     world.wait("a change of map", |group| group.changes >= 1);
-    let leader = world.lock().claims.last().cloned().expect("a claim");
-    let rank: usize = leader
-        .rsplit('/')
-        .next()
-        .and_then(|rank| rank.parse().ok())
-        .expect("a rank");
+    let rank = leader(&world);
     kill(&mut agents, rank);
     let claims = world.lock().claims.len();
     world.wait("another claim", |group| group.claims.len() > claims);
@@ -75,12 +77,7 @@
     world.lock().claims = vec!["before".to_owned(); 3];
     let mut agents = agents(&world);
     world.wait("a change of map", |group| group.changes >= 1);
-    let leader = world.lock().claims.last().cloned().expect("a claim");
-    let rank: usize = leader
-        .rsplit('/')
-        .next()
-        .and_then(|rank| rank.parse().ok())
-        .expect("a rank");
+    let rank = leader(&world);
     world.lock().restore_claims(1);
     kill(&mut agents, rank);
     world.wait("a claim on the restored list", |group| group.claims.len() > 1);
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -1,5 +1,8 @@
 //! One request from a caller, from its head to its answer.
 
+mod choice;
+mod leave;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,29 +11,28 @@
 use http::header::HeaderValue;
 use http::{Response, StatusCode};
 use sparscale_belief::Board;
-use sparscale_catalog::{Catalog, Directory, Kind, Route, RouteKey, Seat};
+use sparscale_catalog::{Catalog, Kind, Route, RouteKey, Seat};
 use sparscale_clock::Moment;
 use sparscale_mesh::Mesh;
 use sparscale_policy::budget::{Allowance, Budget, Source};
 use sparscale_policy::silence::Awaited;
 use sparscale_quarantine::{End, Fingerprint};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::RankLoad;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply, is_named};
+use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply};
 use crate::figures::Figures;
-use crate::gate::{Gates, Pass, TAKEN_AFTER};
+use crate::gate::{Gates, TAKEN_AFTER};
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Run;
 use crate::respond::{Answer, CALLER_LEFT, Stream, respond};
 use crate::server::Body;
-use crate::silences::{Silences, Verdict, Wait};
+use crate::silences::{Silences, Wait};
 use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::tries::{Tried, Tries};
-use crate::waiting::{Arrival, Permit, Queues, borne_by_callers, longest_wait};
+use crate::waiting::{Arrival, Permit, Queues, borne_by_callers};
 
 /// When a caller is told to come back after a target turned its request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(200);
@@ -269,6 +271,7 @@
             }
             Attempt::Refused(rejection) => {
                 self.note_rejection(&seat, &rejection);
+                self.leave_group(job, tries);
                 let wait = rejection.retry_after.unwrap_or(TURNED_AWAY_RETRY);
                 tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
             }
@@ -282,33 +285,6 @@
         tries.give_up(Refusal::new(Reason::NoAnswer)).map(Some)
     }
 
-    /// Turns to another group of the service if the request's own does not run and another one does.
-    fn leave_closed_group(&self, job: &Job, tries: &mut Tries) {
-        let (Some(group), Some(service)) = (&tries.group, &tries.service) else {
-            return;
-        };
-        if !self.gates.is_closed(group) {
-            return;
-        }
-        let Some(targets) = self.board.targets() else { return };
-        let groups = targets.value.groups_of(service).into_iter();
-        let runs = |name: &str| !self.gates.is_closed(name) && self.mesh.group(name).is_some();
-        let others: Vec<&str> = groups.map(|other| other.name).filter(|name| runs(name)).collect();
-        if others.is_empty() {
-            return;
-        }
-        let other = others[rand::random_range(0..others.len())];
-        log::info!(target: DECISION, decision = "leave_group", request = job.outbound.head.id_text(), group = group.as_str(), other; "its group does not run");
-        tries.group = Some(other.to_owned());
-    }
-
-    /// Whether the request's group stays closed for longer than it can wait.
-    async fn closed(&self, job: &Job, tries: &Tries) -> bool {
-        let Some(group) = &tries.group else { return false };
-        let until = job.began + longest_wait(job.route().objective, pause_of(job));
-        self.gates.pass(group, until.min(job.outbound.until)).await == Pass::Closed
-    }
-
     /// Sends once, up to a whole answer or the first event. A target that turns out to hold its group back, or that is
     /// silent while others are heard, is left if the request may go elsewhere: each pass of the group would wait for
     /// the one, and the caller in vain for the other.
@@ -354,115 +330,6 @@
         }
     }
 
-    /// Whether a request may leave `target`, on which it runs, for another one after `sends` sends; if so, the next one is
-    /// paid for.
-    pub(crate) fn may_leave(&self, job: &Job, target: &str, sends: usize, tries: &Tries) -> bool {
-        let elsewhere = job.outbound.may_repeat && sends < job.route().attempts as usize;
-        let left = elsewhere && self.spend(job, tries, Cause::LeftSlow);
-        log::info!(target: DECISION, decision = "leave_slow", request = job.outbound.head.id_text(), at = target, left; "its target holds the group back");
-        left
-    }
-
-    /// The same for a target that is silent. It gets no more requests of this entry for a while.
-    pub(crate) fn may_leave_silent(
-        &self,
-        job: &Job,
-        seat: &Seat,
-        verdict: Verdict,
-        sends: usize,
-        tries: &Tries,
-    ) -> bool {
-        self.loads.note_failure(seat.key);
-        let elsewhere = job.outbound.may_repeat && sends < job.route().attempts as usize;
-        let left = elsewhere && self.spend(job, tries, Cause::LeftSilent);
-        let evidence = verdict.evidence;
-        let millis = |time: Duration| time.as_millis() as u64;
-        log::info!(
-            target: DECISION,
-            decision = "leave_silent",
-            request = job.outbound.head.id_text(),
-            at = seat.target.id.as_str(),
-            awaited = evidence.awaited.name(),
-            word = evidence.word.name(),
-            silence_ms = millis(verdict.silence),
-            limit_ms = evidence.limit().map(millis),
-            usual_ms = evidence.usual.map(millis),
-            others_heard_ms = evidence.others_heard.map(millis),
-            may_repeat = job.outbound.may_repeat,
-            left;
-            "its target is silent"
-        );
-        left
-    }
-
-    fn next_target(&self, job: &Job, tries: &mut Tries) -> Option<Seat> {
-        let targets = self.board.targets()?.value;
-        if tries.service.is_none() {
-            tries.service = self.service(job, &targets);
-        }
-        let service = tries.service.clone()?;
-        let reported = |seat: &Seat| self.reported(seat);
-        let choose = |tried: &Tried, group: Option<&str>| {
-            self.loads
-                .choose(&targets, &service, group, tried, &self.hall, reported)
-        };
-        let in_group = tries
-            .group
-            .as_deref()
-            .and_then(|group| choose(&tries.tried, Some(group)));
-        let untried = in_group.or_else(|| choose(&tries.tried, None));
-        // All were tried: what may run more than once may go to one of them again.
-        untried.or_else(|| {
-            job.outbound
-                .may_repeat
-                .then(|| choose(&Tried::default(), None))
-                .flatten()
-        })
-    }
-
-    /// Load of a rank as its group's conductor told it; none of one that the conductor does not hear. Of one that has
-    /// started since nothing is known but that it has no requests yet.
-    fn reported(&self, seat: &Seat) -> Option<RankLoad> {
-        let place = seat.target.membership.as_ref()?;
-        let group = self.mesh.group(&place.group)?;
-        group.ranks.get(place.rank).copied().flatten()?;
-        let start = seat.target.start_mark();
-        let load = group.rank(place.rank, start);
-        Some(load.unwrap_or(RankLoad {
-            start,
-            ..RankLoad::default()
-        }))
-    }
-
-    /// The service whose turn it is on the route; one without targets is passed over.
-    fn service(&self, job: &Job, targets: &Directory) -> Option<String> {
-        let shares = &job.route().shares;
-        let there = |service: &str| targets.of_service(service).next().is_some();
-        self.splits.next(&job.route().name, shares, there)
-    }
-
-    fn note_rejection(&self, seat: &Seat, rejection: &Rejection) {
-        if let Some(place) = &seat.target.membership
-            && rejection.status == StatusCode::SERVICE_UNAVAILABLE
-        {
-            self.gates.turned_away(&place.group);
-        }
-        // The target at fault may be another one, on which this one waited.
-        let named = rejection.at_fault.as_deref();
-        let other = named.filter(|name| !is_named(&seat.target, name));
-        let at_fault = match other {
-            Some(name) => self.board.targets().and_then(|targets| {
-                let mut seats = targets.value.seats().iter();
-                let named = seats.find(|seat| is_named(&seat.target, name));
-                named.map(|seat| seat.key)
-            }),
-            None => (rejection.status == StatusCode::MISDIRECTED_REQUEST).then_some(seat.key),
-        };
-        if let Some(at_fault) = at_fault {
-            self.loads.note_failure(at_fault);
-        }
-    }
-
     /// A send without a whole answer: final unless the request may run again.
     async fn lost(&self, job: &Job, seat: &Seat, loss: Loss, tries: &mut Tries) -> Result<(), Refusal> {
         self.loads.note_failure(seat.key);
--- /dev/null
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -0,0 +1,116 @@
+//! Which group and target take the next send of a request.
+
+use http::StatusCode;
+use sparscale_catalog::{Directory, Seat};
+use sparscale_telemetry::DECISION;
+use sparscale_wire::RankLoad;
+
+use super::{Gateway, Job, pause_of};
+use crate::attempt::{Rejection, is_named};
+use crate::gate::Pass;
+use crate::tries::{Tried, Tries};
+use crate::waiting::longest_wait;
+
+impl Gateway {
+    /// Turns to another group of the service if the request's own does not run.
+    pub(super) fn leave_closed_group(&self, job: &Job, tries: &mut Tries) {
+        if tries.group.as_ref().is_some_and(|group| self.gates.is_closed(group)) {
+            self.leave_group(job, tries);
+        }
+    }
+
+    /// Turns to another group of the service, if one runs: two ranks of a group that has just stopped would both turn the
+    /// request away, and a route allows only so many sends.
+    pub(super) fn leave_group(&self, job: &Job, tries: &mut Tries) {
+        let (Some(group), Some(service)) = (&tries.group, &tries.service) else {
+            return;
+        };
+        let Some(targets) = self.board.targets() else { return };
+        let groups = targets.value.groups_of(service).into_iter();
+        let runs = |name: &str| name != group && !self.gates.is_closed(name) && self.mesh.group(name).is_some();
+        let others: Vec<&str> = groups.map(|other| other.name).filter(|name| runs(name)).collect();
+        if others.is_empty() {
+            return;
+        }
+        let other = others[rand::random_range(0..others.len())];
+        log::info!(target: DECISION, decision = "leave_group", request = job.outbound.head.id_text(), group = group.as_str(), other; "its group turns requests away");
+        tries.group = Some(other.to_owned());
+    }
+
+    /// Whether the request's group stays closed for longer than it can wait.
+    pub(super) async fn closed(&self, job: &Job, tries: &Tries) -> bool {
+        let Some(group) = &tries.group else { return false };
+        let until = job.began + longest_wait(job.route().objective, pause_of(job));
+        self.gates.pass(group, until.min(job.outbound.until)).await == Pass::Closed
+    }
+
+    /// The target for the next send: one of the request's group that was not tried, or else any.
+    pub(super) fn next_target(&self, job: &Job, tries: &mut Tries) -> Option<Seat> {
+        let targets = self.board.targets()?.value;
+        if tries.service.is_none() {
+            tries.service = self.service(job, &targets);
+        }
+        let service = tries.service.clone()?;
+        let reported = |seat: &Seat| self.reported(seat);
+        let choose = |tried: &Tried, group: Option<&str>| {
+            self.loads
+                .choose(&targets, &service, group, tried, &self.hall, reported)
+        };
+        let in_group = tries
+            .group
+            .as_deref()
+            .and_then(|group| choose(&tries.tried, Some(group)));
+        let untried = in_group.or_else(|| choose(&tries.tried, None));
+        // All were tried: what may run more than once may go to one of them again.
+        untried.or_else(|| {
+            job.outbound
+                .may_repeat
+                .then(|| choose(&Tried::default(), None))
+                .flatten()
+        })
+    }
+
+    /// Load of a rank as its group's conductor told it; none of one that the conductor does not hear. Of one that has
+    /// started since nothing is known but that it has no requests yet.
+    fn reported(&self, seat: &Seat) -> Option<RankLoad> {
+        let place = seat.target.membership.as_ref()?;
+        let group = self.mesh.group(&place.group)?;
+        group.ranks.get(place.rank).copied().flatten()?;
+        let start = seat.target.start_mark();
+        let load = group.rank(place.rank, start);
+        Some(load.unwrap_or(RankLoad {
+            start,
+            ..RankLoad::default()
+        }))
+    }
+
+    /// The service whose turn it is on the route; one without targets is passed over.
+    pub(super) fn service(&self, job: &Job, targets: &Directory) -> Option<String> {
+        let shares = &job.route().shares;
+        let there = |service: &str| targets.of_service(service).next().is_some();
+        self.splits.next(&job.route().name, shares, there)
+    }
+
+    /// Notes what a target said of itself, or of another one, as it turned a request away.
+    pub(super) fn note_rejection(&self, seat: &Seat, rejection: &Rejection) {
+        if let Some(place) = &seat.target.membership
+            && rejection.status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            self.gates.turned_away(&place.group);
+        }
+        // The target at fault may be another one, on which this one waited.
+        let named = rejection.at_fault.as_deref();
+        let other = named.filter(|name| !is_named(&seat.target, name));
+        let at_fault = match other {
+            Some(name) => self.board.targets().and_then(|targets| {
+                let mut seats = targets.value.seats().iter();
+                let named = seats.find(|seat| is_named(&seat.target, name));
+                named.map(|seat| seat.key)
+            }),
+            None => (rejection.status == StatusCode::MISDIRECTED_REQUEST).then_some(seat.key),
+        };
+        if let Some(at_fault) = at_fault {
+            self.loads.note_failure(at_fault);
+        }
+    }
+}
--- a/crates/sparscale_gateway/tests/path/groups.rs
+++ b/crates/sparscale_gateway/tests/path/groups.rs
@@ -234,3 +234,49 @@
     let asked = |target: &Target| target.arrivals().len();
     assert!(asked(&targets[0]) <= 1 && asked(&targets[1]) <= 1);
 }
+
+/// A service of two groups, one of which does not run: the other serves all its callers, and few meet the one that is closed.
+///
+/// The line and the gate of a service were those of one of its groups: while that one was closed, nobody was served.
+#[test]
+fn other_group_serves() {
+    let turned_away = Arc::new(AtomicUsize::new(0));
+    let serving = || Target::start(|arrival, wire| serve_from(arrival, wire, 0));
+    let closed = || {
+        let turned_away = Arc::clone(&turned_away);
+        Target::start(move |arrival, wire| {
+            turned_away.fetch_add(1, Ordering::SeqCst);
+            wire.refuse(arrival);
+        })
+    };
+    let targets = [serving(), serving(), closed(), closed()];
+    let listed: Vec<&Target> = targets.iter().collect();
+    let world = World::new(&[], &listed);
+    let mut ranks = roster(&[], &listed).targets;
+    for (index, target) in ranks.iter_mut().enumerate() {
+        target.membership = Some(Membership {
+            group: if index < 2 { "a" } else { "z" }.to_owned(),
+            rank: index % 2,
+            size: 2,
+            open: true,
+        });
+    }
+    world.rosters.put(Roster::new(ranks), 2);
+    wait("both groups", || {
+        let belief = world.entry.board.targets();
+        belief.is_some_and(|belief| belief.value.groups_of(samples::MODEL).len() == 2)
+    });
+    for group in ["a", "z"] {
+        let told = GroupLoad {
+            group: group.to_owned(),
+            ..load(1, &[1_000; 2])
+        };
+        world.entry.mesh.offer_group(told, true);
+    }
+    for round in 0..30 {
+        let answer = world.ask(&Request::new("POST", "/stream/x", &format!("r-{round}")));
+        assert_eq!((answer.status, answer.whole), (200, true), "round {round}");
+    }
+    let met = turned_away.load(Ordering::SeqCst);
+    assert!(met <= 10, "{met} met the closed group");
+}
