Many groups: what each request and each news of loads costs an entry

Each request worked the groups of its service out of all targets, and each news of one group's loads, some 1,250 a second, went through all targets and took all groups' loads in. Change: groups are worked out once a list of targets; news are looked at 50 times a second at most.

--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -30,6 +30,8 @@
     /// Ordered by id, as in the roster.
     seats: Vec<Seat>,
     index: HashMap<Incarnation, usize>,
+    /// Groups of each service, with their ranks. Each request asks for them, so they are worked out once a list.
+    groups: HashMap<String, Vec<(String, usize)>>,
 }
 
 impl Directory {
@@ -44,7 +46,8 @@
         let index = keys.iter().enumerate().map(|(index, key)| (*key, index)).collect();
         keys.sort_unstable();
         starts.retain(&keys);
-        Self { seats, index }
+        let groups = groups(&seats);
+        Self { seats, index, groups }
     }
 
     /// All targets.
@@ -98,23 +101,9 @@
 
     /// The groups that the targets of `service` make up, in order of their names: those that most of their ranks name, or
     /// the one that is named most often. An entry of another writer makes no group.
-    pub fn groups_of(&self, service: &str) -> Vec<Group<'_>> {
-        let mut votes: BTreeMap<Group<'_>, usize> = BTreeMap::new();
-        let ours = self.seats.iter().filter(|seat| seat.target.service == service);
-        for place in ours.filter_map(|seat| seat.target.membership.as_ref()) {
-            *votes.entry(Group::from(place)).or_default() += 1;
-        }
-        let Some(most) = votes.values().copied().max() else {
-            return Vec::new();
-        };
-        // Of two that are named by equally few, the last stands.
-        let named_most = votes.iter().rev().find(|(_, votes)| **votes == most);
-        let named_most = named_most.map(|(group, _)| *group);
-        let stands = |group: &Group<'_>, votes: usize| {
-            Some(*group) == named_most || (votes * 2 > group.size && votes * 2 > most)
-        };
-        let standing = votes.iter().filter(|(group, votes)| stands(group, **votes));
-        standing.map(|(group, _)| *group).collect()
+    pub fn groups_of(&self, service: &str) -> impl Iterator<Item = Group<'_>> {
+        let groups = self.groups.get(service).into_iter().flatten();
+        groups.map(|(name, size)| Group { name, size: *size })
     }
 
     /// The service whose targets make up the group called `group`: the one that most of them name, and the group's ranks.
@@ -140,3 +129,34 @@
         }
     }
 }
+
+/// The groups that targets make up, by service.
+fn groups(seats: &[Seat]) -> HashMap<String, Vec<(String, usize)>> {
+    let mut votes: HashMap<&str, BTreeMap<Group<'_>, usize>> = HashMap::new();
+    for seat in seats {
+        if let Some(place) = &seat.target.membership {
+            let of_service = votes.entry(&seat.target.service).or_default();
+            *of_service.entry(Group::from(place)).or_default() += 1;
+        }
+    }
+    let standing = votes.into_iter().map(|(service, votes)| {
+        let groups = standing(&votes).into_iter();
+        let groups = groups.map(|group| (group.name.to_owned(), group.size));
+        (service.to_owned(), groups.collect())
+    });
+    standing.collect()
+}
+
+/// Of the groups that targets name, so many each, those that are there.
+fn standing<'a>(votes: &BTreeMap<Group<'a>, usize>) -> Vec<Group<'a>> {
+    let Some(most) = votes.values().copied().max() else {
+        return Vec::new();
+    };
+    // Of two that are named by equally few, the last stands.
+    let named_most = votes.iter().rev().find(|(_, votes)| **votes == most);
+    let named_most = named_most.map(|(group, _)| *group);
+    let stands =
+        |group: &Group<'_>, votes: usize| Some(*group) == named_most || (votes * 2 > group.size && votes * 2 > most);
+    let standing = votes.iter().filter(|(group, votes)| stands(group, **votes));
+    standing.map(|(group, _)| *group).collect()
+}
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -207,6 +207,9 @@
     }
 }
 
+/// Pause after news of loads: many groups tell theirs at many times, and each look goes through all targets.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Lets requests in that wait whenever loads were told.
 async fn admit_waiting(gateway: Arc<Gateway>) {
     let mut news = gateway.mesh.group_news();
@@ -230,6 +233,7 @@
                 gateway.queues.refresh(&group, size, engine, pause);
             }
         }
+        tokio::time::sleep(NEWS_PAUSE).await;
     }
 }
 
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -183,7 +183,7 @@
             return Ok(None);
         };
         let spent = self.spent(job);
-        let groups = belief.value.groups_of(service).into_iter();
+        let groups = belief.value.groups_of(service);
         let arrivals = groups.map(|group| Arrival {
             request: job.outbound.head.id_text(),
             group: group.name,
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -26,7 +26,7 @@
             return;
         };
         let Some(targets) = self.board.targets() else { return };
-        let groups = targets.value.groups_of(service).into_iter();
+        let groups = targets.value.groups_of(service);
         let runs = |name: &str| name != group && !self.gates.is_closed(name) && self.mesh.group(name).is_some();
         let others: Vec<&str> = groups.map(|other| other.name).filter(|name| runs(name)).collect();
         if others.is_empty() {
--- a/crates/sparscale_gateway/tests/path/groups.rs
+++ b/crates/sparscale_gateway/tests/path/groups.rs
@@ -264,7 +264,7 @@
     world.rosters.put(Roster::new(ranks), 2);
     wait("both groups", || {
         let belief = world.entry.board.targets();
-        belief.is_some_and(|belief| belief.value.groups_of(samples::MODEL).len() == 2)
+        belief.is_some_and(|belief| belief.value.groups_of(samples::MODEL).count() == 2)
     });
     for group in ["a", "z"] {
         let told = GroupLoad {
--- a/crates/sparscale_gateway/tests/path/returned.rs
+++ b/crates/sparscale_gateway/tests/path/returned.rs
@@ -181,6 +181,6 @@
     tell(&world, Roster::new(list), 2);
     let known = world.entry.board.targets().expect("a list").value;
     let groups = known.groups_of(samples::MODEL);
-    let named: Vec<_> = groups.iter().map(|group| (group.name, group.size)).collect();
+    let named: Vec<_> = groups.map(|group| (group.name, group.size)).collect();
     assert_eq!(named, [("g", 2)]);
 }
