--- a/crates/sparscale_policy/src/silence.rs
+++ b/crates/sparscale_policy/src/silence.rs
@@ -109,7 +109,8 @@
     }
 }
 
-/// Running mean of what targets take; `longest` keeps one straggling answer from passing for what is usual.
+/// Running mean of what targets take. One straggling answer counts for a few times the mean at most, so that it does not pass
+/// for what is usual.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Usual(Option<Duration>);
 
