Many groups: the service of a group is worked out once a list, its limits once a look

By reading: with a line for each of 125 groups, each look after news of loads went through all 3,000 targets and all routes once for each group at whose line requests wait. Change: the service and size of each group are kept with the list; a service's engine and pause are looked up once a look.

--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -32,6 +32,8 @@
     index: HashMap<Incarnation, usize>,
     /// Groups of each service, with their ranks. Each request asks for them, so they are worked out once a list.
     groups: HashMap<String, Vec<(String, usize)>>,
+    /// Service of each group, with the group's ranks.
+    services: HashMap<String, (String, usize)>,
 }
 
 impl Directory {
@@ -46,8 +48,12 @@
         let index = keys.iter().enumerate().map(|(index, key)| (*key, index)).collect();
         keys.sort_unstable();
         starts.retain(&keys);
-        let groups = groups(&seats);
-        Self { seats, index, groups }
+        Self {
+            groups: groups(&seats),
+            services: services(&seats),
+            seats,
+            index,
+        }
     }
 
     /// All targets.
@@ -108,16 +114,8 @@
 
     /// The service whose targets make up the group called `group`: the one that most of them name, and the group's ranks.
     pub fn service_of(&self, group: &str) -> Option<(&str, usize)> {
-        let mut votes: HashMap<(&str, usize), usize> = HashMap::new();
-        for seat in &self.seats {
-            if let Some(place) = seat.target.membership.as_ref().filter(|place| place.group == group) {
-                *votes.entry((seat.target.service.as_str(), place.size)).or_default() += 1;
-            }
-        }
-        votes
-            .into_iter()
-            .max_by_key(|(named, votes)| (*votes, *named))
-            .map(|(named, _)| named)
+        let (service, size) = self.services.get(group)?;
+        Some((service, *size))
     }
 }
 
@@ -147,6 +145,23 @@
     standing.collect()
 }
 
+/// The service that most of the targets of each group name, and the group's ranks.
+fn services(seats: &[Seat]) -> HashMap<String, (String, usize)> {
+    let mut votes: HashMap<&str, HashMap<(&str, usize), usize>> = HashMap::new();
+    for seat in seats {
+        if let Some(place) = &seat.target.membership {
+            let of_group = votes.entry(&place.group).or_default();
+            *of_group.entry((seat.target.service.as_str(), place.size)).or_default() += 1;
+        }
+    }
+    let most = votes.into_iter().filter_map(|(group, votes)| {
+        let most = votes.into_iter().max_by_key(|(named, votes)| (*votes, *named))?;
+        let (service, size) = most.0;
+        Some((group.to_owned(), (service.to_owned(), size)))
+    });
+    most.collect()
+}
+
 /// Of the groups that targets name, so many each, those that are there.
 fn standing<'a>(votes: &BTreeMap<Group<'a>, usize>) -> Vec<Group<'a>> {
     let Some(most) = votes.values().copied().max() else {
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -222,14 +222,18 @@
         for load in gateway.mesh.groups() {
             gateway.silences.note_told(&load);
         }
+        // Looked up once a service: it may have many groups.
+        let mut limits = HashMap::new();
         for group in crowded {
             let Some((name, size)) = targets.value.service_of(&group) else {
                 continue;
             };
-            let service = catalog.value.find_service(name);
-            let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
-            let pause = catalog.value.pause_of(name);
-            if let (Some(engine), Some(pause)) = (engine, pause) {
+            let limits = *limits.entry(name).or_insert_with(|| {
+                let service = catalog.value.find_service(name)?;
+                let engine = catalog.value.service(service).engine.as_ref()?;
+                Some((engine, catalog.value.pause_of(name)?))
+            });
+            if let Some((engine, pause)) = limits {
                 gateway.queues.refresh(&group, size, engine, pause);
             }
         }
