Many groups: a request looks at eight of them, drawn anew

Cause: a request on a service of 125 groups worked out the room of each of them. Change: eight groups, drawn for each request, are compared; services of up to eight groups are as before.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 
 use http::header::HeaderValue;
 use http::{Response, StatusCode};
+use rand::seq::IteratorRandom as _;
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Kind, Route, RouteKey, Seat};
 use sparscale_clock::Moment;
@@ -34,6 +35,9 @@
 use crate::tries::{Tried, Tries};
 use crate::waiting::{Arrival, Permit, Queues, borne_by_callers};
 
+/// Groups of a service that one request looks at, drawn anew for each: of a hundred, the best of a few is nearly as good as the
+/// best, and looking at all would cost an entry more than the request itself.
+const MAX_LOOKED_AT: usize = 8;
 /// When a caller is told to come back after a target turned its request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(200);
 /// When a caller is told to come back if no target is there.
@@ -184,7 +188,8 @@
         };
         let spent = self.spent(job);
         let groups = belief.value.groups_of(service);
-        let arrivals = groups.map(|group| Arrival {
+        let looked_at = groups.choose_multiple(&mut rand::rng(), MAX_LOOKED_AT).into_iter();
+        let arrivals = looked_at.map(|group| Arrival {
             request: job.outbound.head.id_text(),
             group: group.name,
             engine,
