Departures of targets are noted without going through the list once for each target

Each reading of the list compared each of 3,000 targets with each, by copies of their ids: nine million copies a reading. Change: nothing is done where the list is the same; else sets of ids without copies.

--- a/crates/sparscale_belief/src/departed.rs
+++ b/crates/sparscale_belief/src/departed.rs
@@ -1,6 +1,6 @@
 //! Targets that were seen to leave, for a list that comes back from an older copy and shows them again.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use sparscale_catalog::{Roster, Standing, Target};
@@ -22,14 +22,21 @@
     /// Notes what went from one list to the next of the same era, and what was leaving.
     pub(crate) fn note(&mut self, before: &Roster, now: &Roster, at: Moment) {
         self.starts.retain(|_, seen| at.since(*seen) < MEMORY);
-        let is_there = |target: &Target| now.targets.iter().any(|other| start(other) == start(target));
-        let went = before.targets.iter().filter(|target| !is_there(target));
-        let leaving = now.targets.iter().filter(|target| target.standing == Standing::Leaving);
-        let starts = went.chain(leaving).map(|target| (start(target), at));
-        self.starts.extend(starts);
+        // Lists are long and read often, and few readings change them.
+        if before.digest() == now.digest() {
+            return;
+        }
+        let (was_there, is_there) = (starts(before), starts(now));
+        let went = before
+            .targets
+            .iter()
+            .filter(|target| !is_there.contains(&named(target)));
+        let leaving = |target: &&Target| target.standing == Standing::Leaving;
+        let leaving = now.targets.iter().filter(leaving);
+        self.starts
+            .extend(went.chain(leaving).map(|target| (start(target), at)));
         // An entry that is there again in the same era was written again: its target lives.
-        let was_there = |target: &Target| before.targets.iter().any(|other| start(other) == start(target));
-        let back = |target: &&Target| target.standing == Standing::Ready && !was_there(target);
+        let back = |target: &&Target| target.standing == Standing::Ready && !was_there.contains(&named(target));
         for target in now.targets.iter().filter(back) {
             self.starts.remove(&start(target));
         }
@@ -37,6 +44,9 @@
 
     /// `roster`, with those that were seen to leave as leaving; none if it shows none of them as ready.
     pub(crate) fn correct(&self, roster: &Roster, at: Moment) -> Option<Roster> {
+        if self.starts.is_empty() {
+            return None;
+        }
         let left = |target: &Target| {
             let seen = self.starts.get(&start(target));
             target.standing == Standing::Ready && seen.is_some_and(|seen| at.since(*seen) < MEMORY)
@@ -59,3 +69,12 @@
 fn start(target: &Target) -> Start {
     (target.id.clone(), target.born_ms)
 }
+
+/// The same without a copy of the id.
+fn named(target: &Target) -> (&str, Option<u64>) {
+    (&target.id, target.born_ms)
+}
+
+fn starts(roster: &Roster) -> HashSet<(&str, Option<u64>)> {
+    roster.targets.iter().map(named).collect()
+}
