--- a/crates/sparscale_board/src/board.rs
+++ b/crates/sparscale_board/src/board.rs
@@ -106,8 +106,10 @@
     pub hints: Hints,
     /// Counter of this entry's last request there.
     pub last_sent: u64,
-    /// Not to be used before this time, after a failure.
-    pub avoid_until: Duration,
+    /// Not to be used before this time: its agent could not be reached.
+    avoid_until: Duration,
+    /// Not to be used before this time: its agent turned work away whatever the work is.
+    refuses_until: Duration,
     reported_at: Option<Duration>,
     /// Requests of this entry that have not ended.
     sent: VecDeque<Sent>,
@@ -376,6 +378,21 @@
         }
     }
 
+    /// Notes that the agent of the target under `key` takes no work at all for `pause`. A load report does not end this: an
+    /// agent reports on and on beside a target that is gone.
+    pub fn note_refusal(&mut self, key: TargetKey, pause: Duration, now: Duration) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.refuses_until = now + pause;
+        }
+    }
+
+    /// Notes that the target under `key` answers.
+    pub fn note_answer(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.refuses_until = Duration::ZERO;
+        }
+    }
+
     fn observe_step(&mut self, key: TargetKey) {
         let Some(target) = self.targets.get(key) else { return };
         let Some((group, _)) = target.rank else { return };
@@ -425,7 +442,12 @@
 
     /// Whether new work may go there now.
     pub fn takes_work(&self, now: Duration) -> bool {
-        self.standing == Standing::Live && !self.load.draining && self.address.is_some() && now >= self.avoid_until
+        self.standing == Standing::Live && !self.load.draining && self.address.is_some() && now >= self.usable_at()
+    }
+
+    /// When a target that failed or turned work away may be tried again.
+    pub fn usable_at(&self) -> Duration {
+        self.avoid_until.max(self.refuses_until)
     }
 }
 
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -143,7 +143,7 @@
                 self.note_ended(&sent);
             }
             if matches!(&began, Began::Failed(Failure::Ended { .. })) {
-                self.quarantine.note_end(job, &sent);
+                self.quarantine.note_end(job, &sent).await;
             }
             let problem = match began {
                 Began::Live(live) => return Ok(*live),
@@ -285,6 +285,7 @@
             let Frame::Answer(answer) = frame else { continue };
             match assembly.accept(answer) {
                 Step::Head(head) => {
+                    self.board.lock().note_answer(sent.target);
                     self.note_load(sent, &head.load);
                     guard.disarm();
                     let live = Live::new(Arc::clone(self), Arc::clone(job), sent.clone(), assembly, channel, head);
@@ -433,7 +434,12 @@
             | RefusalReason::LedgerFull
             | RefusalReason::Tombstone
             | RefusalReason::TargetDown
-            | RefusalReason::NotReady => Ok(busy("No target takes the request", "it was not handed on")),
+            | RefusalReason::NotReady => {
+                // Else the nearest targets are chosen again and again while they are down, and none further away.
+                let now = self.board.now();
+                self.board.lock().note_refusal(sent.target, after, now);
+                Ok(busy("No target takes the request", "it was not handed on"))
+            }
         }
     }
 }
--- a/crates/sparscale_entry/src/live.rs
+++ b/crates/sparscale_entry/src/live.rs
@@ -106,7 +106,7 @@
             }
             Step::Failed(failure) => {
                 if matches!(failure, Failure::Ended { .. }) {
-                    self.dispatcher.quarantine.note_end(&self.job, &self.sent);
+                    self.dispatcher.quarantine.note_end(&self.job, &self.sent).await;
                 }
                 Err(failed(&self.job, &failure))
             }
--- a/crates/sparscale_entry/src/quarantine.rs
+++ b/crates/sparscale_entry/src/quarantine.rs
@@ -10,6 +10,8 @@
 use sparscale_quarantine::{End, Fingerprint, News, Register, Standing, Strike};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::Call;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::dispatch::{Job, Sent};
 use crate::problem::Problem;
@@ -18,7 +20,10 @@
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause before a strike that the log did not take is appended again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Tries of that: ten minutes of a log that is away. What an entry saw it holds by itself as long as it lives.
+/// Time for which a call waits until the log has its strike. With it come the strikes of all other entries, so a call that
+/// comes through several ends one target more than it may at most; a log that is away holds no call up for longer.
+const STRIKE_WAIT: Duration = Duration::from_secs(1);
+/// Tries to append a strike: ten minutes of a log that is away. What an entry saw it holds by itself as long as it lives.
 const TRIES: u32 = 100;
 
 /// What this entry knows: what it saw itself, and what the log holds.
@@ -53,8 +58,8 @@
         Some(problem.retry_after(hold.left))
     }
 
-    /// Notes that a target ended under a call, and tells the log.
-    pub(crate) fn note_end(&self, job: &Job, sent: &Sent) {
+    /// Notes that a target ended under a call, and tells the log; returns once the log has it, or [`STRIKE_WAIT`] later.
+    pub(crate) async fn note_end(&self, job: &Job, sent: &Sent) {
         let request = fingerprint(job);
         let now_ms = unix_ms();
         let strike = Strike {
@@ -70,7 +75,11 @@
             seen.ends(&request)
         };
         log::info!(target: DECISION, decision = "strike", content = request.short().as_str(), at = sent.name.as_str(), ends; "a target ended under a call");
-        self.tell(vec![strike]);
+        let told = self.tell(vec![strike]);
+        let limit = job.deadline.min(Instant::now() + STRIKE_WAIT);
+        if tokio::time::timeout_at(limit, told).await.is_err() {
+            log::info!(target: DECISION, decision = "strike_late", content = request.short().as_str(); "going on before the log has the strike");
+        }
     }
 
     /// Notes a whole answer to a call.
@@ -85,11 +94,12 @@
         };
         log::info!(target: DECISION, decision = "cleared", content = request.short().as_str(); "the call is answered well: it is not what ended targets");
         let of_call = cleared.into_iter().filter(|strike| strike.request == request);
-        self.tell(of_call.collect());
+        // The answer is there: nobody waits for the log.
+        let _told = self.tell(of_call.collect());
     }
 
     /// Appends strikes, again and again while the log does not take them.
-    fn tell(&self, strikes: Vec<Strike>) {
+    fn tell(&self, strikes: Vec<Strike>) -> JoinHandle<()> {
         let journal = Arc::clone(&self.journal);
         tokio::spawn(async move {
             for strike in strikes {
@@ -102,7 +112,7 @@
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
-        });
+        })
     }
 
     fn seen(&self) -> MutexGuard<'_, Register> {
--- a/crates/sparscale_fleet/tests/process/broken_answers.rs
+++ b/crates/sparscale_fleet/tests/process/broken_answers.rs
@@ -298,3 +298,31 @@
     assert_eq!(fleet.effects(0).await?.len(), 1);
     Ok(())
 }
+
+/// All near targets are gone, their agents live: calls go to those further away, and none is turned away for longer than
+/// an entry needs to hear so.
+#[tokio::test]
+async fn near_targets_down() -> Result<(), Error> {
+    let services = 8;
+    let plan = Plan {
+        services,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start("near-targets-down", plan).await?;
+    for index in (0..services).filter(|index| Plan::hall(*index) == Plan::hall(0)) {
+        fleet.kill(&format!("service-{index}"));
+    }
+    // An entry that knows nothing yet, as one that has just started.
+    fleet.kill("entry-0");
+    fleet.start_entry("entry-0")?;
+    eventually("a call is served", || async {
+        let reply = fleet.call_service("entry-0", "rates", "{}", &[]).await.ok()?;
+        (reply.status == StatusCode::OK).then_some(())
+    })
+    .await?;
+    for turn in 0..20 {
+        let reply = fleet.call_service("entry-0", "rates", "{}", &[]).await?;
+        assert_eq!(reply.status, StatusCode::OK, "call {turn}: {}", reply.text());
+    }
+    Ok(())
+}
--- a/crates/sparscale_fleet/tests/process/crashing_calls.rs
+++ b/crates/sparscale_fleet/tests/process/crashing_calls.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use sparscale_fleet::{Error, Fleet, Plan, eventually};
-use sparscale_standin::DEADLY_BODY;
+use sparscale_standin::{DEADLY_BODY, Fault, LINGER, LINGERING_BODY};
 
 const SERVICES: usize = 6;
 /// Targets that a call may end; after so many it is known.
@@ -57,3 +57,46 @@
     assert!(ended <= MOST_ENDED && later <= ended + 1, "{ended} ended, then {later}");
     Ok(())
 }
+
+/// A log that answers late tells the entries no later than they need it: a call that comes through both at once.
+#[tokio::test]
+async fn held_late() -> Result<(), Error> {
+    let plan = Plan {
+        services: SERVICES,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start("crashing-late", plan).await?;
+    let late = Fault {
+        delay_ms: 200,
+        ..Fault::default()
+    };
+    fleet.fault("log", late).await?;
+    for entry in ["entry-0", "entry-1", "entry-0", "entry-1"] {
+        fleet.call_service(entry, "rates", DEADLY_BODY, &[]).await?;
+    }
+    let ended = (0..SERVICES)
+        .filter(|index| fleet.has_ended(&format!("service-{index}")))
+        .count();
+    assert!(ended <= MOST_ENDED, "{ended} of {SERVICES} ended");
+    Ok(())
+}
+
+/// A target that ends a moment after its connections do counts as ended as well.
+#[tokio::test]
+async fn ends_lingering() -> Result<(), Error> {
+    let plan = Plan {
+        services: SERVICES,
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start("crashing-lingering", plan).await?;
+    for _ in 0..4 {
+        fleet.call_service("entry-0", "rates", LINGERING_BODY, &[]).await?;
+        // By then whatever is to end has ended.
+        tokio::time::sleep(LINGER * 2).await;
+    }
+    let ended = (0..SERVICES)
+        .filter(|index| fleet.has_ended(&format!("service-{index}")))
+        .count();
+    assert!(ended <= MOST_ENDED, "{ended} of {SERVICES} ended");
+    Ok(())
+}
--- a/crates/sparscale_route/src/choice.rs
+++ b/crates/sparscale_route/src/choice.rs
@@ -156,10 +156,7 @@
 fn no_candidate(board: &Board, candidates: &[TargetKey], now: Duration) -> Error {
     const DEFAULT: Duration = Duration::from_secs(1);
     let targets = candidates.iter().filter_map(|key| board.target(*key));
-    let soonest = targets
-        .map(|target| target.avoid_until)
-        .filter(|until| *until > now)
-        .min();
+    let soonest = targets.map(Target::usable_at).filter(|until| *until > now).min();
     Error {
         retry_after: soonest.map_or(DEFAULT, |until| until.saturating_sub(now)),
     }
--- a/crates/sparscale_standin/src/lib.rs
+++ b/crates/sparscale_standin/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod weights;
 
 pub use fault::{Fault, Outage};
-pub use service::DEADLY_BODY;
+pub use service::{DEADLY_BODY, LINGER, LINGERING_BODY};
--- a/crates/sparscale_standin/src/service.rs
+++ b/crates/sparscale_standin/src/service.rs
@@ -28,6 +28,10 @@
 
 /// Body of a call that ends the process which runs it.
 pub const DEADLY_BODY: &str = "{\"deadly\":true}";
+/// Body of a call whose connection breaks off first, [`LINGER`] before the process that runs it ends.
+pub const LINGERING_BODY: &str = "{\"deadly\":\"later\"}";
+/// Time for which that process still listens.
+pub const LINGER: Duration = Duration::from_millis(100);
 /// What the process then ends with.
 const DEADLY_STATUS: i32 = 3;
 
@@ -61,6 +65,14 @@
         log::warn!("a call ends this process");
         std::process::exit(DEADLY_STATUS);
     }
+    if body.as_bytes() == LINGERING_BODY.as_bytes() {
+        log::warn!("a call ends this process in a moment");
+        tokio::spawn(async {
+            tokio::time::sleep(LINGER).await;
+            std::process::exit(DEADLY_STATUS);
+        });
+        return server::lost();
+    }
     store.faults.before_effect().await?;
     let header = context.request.headers().get("x-request-id");
     let effect = Effect {
