Agent: says that its target does not listen, so no key is bound to it

Cause: key_resend::bound_to_live: with one of two targets gone for 3 s, the first sending under a new key gets 503 not_run "it was not handed on", come back in 1 s, and every later one too, since the key stays bound to the agent whose target is gone. Ruled out: a full ledger (the message of bound_to_live comes from TargetDown, by the agent's log). Change: the agent looks whether its target listens (each second, each 100 ms while it does not, at once after a request met it gone) and reports itself closed meanwhile; 'draining' in load reports becomes 'closed', of which draining is one reason. The looks after a broken answer move to the core, beside it.

--- a/crates/sparscale_agent/src/connection.rs
+++ b/crates/sparscale_agent/src/connection.rs
@@ -126,13 +126,13 @@
     sender.send(&Frame::Answer(AnswerFrame { attempt, part })).await
 }
 
-/// Reports load whenever it changes, as often as the entry asked for; that the agent drains is said at once.
+/// Reports load whenever it changes, as often as the entry asked for; that the agent refuses new work is said at once.
 async fn watch(core: &Core, entry: u64, interval_ms: u64, sender: &mut Sender) -> Result<(), StreamError> {
     let pause = Duration::from_millis(interval_ms.clamp(*LOAD_PAUSE_MS.start(), *LOAD_PAUSE_MS.end()));
-    let mut draining = core.draining();
+    let mut closings = core.closings();
     let mut last = None;
     loop {
-        draining.mark_unchanged();
+        closings.mark_unchanged();
         let load = core.load(entry);
         if last != Some(load) {
             sender.send(&Frame::Load(load)).await?;
@@ -140,7 +140,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            changed = draining.changed() => if changed.is_err() { return Ok(()) },
+            changed = closings.changed() => if changed.is_err() { return Ok(()) },
             () = sender.stopped() => return Ok(()),
         }
     }
--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -45,6 +45,8 @@
     /// Requests that wait or run, by the incarnation of the entry that sent them.
     in_progress: HashMap<u64, u32>,
     draining: bool,
+    /// Whether the target listened when it was last looked at.
+    listening: bool,
     ready: bool,
     engine_load: EngineLoad,
 }
@@ -55,6 +57,10 @@
     keep_until: Instant,
 }
 
+/// Pauses before each look at whether a target has ended under a request: a process that ends closes its connections first,
+/// its socket a moment later. Only answers that broke off wait for this.
+const END_PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(150)];
+
 /// The agent's core.
 pub(crate) struct Core {
     pub(crate) incarnation: u64,
@@ -62,7 +68,7 @@
     engine: Arc<dyn Engine>,
     metrics: Metrics,
     started: Instant,
-    changed: watch::Sender<bool>,
+    changed: watch::Sender<()>,
 }
 
 impl Core {
@@ -72,7 +78,7 @@
             waiting: 0,
             floor_one_in: 0,
         };
-        let (changed, _) = watch::channel(false);
+        let (changed, _) = watch::channel(());
         Self {
             incarnation,
             state: Mutex::new(State {
@@ -82,6 +88,7 @@
                 seen: HashMap::new(),
                 in_progress: HashMap::new(),
                 draining: false,
+                listening: false,
                 ready: false,
                 engine_load: EngineLoad::default(),
             }),
@@ -110,14 +117,40 @@
     /// Refuses new work from now on; entries that watch are told at once.
     pub(crate) fn drain(&self) {
         self.lock().draining = true;
-        self.changed.send_replace(true);
+        self.changed.send_replace(());
     }
 
-    /// Shows whether the agent drains.
-    pub(crate) fn draining(&self) -> watch::Receiver<bool> {
+    /// Tells when the agent begins or ceases to refuse new work.
+    pub(crate) fn closings(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
     }
 
+    /// Whether the target listened when it was last looked at.
+    pub(crate) fn is_listening(&self) -> bool {
+        self.lock().listening
+    }
+
+    /// Notes whether the target listens; entries that watch are told at once.
+    pub(crate) fn set_listening(&self, listening: bool) {
+        let changed = std::mem::replace(&mut self.lock().listening, listening) != listening;
+        if changed {
+            log::info!(target: DECISION, decision = "target", listening; "the target began or ceased to listen");
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Whether nothing listens at the target's address any more.
+    async fn has_ended(&self) -> bool {
+        for pause in END_PAUSES {
+            tokio::time::sleep(pause).await;
+            if !self.engine.listens().await {
+                self.set_listening(false);
+                return true;
+            }
+        }
+        false
+    }
+
     /// Requests that wait or run.
     pub(crate) fn in_progress(&self) -> usize {
         let state = self.lock();
@@ -292,7 +325,7 @@
             // The target may still work on it; a cancel that fails costs only that work.
             let _cancelled = self.engine.cancel(&attempt.id.to_string()).await;
         }
-        let ended = matches!(result, Err(CallError::Lost { .. })) && self.engine.has_ended().await;
+        let ended = matches!(result, Err(CallError::Lost { .. })) && self.has_ended().await;
         self.finish(&attempt, &answer, result, ended, cost, began.elapsed());
         self.dispatch();
     }
@@ -339,6 +372,8 @@
             }
             Err(CallError::NotSent { message }) => {
                 state.ledger.take_back(ledger_id(attempt.id));
+                state.listening = false;
+                self.changed.send_replace(());
                 log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "the target cannot be reached");
                 Part::Refused(self.refusal(&state, attempt.id, RefusalReason::TargetDown, DOWN_RETRY_MS))
             }
@@ -434,7 +469,7 @@
             prefill_tokens: state.engine_load.prefill_tokens,
             step_micros: state.engine_load.step_micros,
             map: state.engine_load.map,
-            draining: state.draining,
+            closed: state.draining || !state.listening,
         }
     }
 
--- a/crates/sparscale_agent/src/engine.rs
+++ b/crates/sparscale_agent/src/engine.rs
@@ -75,8 +75,8 @@
     /// Hands a request on.
     async fn call(&self, attempt: &Attempt) -> Result<Started, CallError>;
 
-    /// Whether nothing listens at the target's address: its process has ended.
-    async fn has_ended(&self) -> bool;
+    /// Whether something listens at the target's address, or may: only a refused connection says that its process has ended.
+    async fn listens(&self) -> bool;
 
     /// Stops a request that may be repeated.
     async fn cancel(&self, request: &str) -> Result<(), CallError>;
--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -20,9 +20,6 @@
 use crate::engine::{CallError, Chunks, Engine, EngineLoad, Numbered, Started};
 use crate::settings::Kind;
 
-/// Pauses before each look at whether the target still listens: a process that ends closes its connections first, its socket
-/// a moment later. Only answers that broke off wait for this.
-const LOOK_PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(150)];
 /// Time that a look at whether the target still listens may take; it is on the same box.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -150,16 +147,10 @@
         })
     }
 
-    async fn has_ended(&self) -> bool {
+    async fn listens(&self) -> bool {
         let address = self.base.strip_prefix("http://").unwrap_or(&self.base);
-        for pause in LOOK_PAUSES {
-            tokio::time::sleep(pause).await;
-            let connecting = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address));
-            if matches!(connecting.await, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused) {
-                return true;
-            }
-        }
-        false
+        let connecting = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address));
+        !matches!(connecting.await, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
     }
 
     async fn cancel(&self, request: &str) -> Result<(), CallError> {
--- a/crates/sparscale_agent/src/program.rs
+++ b/crates/sparscale_agent/src/program.rs
@@ -21,6 +21,10 @@
 
 /// Time between two looks at the target's load.
 const ENGINE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at whether a target that listened still does.
+const LISTEN_PAUSE: Duration = Duration::from_secs(1);
+/// Time between two looks at whether one that is gone is back.
+const RETURN_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two sweeps of old answers.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two looks at whether a draining agent is done.
@@ -78,6 +82,7 @@
     });
     tokio::spawn(follow_limits(Arc::clone(&core), Arc::clone(&process.journal)));
     tokio::spawn(follow_engine(Arc::clone(&core)));
+    tokio::spawn(follow_target(Arc::clone(&core)));
     tokio::spawn(sweep(Arc::clone(&core)));
     tokio::spawn(leave_with_box(Arc::clone(&core), name.clone(), process.boxes.clone()));
     tokio::spawn(connection::accept(service, Arc::clone(&process.endpoint)));
@@ -126,6 +131,25 @@
     }
 }
 
+/// Looks whether the target listens, so that no entry sends work, or binds a key, to one that is gone.
+async fn follow_target(core: Arc<Core>) {
+    let mut closings = core.closings();
+    loop {
+        core.set_listening(core.engine().listens().await);
+        closings.mark_unchanged();
+        let pause = if core.is_listening() {
+            LISTEN_PAUSE
+        } else {
+            RETURN_PAUSE
+        };
+        // A request that found the target gone shortens the pause.
+        let found = tokio::time::timeout(pause, closings.changed()).await;
+        if found.is_ok() {
+            tokio::time::sleep(RETURN_PAUSE).await;
+        }
+    }
+}
+
 async fn sweep(core: Arc<Core>) {
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
--- a/crates/sparscale_board/src/board.rs
+++ b/crates/sparscale_board/src/board.rs
@@ -76,8 +76,8 @@
     pub step_ms: f64,
     /// Number of the expert map in use.
     pub map: u64,
-    /// Whether the agent refuses new work.
-    pub draining: bool,
+    /// Whether the agent refuses new work: it drains, or its target does not listen.
+    pub closed: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -442,7 +442,7 @@
 
     /// Whether new work may go there now.
     pub fn takes_work(&self, now: Duration) -> bool {
-        self.standing == Standing::Live && !self.load.draining && self.address.is_some() && now >= self.usable_at()
+        self.standing == Standing::Live && !self.load.closed && self.address.is_some() && now >= self.usable_at()
     }
 
     /// When a target that failed or turned work away may be tried again.
--- a/crates/sparscale_entry/src/board_control.rs
+++ b/crates/sparscale_entry/src/board_control.rs
@@ -224,6 +224,6 @@
         prefill_tokens: load.prefill_tokens,
         step_ms: f64::from(load.step_micros) / 1_000.0,
         map: load.map,
-        draining: load.draining,
+        closed: load.closed,
     }
 }
--- a/crates/sparscale_fleet/tests/process/key_resend.rs
+++ b/crates/sparscale_fleet/tests/process/key_resend.rs
@@ -1,6 +1,7 @@
 //! Requests that may not be repeated, sent again under one key: one effect, one outcome, whatever happens.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Method, StatusCode};
 use sparscale_fleet::{Error, Fleet, Plan, eventually};
@@ -161,3 +162,17 @@
     assert_eq!(effects_of(&fleet, "{\"y\":1}").await?, 1);
     Ok(())
 }
+
+/// A target that is down gets no new key: the first sending is served by one that is up.
+#[tokio::test]
+async fn bound_to_live() -> Result<(), Error> {
+    let mut fleet = Fleet::start("key-bound-to-live", plan()).await?;
+    fleet.kill("service-0");
+    // Longer than an agent needs to see that its target is gone.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for (entry, key) in [("entry-0", "first"), ("entry-1", "second")] {
+        let reply = send(&fleet, entry, "{\"z\":1}", key).await?;
+        assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    }
+    Ok(())
+}
--- a/crates/sparscale_route/tests/target_choice.rs
+++ b/crates/sparscale_route/tests/target_choice.rs
@@ -135,18 +135,18 @@
         let standings: Vec<Standing> = known.0.iter().map(|(which, ..)| standing(*which)).collect();
         let (mut board, keys) = board(&standings);
         let mut usable = Vec::new();
-        for (key, (which, running, draining, failed)) in keys.iter().zip(&known.0) {
+        for (key, (which, running, closed, failed)) in keys.iter().zip(&known.0) {
             let load = Load {
                 incarnation: 1,
                 running: u32::from(*running),
-                draining: *draining,
+                closed: *closed,
                 ..Load::default()
             };
             board.apply_load(*key, load, NOW);
             if *failed {
                 board.note_failure(*key, NOW);
             }
-            if *which == 0 && !draining && !failed {
+            if *which == 0 && !closed && !failed {
                 usable.push(*key);
             }
         }
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -340,8 +340,8 @@
     pub step_micros: u32,
     /// Number of the expert map in use.
     pub map: u64,
-    /// Whether the agent refuses new work.
-    pub draining: bool,
+    /// Whether the agent refuses new work: it drains, or its target does not listen.
+    pub closed: bool,
 }
 
 /// Log records on their way through a peer.
