Beliefs: a configuration of a restored store waits for peers

Change: while nothing is known, a reading of an era above 0 waits for a peer's word, 400 ms at most; a store that never came back from a copy is believed at once (first_era_trusted), and without peers the process serves within a second (alone_soon). What stays: where no peer is left that knows, the copy's configuration is in force until the operator has written again.

--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -6,6 +6,7 @@
 mod belief;
 mod board;
 mod departed;
+mod doubt;
 mod heard;
 mod lapse;
 mod quarantine;
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -13,6 +13,7 @@
 
 use crate::belief::Change;
 use crate::board::Board;
+use crate::doubt::Doubted;
 use crate::source::{Error, Reading, Source};
 use sparscale_catalog::{Catalog, Roster};
 use sparscale_clock::Moment;
@@ -122,6 +123,7 @@
         let board = Arc::clone(&board);
         move || board.catalog_age()
     };
+    let source = Box::new(Doubted::new(source, Arc::clone(&board)));
     let offer = move |reading: Reading<Catalog>, asked| board.offer_catalog(reading.value, asked, "store");
     keep_young("catalog", source, &pace, &figures, age, offer, now).await;
 }
