Policy: line, room, queue, gate, slow ranks, spent time are decisions without input or output

The decisions on waiting and refusing lay in the gateway between locks, channels and timers, so a load could be replayed only on the bench. Change: line, room, spent and the ranks found slow move to sparscale_policy; the queue before a group and the gate are taken apart into the decision there (queue::Queue, gate::Gate, patience) and what carries it out (waiting.rs, gate.rs, slow.rs). No rule or constant changes: same order, same room, same times. Ruled out: moving the count of requests inside as well; it hangs on permits being dropped, so it goes in as a number. Left in the gateway: admission, refusal (reasons and statuses), loads, tries.

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use snafu::ResultExt as _;
@@ -26,7 +26,6 @@
 use crate::ready;
 use crate::server::{self, Phase, Progress};
 use crate::silences::Silences;
-use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::waiting::Queues;
 
@@ -117,7 +116,7 @@
             sharers: AtomicUsize::new(0),
             started: board.now(),
             gates: Gates::default(),
-            deadlines: Deadlines::default(),
+            deadlines: Mutex::default(),
         });
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
@@ -254,7 +253,8 @@
             let routes = &catalog.value.document().routes;
             let is_there = |name: &str| routes.iter().any(|route| route.name == name);
             gateway.splits.retain(is_there);
-            gateway.deadlines.retain(is_there);
+            let mut deadlines = gateway.deadlines.lock().unwrap_or_else(PoisonError::into_inner);
+            deadlines.retain(is_there);
         }
     }
 }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -17,23 +17,24 @@
 use sparscale_mesh::Mesh;
 use sparscale_policy::budget::{Allowance, Budget, Source};
 use sparscale_policy::silence::Awaited;
+use sparscale_policy::spent::Deadlines;
+use sparscale_policy::{gate, patience};
 use sparscale_quarantine::{End, Fingerprint};
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply};
 use crate::figures::Figures;
-use crate::gate::{Gates, TAKEN_AFTER};
+use crate::gate::Gates;
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Run;
 use crate::respond::{Answer, CALLER_LEFT, Stream, respond};
 use crate::server::Body;
 use crate::silences::{Silences, Wait};
-use crate::spent::Deadlines;
 use crate::split::Splits;
 use crate::tries::{Tried, Tries};
-use crate::waiting::{Arrival, Permit, Queues, borne_by_callers};
+use crate::waiting::{Arrival, Permit, Queues};
 
 /// Groups of a service that one request looks at, drawn anew for each: of a hundred, the best of a few is nearly as good as the
 /// best, and looking at all would cost an entry more than the request itself.
@@ -65,7 +66,7 @@
     /// Whether groups run.
     pub(crate) gates: Gates,
     /// What callers spent on earlier tries.
-    pub(crate) deadlines: Deadlines,
+    pub(crate) deadlines: Mutex<Deadlines>,
 }
 
 /// How a send went.
@@ -144,7 +145,7 @@
     /// Silence after which its caller gives up.
     pub(crate) fn given_up_after(&self) -> Duration {
         match self.route().kind {
-            Kind::Stream { .. } => borne_by_callers(self.route().objective, pause_of(self)),
+            Kind::Stream { .. } => patience::borne_silence(self.route().objective, pause_of(self)),
             Kind::Once | Kind::Repeatable => self.outbound.until.saturating_duration_since(self.began),
         }
     }
@@ -210,9 +211,11 @@
 
     /// Time that the caller spent on tries before this one.
     fn spent(&self, job: &Job) -> Duration {
-        let deadline = job.outbound.head.deadline;
-        let spent = |deadline| self.deadlines.spent(&job.route().name, deadline, job.began);
-        deadline.map(spent).unwrap_or_default()
+        let Some(deadline) = job.outbound.head.deadline else {
+            return Duration::ZERO;
+        };
+        let mut deadlines = self.deadlines.lock().unwrap_or_else(PoisonError::into_inner);
+        deadlines.spent(&job.route().name, deadline, job.began.into_std())
     }
 
     /// Sends until there is an answer or nothing more may be tried.
@@ -296,7 +299,7 @@
     async fn attempt(&self, job: &Job, seat: &Seat, tries: &Tries) -> Attempt {
         let mut sending = std::pin::pin!(self.send(job, seat));
         if let Some(place) = &seat.target.membership {
-            match tokio::time::timeout(TAKEN_AFTER, &mut sending).await {
+            match tokio::time::timeout(gate::TAKEN_AFTER, &mut sending).await {
                 Ok(attempt) => return attempt,
                 Err(_elapsed) => self.gates.taken(&place.group),
             }
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use sparscale_catalog::{Directory, Seat};
+use sparscale_policy::patience;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::RankLoad;
 
@@ -9,7 +10,6 @@
 use crate::attempt::{Rejection, is_named};
 use crate::gate::Pass;
 use crate::tries::{Tried, Tries};
-use crate::waiting::longest_wait;
 
 impl Gateway {
     /// Turns to another group of the service if the request's own does not run.
@@ -40,7 +40,7 @@
     /// Whether the request's group stays closed for longer than it can wait.
     pub(super) async fn closed(&self, job: &Job, tries: &Tries) -> bool {
         let Some(group) = &tries.group else { return false };
-        let until = job.began + longest_wait(job.route().objective, pause_of(job));
+        let until = job.began + patience::longest_wait(job.route().objective, pause_of(job));
         self.gates.pass(group, until.min(job.outbound.until)).await == Pass::Closed
     }
 
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -2,6 +2,13 @@
 //! no clock, socket or lock of its own.
 
 pub mod budget;
+pub mod gate;
 pub mod group;
+pub mod line;
+pub mod patience;
+pub mod queue;
+pub mod room;
 pub mod silence;
+pub mod slow;
+pub mod spent;
 pub mod spread;
--- a/crates/sparscale_gateway/src/line.rs
+++ b/crates/sparscale_policy/src/line.rs
@@ -1,45 +1,25 @@
 //! The line of requests that wait for room in one group.
 //!
+//! Load pattern: more requests come for some seconds than the group serves in time. Served in the order in which they came,
+//! all of them are late a moment later, those that come after the overload included.
+//!
 //! Those that can still be in time go first, by tier and then in the order in which they came. One whose time has run
 //! out is worth as much a moment later, so it goes behind them, until its caller would take the silence for a dead
 //! connection.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
-use tokio::sync::oneshot;
-use tokio::time::Instant;
+use crate::room::Room;
 
 /// Place of a request in the line: its tier, then its number.
 pub type Ticket = (u8, usize);
 
-/// Rooms, in requests.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Room {
-    /// For requests that can still be in time.
-    pub timely: f64,
-    /// For requests that are late already.
-    pub late: f64,
-}
-
-impl Room {
-    /// Nothing is known that speaks against anybody.
-    pub const OPEN: Self = Self {
-        timely: f64::INFINITY,
-        late: f64::INFINITY,
-    };
-
-    /// Adds `requests`, or takes them away.
-    pub fn add(&mut self, requests: f64) {
-        self.timely += requests;
-        self.late += requests;
-    }
-}
-
 /// A request that waits.
 #[derive(Debug)]
 struct Waiter<T> {
     timely_until: Instant,
-    sender: oneshot::Sender<T>,
+    waiter: T,
 }
 
 /// Requests that wait.
@@ -57,11 +37,9 @@
 }
 
 impl<T> Line<T> {
-    /// Lets a request wait that can be in time if it is let in by `timely_until`.
-    pub fn join(&mut self, ticket: Ticket, timely_until: Instant) -> oneshot::Receiver<T> {
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(ticket, Waiter { timely_until, sender });
-        receiver
+    /// Lets a request wait that can be in time if it is let in by `timely_until`; `waiter` is who to tell.
+    pub fn join(&mut self, ticket: Ticket, timely_until: Instant, waiter: T) {
+        self.waiting.insert(ticket, Waiter { timely_until, waiter });
     }
 
     /// Takes a request out that does not wait any more.
@@ -80,7 +58,7 @@
     }
 
     /// Takes out the next request that `room` is for.
-    pub fn next(&mut self, room: Room, now: Instant) -> Option<oneshot::Sender<T>> {
+    pub fn next(&mut self, room: Room, now: Instant) -> Option<T> {
         let first = |late: bool| {
             let found = self
                 .waiting
@@ -90,6 +68,6 @@
         };
         let timely = if room.timely >= 1.0 { first(false) } else { None };
         let ticket = timely.or_else(|| if room.late >= 1.0 { first(true) } else { None })?;
-        self.waiting.remove(&ticket).map(|waiter| waiter.sender)
+        self.waiting.remove(&ticket).map(|waiting| waiting.waiter)
     }
 }
--- /dev/null
+++ b/crates/sparscale_policy/src/queue.rs
@@ -0,0 +1,225 @@
+//! One entry's queue before a group of engines: who is let in, who waits, and who is turned away and until when.
+//!
+//! Load pattern: overload. All entries share the group's room, and each hears late what the others have let in. A request
+//! that is let in beyond the room makes every stream of the group late; one that waits without a chance holds its caller
+//! up, who could have come back when there is room.
+
+use std::time::{Duration, Instant};
+
+use sparscale_catalog::Engine;
+use sparscale_wire::GroupLoad;
+
+use crate::line::{Line, Ticket};
+use crate::patience;
+use crate::room::{self, Room};
+
+/// Least part of the latency objective for which a request may wait and still be in time.
+const WAIT_PART: f64 = 0.4;
+/// Weight of the newest time to a first event in its running mean.
+const FIRST_WEIGHT: f64 = 0.1;
+/// Margin on that mean: such times spread, and a wait that ends in time must leave room for most.
+const FIRST_MARGIN: f64 = 1.5;
+/// Loads that are older than this say nothing: everyone is let in.
+const LOAD_AGE: Duration = Duration::from_millis(900);
+/// Requests that a rank is filled with while nobody tells loads: a group that begins anew deals its experts in turn, and
+/// with more its passes outlast the pauses of streams.
+const UNTOLD_RANK: f64 = 6.0;
+/// Time for which a request is not yet part of what the conductor tells.
+const UNTOLD: Duration = Duration::from_millis(120);
+/// First time after which a refused caller is told to come back; it rises with the queue.
+const MIN_RETRY: Duration = Duration::from_millis(250);
+/// Longest such time.
+const MAX_RETRY: Duration = Duration::from_millis(1_500);
+/// Time for which a request stays in, before any has left.
+const FIRST_STAY: Duration = Duration::from_secs(1);
+
+/// A request, as far as it matters here.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// When it came.
+    pub began: Instant,
+    /// Time in which its first event is due.
+    pub objective: Duration,
+    /// Longest pause between events that its route allows.
+    pub pause: Duration,
+    /// What its caller spent on tries before it; worth counts from the first.
+    pub spent: Duration,
+}
+
+/// What becomes of a request that comes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Decision {
+    /// It is let in.
+    Enter,
+    /// It joins the line.
+    Wait {
+        /// Until when it can be let in and still be in time.
+        timely_until: Instant,
+        /// When it is let in whatever the room is: its time is short by then, and a refusal would come late.
+        limit: Instant,
+    },
+    /// It is turned away.
+    Refuse {
+        /// Time until it would have been let in.
+        expected: Duration,
+        /// When to come back.
+        retry: Duration,
+    },
+}
+
+/// The queue; `T` is who to tell that a request is let in.
+#[derive(Debug)]
+pub struct Queue<T> {
+    /// The loads that `room` was worked out from.
+    order: (u64, u64),
+    told: Instant,
+    /// This entry's share of the room, as last worked out, less what it has let in since.
+    room: Room,
+    /// When this entry let requests in that the conductor may not have told yet.
+    untold: Vec<Instant>,
+    line: Line<T>,
+    /// Mean time for which a request stays in.
+    stay: Duration,
+    /// Mean time from letting a stream in to its first event, once one was seen.
+    first: Option<Duration>,
+}
+
+impl<T> Queue<T> {
+    /// A queue before a group of which nothing is known.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            order: (0, 0),
+            told: now,
+            room: Room::OPEN,
+            untold: Vec::new(),
+            line: Line::default(),
+            stay: FIRST_STAY,
+            first: None,
+        }
+    }
+
+    /// Works the room out anew from `load`, if that is news. Without any for a while it is the room while nobody tells
+    /// loads, as after a restart of all processes: what this entry has let in, `inside`, is known.
+    pub fn refresh(&mut self, load: Option<&GroupLoad>, group: &Group<'_>, inside: usize, now: Instant) {
+        let entries = group.entries.max(1) as f64;
+        if let Some(load) = load.filter(|load| load.order != self.order) {
+            self.order = load.order;
+            self.told = now;
+            self.untold.retain(|let_in| *let_in + UNTOLD > now);
+            let capacity = room::capacity_now(load, group.engine, group.pause);
+            let held = room::held(load);
+            let share = |capacity: f64| (capacity - held) / entries - self.untold.len() as f64;
+            self.room = Room {
+                timely: share(capacity.timely),
+                late: share(capacity.late),
+            };
+        } else if now.saturating_duration_since(self.told) > LOAD_AGE {
+            self.room = Room::alike(UNTOLD_RANK * group.ranks as f64 / entries - inside as f64);
+        }
+    }
+
+    /// Decides about `request` while `inside` requests are in. `lot` is drawn evenly from 0 to 1.
+    pub fn decide(&self, request: &Request, inside: usize, lot: f64, now: Instant) -> Decision {
+        if self.line.is_empty() && self.room.timely >= 1.0 {
+            return Decision::Enter;
+        }
+        let expected = self.expected_wait(inside);
+        let longest = patience::longest_wait(request.objective, request.pause);
+        if now.saturating_duration_since(request.began) + expected > longest {
+            let retry = retry_after(expected, lot);
+            return Decision::Refuse { expected, retry };
+        }
+        let patience = self.patience(request.objective).saturating_sub(request.spent);
+        Decision::Wait {
+            timely_until: request.began + patience,
+            limit: request.began + longest,
+        }
+    }
+
+    /// Lets a request wait in line until [`Queue::next`] gives `waiter` back.
+    pub fn join(&mut self, ticket: Ticket, timely_until: Instant, waiter: T) {
+        self.line.join(ticket, timely_until, waiter);
+    }
+
+    /// Takes a request out of the line that does not wait any more.
+    pub fn give_up(&mut self, ticket: Ticket) {
+        self.line.leave(ticket);
+    }
+
+    /// Takes the next request out of the line that there is room for; [`Queue::admit`] counts it.
+    pub fn next(&mut self, now: Instant) -> Option<T> {
+        self.line.next(self.room, now)
+    }
+
+    /// Counts a request as let in.
+    pub fn admit(&mut self, now: Instant) {
+        self.room.add(-1.0);
+        self.untold.push(now);
+    }
+
+    /// Counts a request that was in as gone after `stayed`.
+    pub fn leave(&mut self, stayed: Duration) {
+        self.room.add(1.0);
+        self.stay = (self.stay * 9 + stayed) / 10;
+    }
+
+    /// Notes that a stream had its first event `took` after it was let in.
+    pub fn first_event(&mut self, took: Duration) {
+        let old = self.first.unwrap_or(took);
+        self.first = Some(old.mul_f64(1.0 - FIRST_WEIGHT) + took.mul_f64(FIRST_WEIGHT));
+    }
+
+    /// Time until a request that joins the line now would be let in: places come free as requests leave.
+    pub fn expected_wait(&self, inside: usize) -> Duration {
+        let room = self.room.timely.max(self.room.late);
+        let ahead = self.line.len() as f64 + 1.0 - room.clamp(-64.0, 0.0);
+        self.stay.mul_f64(ahead / (inside.max(1) as f64))
+    }
+
+    /// The loads that the room was worked out from.
+    pub fn order(&self) -> (u64, u64) {
+        self.order
+    }
+
+    /// Time since they were told.
+    pub fn load_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.told)
+    }
+
+    /// This entry's share of the room.
+    pub fn room(&self) -> Room {
+        self.room
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// How long a request may wait and still have its first event within `objective`: what is left of it after the time
+    /// that the latest streams took from being let in to their first event, with a margin.
+    fn patience(&self, objective: Duration) -> Duration {
+        let least = objective.mul_f64(WAIT_PART);
+        let Some(first) = self.first else { return least };
+        objective.saturating_sub(first.mul_f64(FIRST_MARGIN)).max(least)
+    }
+}
+
+/// The group behind a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Group<'a> {
+    /// What its engines take.
+    pub engine: &'a Engine,
+    /// Longest pause between events that its streams may have.
+    pub pause: Duration,
+    /// Its ranks.
+    pub ranks: usize,
+    /// Entries that share its room, this one included.
+    pub entries: usize,
+}
+
+/// When to come back after a wait that is too long, spread so that those who were refused together do not return
+/// together.
+fn retry_after(expected: Duration, lot: f64) -> Duration {
+    expected.clamp(MIN_RETRY, MAX_RETRY).mul_f64(0.75 + 0.5 * lot)
+}
--- a/crates/sparscale_gateway/src/room.rs
+++ b/crates/sparscale_policy/src/room.rs
@@ -1,5 +1,7 @@
 //! How many more requests a group of engines can take while its streams stay within their pauses.
 //!
+//! Load pattern: a burst, or a shift of demand that makes each pass longer until the next map is in force.
+//!
 //! All ranks of a group advance together, so a pass takes as long as the fullest rank needs. Up to a number of requests
 //! that rises gently; beyond it every stream of the group is late, and since late streams hold their places longer, the
 //! group does not come back by itself. So requests beyond that number wait, or are told when to come back.
@@ -9,8 +11,6 @@
 use sparscale_catalog::Engine;
 use sparscale_wire::{GroupLoad, RankLoad};
 
-use crate::line::Room;
-
 /// Part of the allowed pause that passes may take: the rest is for prompts that are read between, and for the way.
 const PASS_PART: f64 = 0.62;
 /// Part of the allowed pause that a pass may take by the engine's figures, which count prompts as read evenly. Holding
@@ -24,6 +24,37 @@
 /// Least requests a rank is filled with, whatever the figures say: with fewer nothing gets done.
 const MIN_RANK: f64 = 3.0;
 
+/// Rooms, in requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Room {
+    /// For requests that can still be in time.
+    pub timely: f64,
+    /// For requests that are late already.
+    pub late: f64,
+}
+
+impl Room {
+    /// Nothing is known that speaks against anybody.
+    pub const OPEN: Self = Self {
+        timely: f64::INFINITY,
+        late: f64::INFINITY,
+    };
+
+    /// The same for both kinds.
+    pub fn alike(requests: f64) -> Self {
+        Self {
+            timely: requests,
+            late: requests,
+        }
+    }
+
+    /// Adds `requests`, or takes them away.
+    pub fn add(&mut self, requests: f64) {
+        self.timely += requests;
+        self.late += requests;
+    }
+}
+
 /// Requests that the ranks of `load` may hold in all, waiting ones included.
 ///
 /// The engine's own figures tell how a pass grows with the requests of a rank; the latest passes tell what they take
@@ -73,7 +104,7 @@
 pub fn capacity_now(load: &GroupLoad, engine: &Engine, pause: Duration) -> Room {
     let late = capacity(load, engine, pause);
     if load.skew < 1.0 || load.pass_micros == 0 {
-        return Room { timely: late, late };
+        return Room::alike(late);
     }
     let ranks = load.ranks.len() as f64;
     // A slow rank without requests has nothing of its own to do in a pass.
@@ -92,8 +123,7 @@
     while requests > 0.0 && pass(requests) > pause_ms * TIMELY_PART {
         requests -= 0.25;
     }
-    let timely = ranks * requests;
-    Room { timely, late: timely }
+    Room::alike(ranks * requests)
 }
 
 /// Requests that the ranks hold as last told, waiting ones included. A rank that was not heard counts as the mean.
--- a/crates/sparscale_gateway/src/spent.rs
+++ b/crates/sparscale_policy/src/spent.rs
@@ -1,13 +1,13 @@
 //! How long a caller has been at it before this try.
 //!
+//! Load pattern: callers that were turned away come back, among others that come for the first time. What they are still
+//! worth counts from their first try.
+//!
 //! Callers tell the time for which they still wait, and give a first try the same time as any other. So the longest of
 //! a route's latest deadlines is that of first tries, and what a request has less was spent on tries before it.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
-
-use tokio::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Span over which the longest deadline is kept, and for as long again at most.
 const SPAN: Duration = Duration::from_secs(10);
@@ -23,14 +23,13 @@
 /// The longest deadlines of all routes.
 #[derive(Debug, Default)]
 pub struct Deadlines {
-    by_route: Mutex<HashMap<String, Longest>>,
+    by_route: HashMap<String, Longest>,
 }
 
 impl Deadlines {
     /// Takes in the deadline of a request on `route`, and tells what was spent before it came.
-    pub fn spent(&self, route: &str, deadline: Duration, now: Instant) -> Duration {
-        let mut routes = self.by_route.lock().unwrap_or_else(PoisonError::into_inner);
-        let longest = routes.entry(route.to_owned()).or_insert(Longest {
+    pub fn spent(&mut self, route: &str, deadline: Duration, now: Instant) -> Duration {
+        let longest = self.by_route.entry(route.to_owned()).or_insert(Longest {
             now: deadline,
             before: Duration::ZERO,
             since: now,
@@ -47,8 +46,7 @@
     }
 
     /// Forgets routes that are gone.
-    pub fn retain(&self, mut is_there: impl FnMut(&str) -> bool) {
-        let mut routes = self.by_route.lock().unwrap_or_else(PoisonError::into_inner);
-        routes.retain(|route, _| is_there(route));
+    pub fn retain(&mut self, mut is_there: impl FnMut(&str) -> bool) {
+        self.by_route.retain(|route, _| is_there(route));
     }
 }
--- a/crates/sparscale_gateway/tests/group_room.rs
+++ b/crates/sparscale_policy/tests/group_room.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use sparscale_gateway::{capacity, capacity_now, held, slow_ranks};
+use sparscale_policy::room::{capacity, capacity_now, held};
+use sparscale_policy::slow;
 use sparscale_samples as samples;
 use sparscale_wire::{GroupLoad, RankLoad};
 
@@ -92,7 +93,7 @@
 /// A slow rank without requests holds nobody up.
 #[test]
 fn idle_slow_rank() {
-    let slow = |running| {
+    let room = |running| {
         let mut load = group(3, Duration::from_millis(45));
         load.ranks[5] = Some(RankLoad {
             running,
@@ -101,14 +102,14 @@
         });
         capacity_now(&load, &samples::engine(), PAUSE).timely
     };
-    assert!(slow(3) < 1e-9, "{}", slow(3));
-    assert!(slow(0) > 3.0 * RANKS as f64, "{}", slow(0));
+    assert!(room(3) < 1e-9, "{}", room(3));
+    assert!(room(0) > 3.0 * RANKS as f64, "{}", room(0));
 }
 
 #[test]
 fn slow_by_others() {
     let mut load = group(3, Duration::from_millis(45));
-    assert_eq!(slow_ranks(&load), [0_usize; 0]);
+    assert_eq!(slow::ranks(&load), [0_usize; 0]);
     let paced = |pace_milli| {
         Some(RankLoad {
             pace_milli,
@@ -117,7 +118,7 @@
     };
     load.ranks[4] = paced(5_000);
     load.ranks[7] = paced(1_300);
-    assert_eq!(slow_ranks(&load), [4]);
+    assert_eq!(slow::ranks(&load), [4]);
     load.ranks.fill(paced(5_000));
-    assert_eq!(slow_ranks(&load), [0_usize; 0], "all alike");
+    assert_eq!(slow::ranks(&load), [0_usize; 0], "all alike");
 }
--- a/crates/sparscale_gateway/tests/spent_time.rs
+++ b/crates/sparscale_policy/tests/spent_time.rs
@@ -1,15 +1,14 @@
 //! What a caller spent before this try, by the deadlines that callers of its route give.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use sparscale_gateway::Deadlines;
-use tokio::time::Instant;
+use sparscale_policy::spent::Deadlines;
 
 const FIRST: Duration = Duration::from_secs(8);
 
 #[test]
 fn first_tries() {
-    let deadlines = Deadlines::default();
+    let mut deadlines = Deadlines::default();
     let now = Instant::now();
     assert_eq!(deadlines.spent("a", FIRST, now), Duration::ZERO);
     assert_eq!(deadlines.spent("a", FIRST, now), Duration::ZERO);
@@ -17,7 +16,7 @@
 
 #[test]
 fn second_try() {
-    let deadlines = Deadlines::default();
+    let mut deadlines = Deadlines::default();
     let now = Instant::now();
     deadlines.spent("a", FIRST, now);
     let left = Duration::from_millis(7_300);
@@ -28,7 +27,7 @@
 /// Callers that wait for less than they did are not taken for ones that come back for ever.
 #[test]
 fn shorter_deadlines() {
-    let deadlines = Deadlines::default();
+    let mut deadlines = Deadlines::default();
     let began = Instant::now();
     deadlines.spent("a", FIRST, began);
     let shorter = Duration::from_secs(3);
--- a/crates/sparscale_gateway/tests/waiting_line.rs
+++ b/crates/sparscale_policy/tests/waiting_line.rs
@@ -1,33 +1,33 @@
 //! Who goes next of those that wait for room.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use sparscale_gateway::{Line, Room};
-use tokio::time::Instant;
+use sparscale_policy::line::Line;
+use sparscale_policy::room::Room;
 
+/// Time since the line began.
+const NOW: Duration = Duration::from_secs(10);
 const ROOM: Room = Room { timely: 1.0, late: 1.0 };
 
 /// A line of `(tier, number, time from now until which it can be in time, in milliseconds)`, and the order in which
 /// `room` lets its requests in.
 fn order(waiting: &[(u8, usize, i64)], room: Room) -> Vec<usize> {
-    let now = Instant::now() + Duration::from_secs(10);
+    let began = Instant::now();
+    let now = began + NOW;
     let mut line = Line::default();
-    let mut receivers = Vec::new();
     for (tier, number, until_ms) in waiting {
         let offset = Duration::from_millis(until_ms.unsigned_abs());
-        let until = if *until_ms < 0 { now - offset } else { now + offset };
-        receivers.push((*number, line.join((*tier, *number), until)));
+        let until = began
+            + if *until_ms < 0 {
+                NOW.saturating_sub(offset)
+            } else {
+                NOW + offset
+            };
+        line.join((*tier, *number), until, *number);
     }
     let mut order = Vec::new();
-    while let Some(sender) = line.next(room, now) {
-        sender.send(()).expect("it waits");
-        receivers.retain_mut(|(number, receiver)| {
-            let let_in = receiver.try_recv().is_ok();
-            if let_in {
-                order.push(*number);
-            }
-            !let_in
-        });
+    while let Some(number) = line.next(room, now) {
+        order.push(number);
     }
     order
 }
