--- a/crates/sparscale_journal/tests/journal/main.rs
+++ b/crates/sparscale_journal/tests/journal/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod log_fold;
 mod lost_answers;
+mod restored_log;
