--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -265,11 +265,6 @@
             self.limits.pop_first();
             self.queues[entry].give_up((0, index));
             let now = self.at(self.now);
-            if std::env::var_os("V1").is_some() {
-                let e = self.queues[entry].expected_wait(self.inside[entry]);
-                self.refuse(index, e.clamp(Duration::from_millis(250), Duration::from_millis(1500)));
-                continue;
-            }
             self.queues[entry].admit(now);
             self.enter(index);
         }
