Queue: late ones are let in while there are places; what was heard is a decision's register, and forgets who is gone

Two changes in one tree, told apart here.

Change: turned away only where there is no room of either kind. return_order::late_at_worst red before, green after.

Change: the memory of who was heard moves to sparscale_policy::heard, without clock or lock, and drops groups and services that the list of targets lacks. heard_targets::gone_forgotten (three tests; the type did not exist before, so not run red).

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -249,6 +249,7 @@
         };
         gateway.caller.pool.retain(&belief.value);
         gateway.loads.retain(&belief.value);
+        gateway.silences.retain(&belief.value);
         if let Some(catalog) = gateway.board.catalog() {
             let routes = &catalog.value.document().routes;
             let is_there = |name: &str| routes.iter().any(|route| route.name == name);
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
+use sparscale_policy::heard::Wait;
 use sparscale_policy::silence::Awaited;
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
@@ -18,7 +19,7 @@
 use crate::loads::Running;
 use crate::relay::{Run, join};
 use crate::server::Body;
-use crate::silences::{Verdict, Wait};
+use crate::silences::Verdict;
 use crate::tries::Tries;
 use crate::waiting::Permit;
 
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod gate;
 pub mod group;
+pub mod heard;
 pub mod line;
 pub mod patience;
 pub mod queue;
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -149,10 +149,12 @@
         let expected = self.expected_wait(inside);
         let longest = patience::longest_wait(request.objective, request.pause);
         let timely = self.patience(request.objective);
-        let bearable = if request.has_returned() {
-            longest
-        } else {
+        // While only late ones are let in, as passes are too long for anybody to be in time, it is late at worst.
+        let is_full = self.room.timely.max(self.room.late) < 1.0;
+        let bearable = if is_full && !request.has_returned() {
             timely.min(longest)
+        } else {
+            longest
         };
         if now.saturating_duration_since(request.began) + expected > bearable {
             let retry = self.promise(request, inside, expected, lot, now);
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -19,15 +19,20 @@
 
 /// A queue before a group whose ranks are full.
 fn full(now: Instant) -> Queue<usize> {
+    queue(samples::engine().slots, 1.1, now)
+}
+
+/// A queue before a group with `running` requests on each rank, whose experts' work is as uneven as `skew`.
+fn queue(running: u32, skew: f64, now: Instant) -> Queue<usize> {
     let rank = RankLoad {
-        running: samples::engine().slots,
+        running,
         ..RankLoad::default()
     };
     let load = GroupLoad {
         group: "g".to_owned(),
         order: (1, 1),
         open: true,
-        skew: 1.1,
+        skew,
         pass_micros: 90_000,
         pass: 0,
         ranks: vec![Some(rank); RANKS],
@@ -88,6 +93,23 @@
     assert!(told[0] < told[5], "{told:?}");
 }
 
+/// Passes are too long for anybody to be in time, and there are places: a late answer is better than none, and nobody else
+/// loses by it.
+#[test]
+fn late_at_worst() {
+    let now = Instant::now();
+    let mut queue = queue(4, 6.0, now);
+    let room = queue.room();
+    assert!(room.timely < 1.0 && room.late >= 1.0, "{room:?}");
+    let decision = queue.decide(&request(now, Duration::ZERO), 0, MIDDLE, now);
+    let Decision::Wait { timely_until, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    queue.join((0, 1), timely_until, 1);
+    assert_eq!(queue.next(now), None);
+    assert_eq!(queue.next(timely_until + Duration::from_millis(1)), Some(1));
+}
+
 quickcheck! {
     /// However many are turned away, whenever and by whatever draw: nobody is told a time at which its caller has come back
     /// by itself, or hardly any time at all.
