Policy: late_at_worst with a group that has places

As committed in the test failed: its group's measured pass left no place for late ones either (late room -12), so it did not show the case. With passes of 45 ms: green on, red on's queue ('Refuse').

--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -33,7 +33,7 @@
         order: (1, 1),
         open: true,
         skew,
-        pass_micros: 90_000,
+        pass_micros: 45_000,
         pass: 0,
         ranks: vec![Some(rank); RANKS],
     };
