Gateway: files without a circle

Change: types that several files share have their own: body, phase, answer, tried, incoming, settings; serving a request that passed the checks stands where answers are built. Nothing but places and visibility changes.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -13,10 +13,11 @@
 use tokio::time::Instant;
 
 use crate::attempt::Outbound;
+use crate::body::Body;
 use crate::exchange::{Gateway, Job, header_of};
 use crate::head::{Head, length_of};
+use crate::incoming::read_body;
 use crate::refusal::{Reason, Refusal};
-use crate::server::{Body, read_body};
 
 /// When a caller is told to come back to an entry that knows too little.
 const UNSURE_RETRY: Duration = Duration::from_millis(400);
--- /dev/null
+++ b/crates/sparscale_gateway/src/answer.rs
@@ -0,0 +1,32 @@
+//! Answers that can go to callers.
+
+use http::{HeaderMap, StatusCode};
+
+use crate::attempt::{Begun, Reply};
+use crate::events::Event;
+use crate::loads::Running;
+use crate::relay::Run;
+
+/// Outcome of a request whose caller did not wait for its answer.
+pub(crate) const CALLER_LEFT: &str = "caller_left";
+
+/// An answer that can go to the caller.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// All of it.
+    Whole(Reply),
+    /// Longer than what is collected: passed on as it comes.
+    Long(Box<Begun>, Running),
+    /// Events.
+    Stream(Box<Stream>),
+}
+
+/// A stream of events with its first event.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) first: Option<Event>,
+    pub(crate) run: Run,
+    pub(crate) running: Running,
+}
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -8,8 +8,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use http::StatusCode;
 use http::header::HeaderValue;
-use http::{Response, StatusCode};
 use rand::seq::IteratorRandom as _;
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Kind, Route, RouteKey, Seat};
@@ -24,17 +24,17 @@
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
+use crate::answer::{Answer, CALLER_LEFT, Stream};
 use crate::attempt::{Begun, Caller, Loss, Outbound, Outcome, Rejection, Reply};
 use crate::figures::Figures;
 use crate::gate::Gates;
 use crate::loads::{Loads, Running};
 use crate::refusal::{Reason, Refusal};
 use crate::relay::Run;
-use crate::respond::{Answer, CALLER_LEFT, Stream, respond};
-use crate::server::Body;
 use crate::silences::Silences;
 use crate::split::Splits;
-use crate::tries::{Tried, Tries};
+use crate::tried::Tried;
+use crate::tries::Tries;
 use crate::waiting::{Arrival, Permit, Queues};
 
 /// Groups of a service that one request looks at, drawn anew for each: of a hundred, the best of a few is nearly as good as the
@@ -153,26 +153,8 @@
 }
 
 impl Gateway {
-    /// Serves a request that has passed all checks.
-    pub(crate) async fn serve(self: &Arc<Self>, job: Job) -> Response<Body> {
-        self.earn(&job);
-        let mut tries = Tries::default();
-        let served = match self.permit(&job, &mut tries).await {
-            Ok(permit) => self.answer(&job, &mut tries).await.map(|answer| (permit, answer)),
-            Err(refusal) => Err(refusal),
-        };
-        match served {
-            Ok((permit, answer)) => respond(self, job, tries, permit, answer),
-            Err(refusal) => {
-                let status = refusal.reason.status().as_u16();
-                self.end(&job, refusal.reason.name(), &tries.tried, status);
-                refusal.response(&self.caller.dialect.request_id, job.outbound.head.id.as_ref())
-            }
-        }
-    }
-
     /// Waits at the queue of the group that is to serve the request, if a group does.
-    async fn permit(&self, job: &Job, tries: &mut Tries) -> Result<Option<Permit>, Refusal> {
+    pub(crate) async fn permit(&self, job: &Job, tries: &mut Tries) -> Result<Option<Permit>, Refusal> {
         let Some(belief) = self.board.targets() else {
             return Ok(None);
         };
@@ -398,7 +380,7 @@
         paid
     }
 
-    fn earn(&self, job: &Job) {
+    pub(crate) fn earn(&self, job: &Job) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.board.now();
         for share in &job.route().shares {
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -9,7 +9,8 @@
 use super::{Gateway, Job, pause_of};
 use crate::attempt::{Rejection, is_named};
 use crate::gate::Pass;
-use crate::tries::{Tried, Tries};
+use crate::tried::Tried;
+use crate::tries::Tries;
 
 impl Gateway {
     /// Turns to another group of the service if the request's own does not run.
--- a/crates/sparscale_gateway/src/figures.rs
+++ b/crates/sparscale_gateway/src/figures.rs
@@ -9,8 +9,8 @@
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{Counter, Histogram, Registry};
 
+use crate::phase::Progress;
 use crate::refusal::Reason;
-use crate::server::Progress;
 
 /// Figures that requests change.
 #[derive(Debug)]
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -4,7 +4,9 @@
 //! a target's own, whole and unchanged, or a refusal that says whether it has run and when to come back.
 
 mod admission;
+mod answer;
 mod attempt;
+mod body;
 mod dialect;
 mod entry;
 mod events;
@@ -12,7 +14,9 @@
 mod figures;
 mod gate;
 mod head;
+mod incoming;
 mod loads;
+mod phase;
 mod pool;
 mod program;
 mod ready;
@@ -20,16 +24,20 @@
 mod relay;
 mod respond;
 mod server;
+mod settings;
 mod silences;
 mod slow;
 mod split;
+mod tried;
 mod tries;
 mod waiting;
 
 pub use admission::Freshness;
+pub use body::Body;
 pub use dialect::Dialect;
 pub use entry::Entry;
-pub use program::{Error, Parts, Settings, run};
+pub use phase::Phase;
+pub use program::run;
 pub use refusal::{Reason, Refusal};
-pub use server::{Body, Phase};
+pub use settings::{Error, Parts, Settings};
 pub use sparscale_policy::budget::Allowance;
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::slow::Slow;
-use crate::tries::Tried;
+use crate::tried::Tried;
 
 /// First time for which a target that failed is passed over; doubled with each failure in a row.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
--- a/crates/sparscale_gateway/src/ready.rs
+++ b/crates/sparscale_gateway/src/ready.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::server::Phase;
+use crate::phase::Phase;
 
 /// Answers every question at `listener`; never ends.
 pub(crate) async fn serve(listener: TcpListener, board: Arc<Board>, phase: watch::Receiver<Phase>) {
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -13,48 +13,39 @@
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
-use crate::attempt::{Begun, Loss, Reply, Rest};
+use crate::answer::{Answer, CALLER_LEFT};
+use crate::attempt::{Loss, Rest};
+use crate::body::Body;
 use crate::events::Event;
 use crate::exchange::{Gateway, Job, pause_of};
 use crate::loads::Running;
 use crate::relay::{Run, join};
-use crate::server::Body;
 use crate::silences::Verdict;
 use crate::tries::Tries;
 use crate::waiting::Permit;
 
-/// Outcome of a request whose caller did not wait for its answer.
-pub(crate) const CALLER_LEFT: &str = "caller_left";
-
-/// An answer that can go to the caller.
-#[derive(Debug)]
-pub(crate) enum Answer {
-    /// All of it.
-    Whole(Reply),
-    /// Longer than what is collected: passed on as it comes.
-    Long(Box<Begun>, Running),
-    /// Events.
-    Stream(Box<Stream>),
-}
-
-/// A stream of events with its first event.
-#[derive(Debug)]
-pub(crate) struct Stream {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) first: Option<Event>,
-    pub(crate) run: Run,
-    pub(crate) running: Running,
+impl Gateway {
+    /// Serves a request that has passed all checks.
+    pub(crate) async fn serve(self: &Arc<Self>, job: Job) -> Response<Body> {
+        self.earn(&job);
+        let mut tries = Tries::default();
+        let served = match self.permit(&job, &mut tries).await {
+            Ok(permit) => self.answer(&job, &mut tries).await.map(|answer| (permit, answer)),
+            Err(refusal) => Err(refusal),
+        };
+        match served {
+            Ok((permit, answer)) => respond(self, job, tries, permit, answer),
+            Err(refusal) => {
+                let status = refusal.reason.status().as_u16();
+                self.end(&job, refusal.reason.name(), &tries.tried, status);
+                refusal.response(&self.caller.dialect.request_id, job.outbound.head.id.as_ref())
+            }
+        }
+    }
 }
 
 /// The answer as the caller gets it.
-pub(crate) fn respond(
-    gateway: &Arc<Gateway>,
-    job: Job,
-    tries: Tries,
-    permit: Option<Permit>,
-    answer: Answer,
-) -> Response<Body> {
+fn respond(gateway: &Arc<Gateway>, job: Job, tries: Tries, permit: Option<Permit>, answer: Answer) -> Response<Body> {
     gateway.figures.first(job.route().kind, job.began.elapsed());
     match answer {
         Answer::Whole(whole) => {
--- a/crates/sparscale_gateway/src/server.rs
+++ b/crates/sparscale_gateway/src/server.rs
@@ -3,15 +3,13 @@
 use std::convert::Infallible;
 use std::io;
 use std::pin::{Pin, pin};
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::BodyExt as _;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,10 +21,8 @@
 use tokio::time::Instant;
 
 use crate::admission::Admission;
-use crate::refusal::{Reason, Refusal};
-
-/// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+use crate::body::Body;
+use crate::phase::{Phase, Progress};
 
 /// Pause after a connection could not be accepted: descriptors are short, and waiting frees some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -35,23 +31,6 @@
 /// Added to the callers' idle time, so that the entry never closes a connection that a caller may still use.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Whether callers are still served.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// Yes.
-    Serving,
-    /// The balancer is being told; new requests are served, and answers close their connections.
-    Leaving,
-    /// Idle connections are closed, and nothing new is accepted.
-    Closing,
-}
-
-/// Counts connections and requests that are in progress.
-#[derive(Debug, Default)]
-pub(crate) struct Progress {
-    pub(crate) connections: AtomicUsize,
-}
-
 /// What a connection is waiting for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Wait {
@@ -278,30 +257,3 @@
     }
     Ok(response.map(|body| Answer { body, watch }))
 }
-
-/// Reads a whole body, within the limits.
-pub(crate) async fn read_body(mut incoming: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    let declared = hyper::body::Body::size_hint(&incoming).lower();
-    if declared > limits.body_bytes as u64 {
-        return Err(Refusal::new(Reason::BodyTooLong));
-    }
-    let mut collected: Vec<Bytes> = Vec::new();
-    let mut length = 0;
-    loop {
-        let frame = tokio::time::timeout(limits.header_time, incoming.frame()).await;
-        let Some(frame) = frame.map_err(|_elapsed| Refusal::at_once(Reason::BodyLate))? else {
-            break;
-        };
-        let frame = frame.map_err(|_broken| Refusal::new(Reason::BodyBroken))?;
-        let Ok(data) = frame.into_data() else { continue };
-        length += data.len();
-        if length > limits.body_bytes {
-            return Err(Refusal::new(Reason::BodyTooLong));
-        }
-        collected.push(data);
-    }
-    if collected.len() == 1 {
-        return Ok(collected.swap_remove(0));
-    }
-    Ok(Bytes::from(collected.concat()))
-}
