Own path: job, log of choices and what callers are told apart from dispatching; a twin tail in the group's tests is one function

Cause: dispatch.rs had 570 lines and four jobs; quarantine.rs imported it back. leading.rs ended two tests alike. Change: job.rs, route_log.rs, unserved.rs; goes_on in leading.rs. Places and names only: attempt_of is Job::attempt.

--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -24,6 +24,19 @@
     rank.expect("a rank")
 }
 
+/// The agent of `rank` is started again, and the group follows demand under the conductor that there is now.
+fn goes_on(world: &World, mut agents: BTreeMap<usize, Runtime>, rank: usize) {
+    agents.insert(rank, world.agent(rank));
+    let changes = world.lock().changes;
+    world.lock().shift();
+    world.wait("a change of map under the next conductor", |group| {
+        group.changes > changes
+    });
+    world.wait("a group that runs", |group| !group.is_held());
+    assert!(!world.lock().mixed);
+    end(agents);
+}
+
 #[test]
 fn follows_demand() {
     let world = World::new(1);
@@ -58,15 +71,7 @@
     kill(&mut agents, rank);
     let claims = world.lock().claims.len();
     world.wait("another claim", |group| group.claims.len() > claims);
-    agents.insert(rank, world.agent(rank));
-    let changes = world.lock().changes;
-    world.lock().shift();
-    world.wait("a change of map under the next conductor", |group| {
-        group.changes > changes
-    });
-    world.wait("a group that runs", |group| !group.is_held());
-    assert!(!world.lock().mixed);
-    end(agents);
+    goes_on(&world, agents, rank);
 }
 
 /// The list of claims comes back from an older copy without those of conductors that led: when the present one is gone the
@@ -81,15 +86,7 @@
     world.lock().restore_claims(1);
     kill(&mut agents, rank);
     world.wait("a claim on the restored list", |group| group.claims.len() > 1);
-    agents.insert(rank, world.agent(rank));
-    let changes = world.lock().changes;
-    world.lock().shift();
-    world.wait("a change of map under the next conductor", |group| {
-        group.changes > changes
-    });
-    world.wait("a group that runs", |group| !group.is_held());
-    assert!(!world.lock().mixed);
-    end(agents);
+    goes_on(&world, agents, rank);
 }
 
 /// The box that has just placed a hold stands still: the group must not stand still with it.
--- a/crates/sparscale_entry/src/binding.rs
+++ b/crates/sparscale_entry/src/binding.rs
@@ -7,9 +7,10 @@
 use sparscale_journal::{Binding, BindingKey, Body as RecordBody, Verdict};
 
 use crate::caller::{Api, bad_request};
-use crate::dispatch::{Job, Pool, key_reused};
+use crate::job::{Job, Pool};
 use crate::problem::Problem;
 use crate::ticket::{self, TICKET_PREFIX};
+use crate::unserved::key_reused;
 
 /// Time for which the outcome under a plain key is kept by its agent.
 const KEEP_PLAIN_KEY: Duration = Duration::from_mins(50);
--- a/crates/sparscale_entry/src/caller.rs
+++ b/crates/sparscale_entry/src/caller.rs
@@ -18,7 +18,8 @@
 use tokio::time::Instant;
 
 use crate::completion;
-use crate::dispatch::{Dispatcher, Job, Pool};
+use crate::dispatch::Dispatcher;
+use crate::job::{Job, Pool};
 use crate::limits::{InFlight, Place};
 use crate::live::Live;
 use crate::problem::Problem;
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -6,25 +6,24 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use serde::Serialize;
 use sparscale_board::TargetKey;
-use sparscale_bundle::{Limits, Workspace};
-use sparscale_journal::BindingKey;
-use sparscale_route::{Decision, Request as RouteRequest, Rule, choose};
+use sparscale_route::{Rule, choose};
 use sparscale_telemetry::{DECISION, Metrics};
 use sparscale_wire::{
-    Ask, Attempt, AttemptId, Call, Channel, Endpoint, Failure, Frame, Refusal, RefusalReason, Role, Settlement,
-    StreamError,
+    Ask, AttemptId, Channel, Endpoint, Failure, Frame, Refusal, RefusalReason, Role, Settlement, StreamError,
 };
 use tokio::time::Instant;
 
 use crate::assembly::{Assembly, Step};
 use crate::board_control::{SharedBoard, board_load, model_pool};
+use crate::job::{Job, Pool, Sent};
 use crate::limits::RetryBudget;
 use crate::live::Live;
 use crate::problem::Problem;
 use crate::quarantine::Quarantine;
+use crate::route_log::{candidate_lines, log_route};
 use crate::ticket::{RequestName, Seal};
+use crate::unserved::{failed, key_reused, no_target, unreachable_target};
 
 /// Dispatches of one request at most.
 const MAX_TRIES: usize = 4;
@@ -33,48 +32,6 @@
 /// Time that a message about a caller that went away may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Where a request may go.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Pool {
-    /// Any rank that serves this model.
-    Model(String),
-    /// Any target of this service.
-    Service(String),
-    /// One incarnation of one target's agent: the one that an idempotency key is bound to.
-    Bound {
-        /// Name of the target.
-        target: String,
-        /// Incarnation of its agent.
-        incarnation: u64,
-    },
-}
-
-/// A request on its way.
-#[derive(Debug)]
-pub(crate) struct Job {
-    pub(crate) workspace: Arc<Workspace>,
-    pub(crate) tier: u8,
-    pub(crate) deadline: Instant,
-    pub(crate) repeatable: bool,
-    pub(crate) key: Option<BindingKey>,
-    pub(crate) keep: Duration,
-    pub(crate) call: Call,
-    pub(crate) pool: Pool,
-    pub(crate) route: RouteRequest,
-    pub(crate) limits: Limits,
-}
-
-/// One dispatch.
-#[derive(Debug, Clone)]
-pub(crate) struct Sent {
-    pub(crate) target: TargetKey,
-    pub(crate) name: String,
-    pub(crate) address: SocketAddr,
-    pub(crate) attempt: AttemptId,
-    /// Incarnation of the agent as last reported before the dispatch; 0 if none was.
-    pub(crate) incarnation: u64,
-}
-
 /// How one dispatch began.
 enum Began {
     Live(Box<Live>),
@@ -255,7 +212,7 @@
                 return Began::NotRun;
             }
         };
-        let attempt = attempt_of(job, sent);
+        let attempt = job.attempt(sent);
         if let Err(error) = channel.sender.send(&Frame::Ask(Ask::Attempt(Box::new(attempt)))).await {
             self.note_failure(sent, &error);
             return self.settle_begin(job, sent).await;
@@ -472,96 +429,3 @@
         }
     }
 }
-
-/// The dispatch of `job` as it goes over the wire.
-fn attempt_of(job: &Job, sent: &Sent) -> Attempt {
-    let left = job.deadline.saturating_duration_since(Instant::now());
-    let incarnation = match &job.pool {
-        Pool::Bound { incarnation, .. } => *incarnation,
-        Pool::Model(_) | Pool::Service(_) => 0,
-    };
-    Attempt {
-        id: sent.attempt,
-        incarnation,
-        workspace: job.workspace.name.clone(),
-        tier: job.tier,
-        weight: job.workspace.weight,
-        deadline_ms: left.as_millis() as u64,
-        repeatable: job.repeatable,
-        key: job.key,
-        keep_seconds: job.keep.as_secs(),
-        prompt_tokens: job.route.prompt_tokens,
-        answer_tokens: job.route.answer_tokens,
-        call: job.call.clone(),
-    }
-}
-
-/// What a failure means for the caller.
-pub(crate) fn failed(job: &Job, failure: &Failure) -> Problem {
-    match failure {
-        Failure::Target { message } => Problem::failed(message),
-        Failure::Unknown { message } | Failure::Ended { message } if job.repeatable => Problem::failed(message),
-        Failure::Unknown { message } | Failure::Ended { message } => Problem::unknown(message),
-    }
-}
-
-/// A key that came with another body before: this request did not run.
-pub(crate) fn key_reused() -> Problem {
-    let detail = "the key was used for a request with another body; use a new key";
-    Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "The key was used before", detail)
-}
-
-fn unreachable_target() -> Problem {
-    const RETRY_AFTER: Duration = Duration::from_secs(1);
-    let detail = "no target of this request can be reached; nothing was run";
-    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "No target can be reached", detail).retry_after(RETRY_AFTER)
-}
-
-fn no_target(retry_after: Duration) -> Problem {
-    let detail = "no target of this request takes work now";
-    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "No target takes the request", detail).retry_after(retry_after)
-}
-
-/// A candidate as a decision line shows it; costs in milliseconds.
-#[derive(Serialize)]
-struct Candidate<'a> {
-    name: &'a str,
-    cost: f64,
-    wait: f64,
-    prefill: f64,
-    steps: f64,
-    others: f64,
-    distance: f64,
-}
-
-/// The candidates as JSON: the log holds flat values, so they stand in one.
-fn candidate_lines(board: &sparscale_board::Board, decision: &Decision) -> String {
-    let candidates = decision.scored.iter().filter_map(|scored| {
-        Some(Candidate {
-            name: &board.target(scored.key)?.name,
-            cost: scored.cost,
-            wait: scored.wait,
-            prefill: scored.prefill,
-            steps: scored.steps,
-            others: scored.others,
-            distance: scored.distance,
-        })
-    });
-    serde_json::to_string(&candidates.collect::<Vec<_>>()).unwrap_or_default()
-}
-
-fn log_route(job: &Job, sent: &Sent, decision: &Decision, candidates: &str, version: u64, map: u64) {
-    log::info!(
-        target: DECISION,
-        decision = "route",
-        attempt = sent.attempt.to_string().as_str(),
-        workspace = job.workspace.name.as_str(),
-        tier = job.tier,
-        agent = sent.name.as_str(),
-        reason:? = decision.reason,
-        candidates,
-        bundle = version,
-        map;
-        "routed"
-    );
-}
--- /dev/null
+++ b/crates/sparscale_entry/src/job.rs
@@ -0,0 +1,79 @@
+//! A request on its way to a target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sparscale_board::TargetKey;
+use sparscale_bundle::{Limits, Workspace};
+use sparscale_journal::BindingKey;
+use sparscale_route::Request as RouteRequest;
+use sparscale_wire::{Attempt, AttemptId, Call};
+use tokio::time::Instant;
+
+/// Where a request may go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Pool {
+    /// Any rank that serves this model.
+    Model(String),
+    /// Any target of this service.
+    Service(String),
+    /// One incarnation of one target's agent: the one that an idempotency key is bound to.
+    Bound {
+        /// Name of the target.
+        target: String,
+        /// Incarnation of its agent.
+        incarnation: u64,
+    },
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) workspace: Arc<Workspace>,
+    pub(crate) tier: u8,
+    pub(crate) deadline: Instant,
+    pub(crate) repeatable: bool,
+    pub(crate) key: Option<BindingKey>,
+    pub(crate) keep: Duration,
+    pub(crate) call: Call,
+    pub(crate) pool: Pool,
+    pub(crate) route: RouteRequest,
+    pub(crate) limits: Limits,
+}
+
+/// One dispatch.
+#[derive(Debug, Clone)]
+pub(crate) struct Sent {
+    pub(crate) target: TargetKey,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) attempt: AttemptId,
+    /// Incarnation of the agent as last reported before the dispatch; 0 if none was.
+    pub(crate) incarnation: u64,
+}
+
+impl Job {
+    /// The dispatch as it goes over the wire.
+    pub(crate) fn attempt(&self, sent: &Sent) -> Attempt {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let incarnation = match &self.pool {
+            Pool::Bound { incarnation, .. } => *incarnation,
+            Pool::Model(_) | Pool::Service(_) => 0,
+        };
+        Attempt {
+            id: sent.attempt,
+            incarnation,
+            workspace: self.workspace.name.clone(),
+            tier: self.tier,
+            weight: self.workspace.weight,
+            deadline_ms: left.as_millis() as u64,
+            repeatable: self.repeatable,
+            key: self.key,
+            keep_seconds: self.keep.as_secs(),
+            prompt_tokens: self.route.prompt_tokens,
+            answer_tokens: self.route.answer_tokens,
+            call: self.call.clone(),
+        }
+    }
+}
--- a/crates/sparscale_entry/src/lib.rs
+++ b/crates/sparscale_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod completion;
 mod dispatch;
 mod duty;
+mod job;
 pub mod limits;
 mod live;
 mod peer;
@@ -18,8 +19,10 @@
 mod program;
 mod quarantine;
 mod respond;
+mod route_log;
 mod settings;
 mod ticket;
+mod unserved;
 
 pub use program::{Error, command, run};
 pub use settings::{Raw, Settings};
--- a/crates/sparscale_entry/src/live.rs
+++ b/crates/sparscale_entry/src/live.rs
@@ -10,8 +10,10 @@
 use tokio::time::Instant;
 
 use crate::assembly::{Assembly, Step};
-use crate::dispatch::{Dispatcher, Job, Sent, failed};
+use crate::dispatch::Dispatcher;
+use crate::job::{Job, Sent};
 use crate::problem::Problem;
+use crate::unserved::failed;
 
 /// Resumptions in a row without a new chunk, after which the answer is given up.
 const MAX_RESUMES: u32 = 3;
--- a/crates/sparscale_entry/src/quarantine.rs
+++ b/crates/sparscale_entry/src/quarantine.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::dispatch::{Job, Sent};
+use crate::job::{Job, Sent};
 use crate::problem::Problem;
 
 /// Time that one append may take.
--- /dev/null
+++ b/crates/sparscale_entry/src/route_log.rs
@@ -0,0 +1,52 @@
+//! Log lines of the choice of a target.
+
+use serde::Serialize;
+use sparscale_board::Board;
+use sparscale_route::Decision;
+use sparscale_telemetry::DECISION;
+
+use crate::job::{Job, Sent};
+
+/// A candidate as a decision line shows it; costs in milliseconds.
+#[derive(Serialize)]
+struct Candidate<'a> {
+    name: &'a str,
+    cost: f64,
+    wait: f64,
+    prefill: f64,
+    steps: f64,
+    others: f64,
+    distance: f64,
+}
+
+/// The candidates as JSON: the log holds flat values, so they stand in one.
+pub(crate) fn candidate_lines(board: &Board, decision: &Decision) -> String {
+    let candidates = decision.scored.iter().filter_map(|scored| {
+        Some(Candidate {
+            name: &board.target(scored.key)?.name,
+            cost: scored.cost,
+            wait: scored.wait,
+            prefill: scored.prefill,
+            steps: scored.steps,
+            others: scored.others,
+            distance: scored.distance,
+        })
+    });
+    serde_json::to_string(&candidates.collect::<Vec<_>>()).unwrap_or_default()
+}
+
+pub(crate) fn log_route(job: &Job, sent: &Sent, decision: &Decision, candidates: &str, version: u64, map: u64) {
+    log::info!(
+        target: DECISION,
+        decision = "route",
+        attempt = sent.attempt.to_string().as_str(),
+        workspace = job.workspace.name.as_str(),
+        tier = job.tier,
+        agent = sent.name.as_str(),
+        reason:? = decision.reason,
+        candidates,
+        bundle = version,
+        map;
+        "routed"
+    );
+}
