Queue: what is not told yet is bounded without news; an agent logs each change of its target's listening

Causes, by reading the whole diff: a queue kept the time of each request let in until the next news of loads, so one whose group nobody leads grew without end (return_order::untold_bounded red before, green after); a request that found the target gone changed 'listening' without its decision line. A stale comment says what happens to old loads.

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -132,11 +132,16 @@
 
     /// Notes whether the target listens; entries that watch are told at once.
     pub(crate) fn set_listening(&self, listening: bool) {
-        let changed = std::mem::replace(&mut self.lock().listening, listening) != listening;
-        if changed {
-            log::info!(target: DECISION, decision = "target", listening; "the target began or ceased to listen");
-            self.changed.send_replace(());
+        self.note_listening(&mut self.lock(), listening);
+    }
+
+    fn note_listening(&self, state: &mut State, listening: bool) {
+        if state.listening == listening {
+            return;
         }
+        state.listening = listening;
+        log::info!(target: DECISION, decision = "target", listening; "the target began or ceased to listen");
+        self.changed.send_replace(());
     }
 
     /// Whether nothing listens at the target's address any more.
@@ -372,8 +377,7 @@
             }
             Err(CallError::NotSent { message }) => {
                 state.ledger.take_back(ledger_id(attempt.id));
-                state.listening = false;
-                self.changed.send_replace(());
+                self.note_listening(&mut state, false);
                 log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(); "the target cannot be reached");
                 Part::Refused(self.refusal(&state, attempt.id, RefusalReason::TargetDown, DOWN_RETRY_MS))
             }
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -24,7 +24,7 @@
 const FIRST_WEIGHT: f64 = 0.1;
 /// Margin on that mean: such times spread, and a wait that ends in time must leave room for most.
 const FIRST_MARGIN: f64 = 1.5;
-/// Loads that are older than this say nothing: everyone is let in.
+/// Loads that are older than this say nothing: the room is then worked out from what this entry has let in.
 const LOAD_AGE: Duration = Duration::from_millis(900);
 /// Requests that a rank is filled with while nobody tells loads: a group that begins anew deals its experts in turn, and
 /// with more its passes outlast the pauses of streams.
@@ -197,6 +197,7 @@
     /// Counts a request as let in.
     pub fn admit(&mut self, now: Instant) {
         self.room.add(-1.0);
+        self.untold.retain(|let_in| *let_in + UNTOLD > now);
         self.untold.push(now);
     }
 
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -110,6 +110,22 @@
     assert_eq!(queue.next(timely_until + Duration::from_millis(1)), Some(1));
 }
 
+/// While nobody tells loads, as long as that lasts, what is remembered of those let in does not grow.
+#[test]
+fn untold_bounded() {
+    let now = Instant::now();
+    let mut queue: Queue<usize> = Queue::new(now);
+    let size = |queue: &Queue<usize>| format!("{queue:?}").len();
+    let mut admit = |from: u64, to: u64| {
+        for ms in from..to {
+            queue.admit(now + Duration::from_millis(ms));
+        }
+        size(&queue)
+    };
+    let early = admit(0, 1_000);
+    assert!(admit(1_000, 10_000) < early * 2);
+}
+
 quickcheck! {
     /// However many are turned away, whenever and by whatever draw: nobody is told a time at which its caller has come back
     /// by itself, or hardly any time at all.
