Silence: a target that stands still is left although nobody asks the others

A silent target is left only while others of its service are heard. The last requests of the test's burst that met it had no others: nobody owed this entry anything any more, so nobody was heard, and they lay there to their deadline. A lone request of a service that few ask always had this. Change: the register of who was heard counts who owes something. If no other target owes anything, silence counts as if others went on: for services without groups, and in a group if its conductor tells that this rank is silent. A group that nobody tells of is waited for as before.

--- a/crates/sparscale_gateway/src/exchange/leave.rs
+++ b/crates/sparscale_gateway/src/exchange/leave.rs
@@ -44,6 +44,7 @@
             limit_ms = evidence.limit().map(millis),
             usual_ms = evidence.usual.map(millis),
             others_heard_ms = evidence.others_heard.map(millis),
+            others_idle = evidence.others_idle,
             may_repeat = job.outbound.may_repeat,
             left;
             "its target is silent"
--- a/crates/sparscale_gateway/src/silences.rs
+++ b/crates/sparscale_gateway/src/silences.rs
@@ -50,6 +50,7 @@
 
     /// Returns once the target of `wait` has been silent for too long, counted from now.
     pub(crate) async fn outlasted(&self, wait: Wait<'_>) -> Verdict {
+        let _waiting = Waiting::new(self, wait.seat);
         let mut since = Instant::now();
         let mut look = since + FIRST_LOOK;
         loop {
@@ -75,3 +76,22 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A wait for a target, until this is dropped.
+struct Waiting<'a> {
+    silences: &'a Silences,
+    seat: &'a Seat,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(silences: &'a Silences, seat: &'a Seat) -> Self {
+        silences.lock().begin_wait(seat);
+        Self { silences, seat }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.silences.lock().end_wait(self.seat);
+    }
+}
--- a/crates/sparscale_policy/src/heard.rs
+++ b/crates/sparscale_policy/src/heard.rs
@@ -42,6 +42,8 @@
     /// The conductor's last message and when it came, and the ranks that it did not hear; none while it can't be believed.
     told: Option<((u64, u64), Instant)>,
     silent: Option<BTreeSet<usize>>,
+    /// Waits for each target that owes something.
+    waits: HashMap<Incarnation, u32>,
 }
 
 impl Peers {
@@ -60,6 +62,11 @@
         others.max(self.pass.map(|(_, at)| at))
     }
 
+    /// Whether a target other than this one owes something.
+    fn others_owe(&self, but: Incarnation) -> bool {
+        self.waits.keys().any(|target| *target != but)
+    }
+
     fn word(&self, rank: Option<usize>, now: Instant) -> Word {
         let fresh = self
             .told
@@ -108,6 +115,26 @@
         peers.note_heard(seat.key, now);
     }
 
+    /// Notes that a request waits for a target, until [`Self::end_wait`].
+    pub fn begin_wait(&mut self, seat: &Seat) {
+        let peers = self.peers(name_of(seat));
+        *peers.waits.entry(seat.key).or_default() += 1;
+    }
+
+    /// Notes that a request does not wait for a target any longer.
+    pub fn end_wait(&mut self, seat: &Seat) {
+        let Some(peers) = self.peers.get_mut(name_of(seat)) else {
+            return;
+        };
+        let Some(waits) = peers.waits.get_mut(&seat.key) else {
+            return;
+        };
+        *waits -= 1;
+        if *waits == 0 {
+            peers.waits.remove(&seat.key);
+        }
+    }
+
     /// Takes in what a conductor tells of its group.
     pub fn note_told(&mut self, load: &GroupLoad, now: Instant) {
         let peers = self.peers(&load.group);
@@ -129,12 +156,16 @@
         let known = self.peers.get(name_of(wait.seat))?;
         let rank = wait.seat.target.membership.as_ref().map(|place| place.rank);
         let others_heard = known.others_heard(wait.seat.key);
+        let word = known.word(rank, now);
+        // A group that stands still as a whole is idle towards an entry with one request there; its conductor knows better.
+        let idle_counts = rank.is_none() || word == Word::Silent;
         Some(Evidence {
             awaited: wait.awaited,
             allowed: wait.allowed,
             usual: known.usual(wait.awaited).mean(),
-            word: known.word(rank, now),
+            word,
             others_heard: others_heard.map(|at| now.saturating_duration_since(at)),
+            others_idle: idle_counts && !known.others_owe(wait.seat.key),
             given_up_after: wait.given_up_after,
         })
     }
--- a/crates/sparscale_policy/src/silence.rs
+++ b/crates/sparscale_policy/src/silence.rs
@@ -4,7 +4,8 @@
 //! gives up after some seconds of silence, and the target is left with work for nobody as it wakes. A target that is
 //! merely slow, or whose whole group waits, shows the same silence for a while; leaving those would send everything
 //! twice when load is at its worst. So silence is held against a target only while others of its group go on, and against
-//! what the others take.
+//! what the others take. Others that owe nothing say nothing either: on a service that few ask, a request that meets a
+//! target which stands still would wait to its deadline.
 
 use std::time::Duration;
 
@@ -70,6 +71,8 @@
     pub word: Word,
     /// Time since another target of the group or service was heard, or its passes were seen to go on.
     pub others_heard: Option<Duration>,
+    /// Whether no other target owes this entry anything that it could be heard by.
+    pub others_idle: bool,
     /// Silence after which the caller gives up.
     pub given_up_after: Duration,
 }
@@ -92,8 +95,8 @@
 
     /// Whether a target that has been silent for `silence` is to be left.
     pub fn leaves(&self, silence: Duration) -> bool {
-        let goes_on = self.others_heard.is_some_and(|heard| heard < GOES_ON);
-        goes_on && self.limit().is_some_and(|limit| silence >= limit)
+        let others_go_on = self.others_heard.is_some_and(|heard| heard < GOES_ON);
+        (others_go_on || self.others_idle) && self.limit().is_some_and(|limit| silence >= limit)
     }
 
     /// A box that speaks may still have a target that hangs, so only the limit is wider.
--- a/crates/sparscale_policy/tests/heard_targets.rs
+++ b/crates/sparscale_policy/tests/heard_targets.rs
@@ -108,3 +108,48 @@
     register.note(second, Awaited::First, OBJECTIVE, now);
     assert_eq!(heard(&register, first), Some(Duration::ZERO));
 }
+
+fn plain_targets() -> Directory {
+    let targets = (0..3).map(|index| samples::target(&format!("plain-{index}"), samples::MODEL, 9_100 + index));
+    Directory::new(&Roster::new(targets.collect()), &mut Incarnations::default())
+}
+
+/// Whoever owes nothing can't be heard; whoever owes something and says nothing speaks for a service that stands still.
+#[test]
+fn idle_while_owing_nothing() {
+    let now = Instant::now();
+    let targets = plain_targets();
+    let [first, second, ..] = targets.seats() else {
+        panic!("three targets");
+    };
+    let mut register = Register::default();
+    let idle = |register: &Register| register.evidence(&wait(first), now).map(|seen| seen.others_idle);
+    register.begin_wait(first);
+    register.begin_wait(first);
+    assert_eq!(idle(&register), Some(true), "its own waits don't count");
+    register.begin_wait(second);
+    register.begin_wait(second);
+    assert_eq!(idle(&register), Some(false));
+    register.end_wait(second);
+    assert_eq!(idle(&register), Some(false), "one is left");
+    register.end_wait(second);
+    assert_eq!(idle(&register), Some(true));
+}
+
+/// One request at a group that stands still as a whole stays where it is, unless the conductor tells that this rank is silent.
+#[test]
+fn idle_group_told() {
+    let now = Instant::now();
+    let targets = directory(&["a"]);
+    let first = &targets.seats()[0];
+    let mut register = Register::default();
+    register.begin_wait(first);
+    let idle = |register: &Register| register.evidence(&wait(first), now).map(|seen| seen.others_idle);
+    assert_eq!(idle(&register), Some(false), "nobody tells");
+    register.note_told(&told("a", &[1]), now);
+    assert_eq!(idle(&register), Some(false), "it speaks");
+    let mut later = told("a", &[0]);
+    later.order = (1, 2);
+    register.note_told(&later, now);
+    assert_eq!(idle(&register), Some(true));
+}
