Soak: a group of engines and its agents, beside a store that comes back from older copies

Cause: agents and groups were not in the soak, so one map in every pass, under takeovers beside a store that forgets claims, stood on in-process tests and the explorer alone. Change: plan `groups`. Four stand-ins of engines over HTTP (orders, fences, passes, maps compared by content), a real platform-agent beside each, the claims' topic in the soak's store. Faults: agents killed or frozen, the leading one in the middle of a change, all at once, their way to the store harmed, orders unanswered and done later, engines that start again, a restore with a takeover right before and another right after. Checked: one map in every pass, a change of map again within 12 s. Entries don't send to the group in it.

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -52,7 +52,7 @@
     found.extend(deadly_sends(ledger));
     let incidents = ledger.incidents.iter().map(|incident| Violation {
         promise: "process",
-        what: format!("entry {}: {}", incident.entry, incident.what),
+        what: format!("{}: {}", incident.process, incident.what),
     });
     found.extend(incidents);
     found
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -8,7 +8,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::fault::Plan;
-use crate::places::{MOST, Size, USUAL};
+use crate::places::{MOST, RANKS, Size, USUAL};
 use crate::platform::Platform;
 use crate::round::{self, Report, Round};
 
@@ -41,17 +41,19 @@
 /// The rounds that the command line asks for.
 fn named(matches: &ArgMatches) -> Vec<Round> {
     let first = number(matches, "seed", 1);
-    let size = Size {
-        entries: number(matches, "entries", USUAL.entries as u64) as usize,
-        targets: number(matches, "targets", USUAL.targets as u64) as usize,
-    };
     let plan = match matches.get_one::<String>("plan").map(String::as_str) {
         Some("series") => Plan::Series,
         Some("returns") => Plan::Returns,
         Some("restores") => Plan::Restores,
         Some("deadly") => Plan::Deadly,
+        Some("groups") => Plan::Groups,
         _ => Plan::Single,
     };
+    let size = Size {
+        entries: number(matches, "entries", USUAL.entries as u64) as usize,
+        targets: number(matches, "targets", USUAL.targets as u64) as usize,
+        ranks: if plan == Plan::Groups { RANKS } else { USUAL.ranks },
+    };
     let length = Duration::from_secs(number(matches, "seconds", 12));
     let round = |seed| Round {
         seed,
@@ -74,7 +76,9 @@
     let many = Size {
         entries: 12,
         targets: 12,
+        ranks: 0,
     };
+    let grouped = Size { ranks: RANKS, ..USUAL };
     vec![
         round(Plan::Single, 1, 12, USUAL),
         round(Plan::Series, 101, 20, USUAL),
@@ -83,6 +87,7 @@
         round(Plan::Returns, 201, 15, USUAL),
         round(Plan::Restores, 401, 15, USUAL),
         round(Plan::Deadly, 301, 15, USUAL),
+        round(Plan::Groups, 501, 15, grouped),
     ]
 }
 
@@ -90,13 +95,13 @@
     let count =
         |name: &'static str, help: &'static str| Arg::new(name).long(name).value_parser(value_parser!(u64)).help(help);
     let size = |name: &'static str, help: &'static str| {
-        let range = value_parser!(u64).range(1..=MOST as u64);
+        let range = value_parser!(u64).range(1..=(MOST - RANKS) as u64);
         Arg::new(name).long(name).value_parser(range).help(help)
     };
     let plan = Arg::new("plan")
         .long("plan")
-        .value_parser(["single", "series", "returns", "restores", "deadly"])
-        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, with a store that comes back from older copies, or with requests that end what runs them [single]");
+        .value_parser(["single", "series", "returns", "restores", "deadly", "groups"])
+        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, with a store that comes back from older copies, with requests that end what runs them, or with a group of engines and its agents [single]");
     // `cargo test NAME` hands names to every test program.
     let names = Arg::new("names")
         .num_args(0..)
@@ -154,6 +159,7 @@
         requests,
         outcomes,
         faults,
+        changes,
         stalls,
         violations,
     } = report;
@@ -162,7 +168,7 @@
         .map(|(name, count)| format!("{name}: {count}"))
         .collect();
     println!(
-        "seed {}, {:?}, {} entries: {faults} faults, {stalls} stalls of the machine, {requests} requests ({}), {} broken promises",
+        "seed {}, {:?}, {} entries: {faults} faults, {changes} changes of map, {stalls} stalls of the machine, {requests} requests ({}), {} broken promises",
         round.seed,
         round.plan,
         round.size.entries,
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -38,6 +38,11 @@
 const BETWEEN_DEADLY: Duration = Duration::from_millis(250);
 /// Time that a process of a series has before its next end.
 const LIVES: Duration = Duration::from_millis(900);
+/// Longest wait for a change of map, and pause between two looks for one.
+const BAD_MOMENT: Duration = Duration::from_millis(1_500);
+const GLANCE: Duration = Duration::from_millis(1);
+/// Time in which another agent has followed the one that led.
+const FOLLOWED: Duration = Duration::from_secs(2);
 /// Time between two signals to one process, and from its start to its first one.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(40);
 /// Time between two configurations of a series.
@@ -134,6 +139,42 @@
             let unseen = silence_store(stage, stage.bounds.applied + lasts);
             tokio::join!(unseen, grant(stage, key));
         }
+        of_group => act_on_group(stage, of_group, lasts).await,
+    }
+}
+
+/// Faults of the group of engines and of its agents.
+async fn act_on_group(stage: &Stage, fault: Fault, lasts: Duration) {
+    match fault {
+        Fault::KillAgent { rank } => kill(stage, stage.size.agent(rank), 1, lasts).await,
+        Fault::FreezeAgent { rank } => freeze(stage, stage.size.agent(rank), lasts).await,
+        Fault::KillLeader => kill_leader(stage, lasts).await,
+        Fault::FreezeLeader => {
+            await_bad_moment(stage).await;
+            if let Some(leader) = leader(stage) {
+                freeze(stage, leader, lasts).await;
+            }
+        }
+        Fault::KillAgents => {
+            let kills = (0..stage.size.ranks).map(|rank| kill(stage, stage.size.agent(rank), 1, Duration::ZERO));
+            futures::future::join_all(kills).await;
+        }
+        Fault::AgentStoreLink { rank, link } => {
+            let proxy = &stage.store_proxies[stage.size.agent(rank)];
+            proxy.set(link);
+            tokio::time::sleep(lasts).await;
+            proxy.set(Link::Open);
+        }
+        Fault::LateOrders { rank } => {
+            let until = Instant::now() + lasts;
+            stage.engines.group().leave_unanswered(rank, until);
+            tokio::time::sleep(lasts).await;
+        }
+        Fault::EngineReturn { rank } => {
+            stage.engines.group().restart(rank, Instant::now());
+            (0..stage.size.ranks).for_each(|rank| stage.list_rank(rank));
+        }
+        _ => {}
     }
 }
 
@@ -183,17 +224,38 @@
     }
 }
 
-/// Kills an entry and starts it again after `pause`, `times` times.
-async fn kill(stage: &Stage, entry: usize, times: u32, pause: Duration) {
+/// Kills a process and starts it again after `pause`, `times` times.
+async fn kill(stage: &Stage, process: usize, times: u32, pause: Duration) {
     for _ in 0..times {
-        stage.kill(entry).await;
+        stage.kill(process).await;
         tokio::time::sleep(pause).await;
-        restart(stage, entry).await;
-        // Its callers find it before the next kill.
+        restart(stage, process).await;
+        // Callers find it before the next kill.
         tokio::time::sleep(LIVES).await;
     }
 }
 
+/// Number among the processes of the agent that leads the group, as far as the store knows.
+fn leader(stage: &Stage) -> Option<usize> {
+    let rank = stage.store.leader().filter(|rank| *rank < stage.size.ranks);
+    rank.map(|rank| stage.size.agent(rank))
+}
+
+/// Waits until the group changes its map, for a while.
+async fn await_bad_moment(stage: &Stage) {
+    let began = Instant::now();
+    while !stage.engines.group().is_changing() && began.elapsed() < BAD_MOMENT {
+        tokio::time::sleep(GLANCE).await;
+    }
+}
+
+async fn kill_leader(stage: &Stage, pause: Duration) {
+    await_bad_moment(stage).await;
+    if let Some(leader) = leader(stage) {
+        kill(stage, leader, 1, pause).await;
+    }
+}
+
 /// Signals overlap: hang-up before, during and after the stop, and a second request to stop while it stops. The new process
 /// gets a hang-up as early as it can.
 async fn stop_series(stage: &Stage, entry: usize, times: u32) {
@@ -212,10 +274,10 @@
     }
 }
 
-async fn freeze(stage: &Stage, entry: usize, lasts: Duration) {
-    stage.signal(entry, Signal::SIGSTOP).await;
+async fn freeze(stage: &Stage, process: usize, lasts: Duration) {
+    stage.signal(process, Signal::SIGSTOP).await;
     tokio::time::sleep(lasts).await;
-    stage.signal(entry, Signal::SIGCONT).await;
+    stage.signal(process, Signal::SIGCONT).await;
 }
 
 /// Configurations right after each other: one takes a key away, one puts a key into force, the others change nothing. Most
@@ -243,13 +305,9 @@
     }
 }
 
-async fn restart(stage: &Stage, entry: usize) {
-    if let Err(what) = stage.start_entry(entry).await {
-        stage
-            .book
-            .open()
-            .incidents
-            .push(crate::ledger::Incident { entry, what });
+async fn restart(stage: &Stage, process: usize) {
+    if let Err(what) = stage.start_process(process).await {
+        stage.note(process, what);
     }
 }
 
@@ -292,14 +350,25 @@
                 .acknowledge(Change::Leaving(stage.targets[target].target.incarnation()));
             Some(target)
         }
+        Before::Takeover => {
+            kill_leader(stage, FOLLOWED).await;
+            None
+        }
     };
     tokio::time::sleep(READ).await;
     let copied = Instant::now().checked_sub(copy).unwrap_or_else(Instant::now);
+    let claimed = leader(stage);
     stage.store.set_busy(true);
     tokio::time::sleep(lasts.min(MOST_AWAY)).await;
     let lost = stage.store.restore(copied);
     let back = Instant::now();
     stage.store.set_busy(false);
+    if before == Before::Takeover {
+        // Whoever leads now has claimed what the store has forgotten: it knows an earlier one, or none.
+        if let Some(rank) = claimed {
+            kill(stage, rank, 1, FOLLOWED).await;
+        }
+    }
     tokio::time::sleep(WRITTEN_AGAIN).await;
     for record in lost {
         stage.store.add_again(record, back);
--- /dev/null
+++ b/crates/sparscale_soak/src/engines.rs
@@ -0,0 +1,90 @@
+//! The engines of a group, each reached at its own address.
+
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+
+use crate::group::Group;
+use crate::places::{Net, Size};
+use crate::platform::Platform;
+use crate::server::{self, Content};
+
+/// Time of a pass.
+const PASS: Duration = Duration::from_millis(8);
+/// Passes after which demand moves: often enough that most faults meet a change.
+const SHIFT: u32 = 90;
+/// Time after which a call that stays unanswered is over: longer than anybody waits.
+const UNANSWERED: Duration = Duration::from_secs(1);
+
+/// All engines of the group.
+pub(crate) struct Engines {
+    platform: Arc<dyn Platform>,
+    group: Mutex<Group>,
+}
+
+impl Engines {
+    /// Starts them, with passes from now on.
+    pub(crate) async fn start(platform: Arc<dyn Platform>, net: Net, size: Size) -> std::io::Result<Arc<Self>> {
+        let engines = Arc::new(Self {
+            platform,
+            group: Mutex::new(Group::new(size.ranks, Instant::now())),
+        });
+        for rank in 0..size.ranks {
+            let serving = Arc::clone(&engines);
+            server::serve(net.engine(size.agent(rank)), move |request| {
+                let engines = Arc::clone(&serving);
+                async move { engines.answer(rank, request).await }
+            })
+            .await?;
+        }
+        if size.ranks > 0 {
+            tokio::spawn(run(Arc::clone(&engines)));
+        }
+        Ok(engines)
+    }
+
+    pub(crate) fn group(&self) -> MutexGuard<'_, Group> {
+        self.group.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, rank: usize, request: Request<Incoming>) -> Response<Content> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map(http_body_util::Collected::to_bytes);
+        let answer = body.ok().and_then(|body| {
+            let call = Request::from_parts(head, body);
+            self.platform.answer_of_engine(&call, rank, &mut self.group())
+        });
+        let mut answer = match answer {
+            Some(answer) => answer,
+            None => unanswered().await,
+        };
+        let content = std::mem::take(answer.body_mut());
+        answer.map(|_taken| content.map_err(|never: Infallible| match never {}).boxed_unsync())
+    }
+}
+
+async fn unanswered() -> Response<Full<bytes::Bytes>> {
+    tokio::time::sleep(UNANSWERED).await;
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    answer
+}
+
+/// Lets passes follow each other; never ends.
+async fn run(engines: Arc<Engines>) {
+    let mut tick = tokio::time::interval(PASS);
+    let mut passes = 0_u32;
+    loop {
+        tick.tick().await;
+        passes += 1;
+        let mut group = engines.group();
+        if passes.is_multiple_of(SHIFT) {
+            group.shift();
+        }
+        group.pass(Instant::now());
+    }
+}
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -66,6 +66,22 @@
     Deadly { entry: usize, route: usize },
     /// The store is away for a moment and comes back from a copy that is as old as `copy`; `before` happens right before.
     Restore { copy: Duration, before: Before },
+    /// The agent beside a rank is killed and starts again.
+    KillAgent { rank: usize },
+    /// The agent beside a rank stands still.
+    FreezeAgent { rank: usize },
+    /// The agent that leads the group is killed, and starts again after the others had time to follow it.
+    KillLeader,
+    /// The agent that leads the group stands still.
+    FreezeLeader,
+    /// All agents are killed and start again.
+    KillAgents,
+    /// The way of a rank's agent to the store is harmed.
+    AgentStoreLink { rank: usize, link: Link },
+    /// Orders to a rank are left unanswered, and most of them are done later.
+    LateOrders { rank: usize },
+    /// A rank's engine starts again, and the group forms anew.
+    EngineReturn { rank: usize },
     /// Another writer's records stand in the store's list of targets.
     Foreign { target: usize },
 }
@@ -79,6 +95,8 @@
     Revoke { key: usize },
     /// A target says that it leaves.
     Leave { target: usize },
+    /// The agent that leads the group is killed; the one that follows it is killed right after the store is back.
+    Takeover,
 }
 
 /// What kind of faults a round has.
@@ -93,6 +111,8 @@
     /// A store that comes back from older copies, beside the first kind, requests that end targets, and entries that all
     /// start again.
     Restores,
+    /// A group of engines whose agents die, stand still and lose the store, which comes back from older copies.
+    Groups,
     /// Requests that end the targets which run them, beside the first kind and entries that all start again.
     Deadly,
 }
@@ -170,6 +190,33 @@
         }
     }
 
+    fn draw_groups(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let copy = Duration::from_millis(random.random_range(COPY));
+        let rank = random.random_range(0..size.ranks);
+        match random.random_range(0..16) {
+            0..=2 => Self::Restore {
+                copy,
+                before: Before::Takeover,
+            },
+            3 => Self::Restore {
+                copy,
+                before: Before::Nothing,
+            },
+            4 | 5 => Self::KillLeader,
+            6 | 7 => Self::FreezeLeader,
+            8 => Self::KillAgent { rank },
+            9 => Self::FreezeAgent { rank },
+            10 => Self::KillAgents,
+            11 => Self::AgentStoreLink {
+                rank,
+                link: draw_link(random),
+            },
+            12 | 13 => Self::LateOrders { rank },
+            14 => Self::EngineReturn { rank },
+            _ => Self::draw(random, size),
+        }
+    }
+
     fn draw_returns(random: &mut ChaCha8Rng, size: Size) -> Self {
         let target = random.random_range(0..size.targets);
         let lapsed = random.random();
@@ -226,6 +273,10 @@
     pub(crate) fn holds(self) -> Hold {
         match self {
             Self::StoreBusy | Self::StoreSilent | Self::RevokeUnseen { .. } | Self::GrantUnseen { .. } => Hold::Store,
+            Self::Restore {
+                before: Before::Takeover,
+                ..
+            } => Hold::StoreAndAgents,
             Self::StoreLapse | Self::Restore { .. } => Hold::StoreAndTargets,
             Self::StoreLink { entry, .. } => Hold::StoreLink(entry),
             Self::Kill { entry }
@@ -244,6 +295,10 @@
             | Self::Return { target, .. } => Hold::Target(target),
             Self::Stall | Self::Foreign { .. } | Self::Deadly { .. } => Hold::Nothing,
             Self::Revoke { key } => Hold::Key(key),
+            Self::KillAgent { rank } | Self::FreezeAgent { rank } => Hold::Agent(rank),
+            Self::KillLeader | Self::FreezeLeader | Self::KillAgents => Hold::Agents,
+            Self::AgentStoreLink { rank, .. } => Hold::AgentStoreLink(rank),
+            Self::LateOrders { rank } | Self::EngineReturn { rank } => Hold::Engine(rank),
         }
     }
 }
@@ -253,7 +308,12 @@
 pub(crate) enum Hold {
     Store,
     StoreAndTargets,
+    StoreAndAgents,
     StoreLink(usize),
+    AgentStoreLink(usize),
+    Agent(usize),
+    Agents,
+    Engine(usize),
     Entry(usize),
     Entries,
     Target(usize),
@@ -269,6 +329,13 @@
         match (self, other) {
             (Self::StoreAndTargets, Self::Store | Self::StoreAndTargets | Self::Target(_) | Self::Targets)
             | (Self::Store | Self::Target(_) | Self::Targets, Self::StoreAndTargets)
+            | (
+                Self::StoreAndAgents,
+                Self::Store | Self::StoreAndTargets | Self::StoreAndAgents | Self::Agent(_) | Self::Agents,
+            )
+            | (Self::Store | Self::StoreAndTargets | Self::Agent(_) | Self::Agents, Self::StoreAndAgents)
+            | (Self::Agents, Self::Agent(_))
+            | (Self::Agent(_), Self::Agents)
             | (Self::Entries, Self::Entry(_))
             | (Self::Entry(_), Self::Entries)
             | (Self::Targets, Self::Target(_))
@@ -316,6 +383,7 @@
             Plan::Returns => Fault::draw_returns(random, size),
             Plan::Restores => Fault::draw_restores(random, size),
             Plan::Deadly => Fault::draw_deadly(random, size),
+            Plan::Groups => Fault::draw_groups(random, size),
         };
         planned.push(Planned { fault, at, lasts });
     }
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -116,7 +116,8 @@
 /// Something that a process did by itself.
 #[derive(Debug, Clone)]
 pub(crate) struct Incident {
-    pub(crate) entry: usize,
+    /// Name of the process.
+    pub(crate) process: String,
     pub(crate) what: String,
 }
 
--- a/crates/sparscale_soak/src/places.rs
+++ b/crates/sparscale_soak/src/places.rs
@@ -10,11 +10,31 @@
 pub(crate) struct Size {
     pub(crate) entries: usize,
     pub(crate) targets: usize,
+    /// Ranks of the group of engines, each with an agent; none in rounds without a group.
+    pub(crate) ranks: usize,
+}
+
+impl Size {
+    /// Processes of the system.
+    pub(crate) fn processes(self) -> usize {
+        self.entries + self.ranks
+    }
+
+    /// Number among the processes of the agent beside `rank`.
+    pub(crate) fn agent(self, rank: usize) -> usize {
+        self.entries + rank
+    }
 }
 
 /// Usual size of a round.
-pub(crate) const USUAL: Size = Size { entries: 3, targets: 4 };
-/// Most entries, and most targets, that have addresses.
+pub(crate) const USUAL: Size = Size {
+    entries: 3,
+    targets: 4,
+    ranks: 0,
+};
+/// Ranks of the group in rounds with one.
+pub(crate) const RANKS: usize = 4;
+/// Most processes, and most targets, that have addresses.
 pub(crate) const MOST: usize = 60;
 /// Keys at the start; one is never taken away, and most outlast a round.
 pub(crate) const KEYS: usize = 12;
@@ -24,6 +44,10 @@
 pub(crate) const HOST: &str = "soak.example";
 /// Service of all targets.
 pub(crate) const SERVICE: &str = "soak";
+/// Service of the group of engines.
+pub(crate) const MODEL: &str = "model";
+/// Name of that group.
+pub(crate) const GROUP: &str = "model-0";
 /// Events of a stream.
 pub(crate) const EVENTS: u64 = 12;
 /// Body of a request that ends each target which runs it.
@@ -63,7 +87,7 @@
 const STORE_PORT: u16 = 8_600;
 const TARGET_PORT: u16 = 8_080;
 
-/// First host number of the entries, of their ways to the store, of targets as they are listed and as they listen.
+/// First host number of the entries and agents, of their ways to the store, of targets as they are listed and as they listen.
 const ENTRY_HOST: usize = 10;
 const STORE_HOST: usize = ENTRY_HOST + MOST;
 const LISTED_HOST: usize = STORE_HOST + MOST;
@@ -90,24 +114,30 @@
         IpAddr::V4(Ipv4Addr::new(127, self.high, self.low, host as u8))
     }
 
-    pub(crate) fn entry(self, index: usize) -> IpAddr {
+    /// Address of the machine of process `index`.
+    pub(crate) fn machine(self, index: usize) -> IpAddr {
         self.ip(ENTRY_HOST + index)
     }
 
     pub(crate) fn callers(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.entry(index), CALLERS_PORT)
+        SocketAddr::new(self.machine(index), CALLERS_PORT)
     }
 
     pub(crate) fn ready(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.entry(index), READY_PORT)
+        SocketAddr::new(self.machine(index), READY_PORT)
     }
 
     pub(crate) fn metrics(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.entry(index), METRICS_PORT)
+        SocketAddr::new(self.machine(index), METRICS_PORT)
     }
 
     pub(crate) fn peer(self, index: usize) -> SocketAddr {
-        SocketAddr::new(self.entry(index), PEER_PORT)
+        SocketAddr::new(self.machine(index), PEER_PORT)
+    }
+
+    /// The engine on the machine of agent `index`.
+    pub(crate) fn engine(self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.machine(index), TARGET_PORT)
     }
 
     /// The store itself.
@@ -115,7 +145,7 @@
         SocketAddr::new(self.ip(1), STORE_PORT)
     }
 
-    /// Where entry `index` reaches the store.
+    /// Where process `index` reaches the store.
     pub(crate) fn store_for(self, index: usize) -> SocketAddr {
         SocketAddr::new(self.ip(STORE_HOST + index), STORE_PORT)
     }
--- a/crates/sparscale_soak/src/platform.rs
+++ b/crates/sparscale_soak/src/platform.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use sparscale_gateway::Dialect;
 
+use crate::group::Group;
 use crate::records::{Record, Records};
 
 /// What the platform holds the system to, for settings files and for the checks.
@@ -70,6 +71,27 @@
     pub bounds: Bounds,
 }
 
+/// Where one agent runs.
+#[derive(Debug, Clone)]
+pub struct AgentPlace {
+    /// Its name.
+    pub name: String,
+    /// Its address; ports are alike on all machines.
+    pub address: IpAddr,
+    /// Where it tells its figures.
+    pub metrics: SocketAddr,
+    /// Port for other processes of the system.
+    pub peer_port: u16,
+    /// Entries.
+    pub seeds: Vec<SocketAddr>,
+    /// The engine beside it.
+    pub engine: SocketAddr,
+    /// Service of that engine.
+    pub service: &'static str,
+    /// Where it reaches the store.
+    pub store: SocketAddr,
+}
+
 /// How a route's requests may be handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -107,6 +129,21 @@
     pub routes: &'static [Route],
     /// Keys in force; each belongs to a workspace of the same name.
     pub keys: Vec<String>,
+    /// Service whose engines form a group, if there is one; no route leads to it.
+    pub model: Option<&'static str>,
+}
+
+/// An engine's place in its group.
+#[derive(Debug, Clone, Copy)]
+pub struct Rank {
+    /// Name of the group.
+    pub group: &'static str,
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Number of the rank.
+    pub number: usize,
+    /// Ranks of the group.
+    pub size: usize,
 }
 
 /// A target's entry in the list.
@@ -122,6 +159,8 @@
     pub leaving: bool,
     /// When its present start began, in milliseconds.
     pub born_ms: u64,
+    /// Its place in a group, if it has one.
+    pub rank: Option<Rank>,
 }
 
 /// Speaks a platform's wire.
@@ -129,6 +168,18 @@
     /// Name of the program of an entry, built beside the soak.
     fn program(&self) -> &'static str;
 
+    /// Name of the program of an agent.
+    fn agent_program(&self) -> &'static str;
+
+    /// An agent's settings file.
+    fn agent_settings(&self, place: &AgentPlace) -> String;
+
+    /// The rank whose agent was the last to claim that it leads the group, if one did.
+    fn leader(&self, records: &Records) -> Option<usize>;
+
+    /// The answer of an engine of the group to a call; none if it leaves the call unanswered.
+    fn answer_of_engine(&self, call: &Request<Bytes>, rank: usize, group: &mut Group) -> Option<Response<Full<Bytes>>>;
+
     /// Text of an entry's settings file.
     fn settings(&self, place: &EntryPlace) -> String;
 
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -53,6 +53,8 @@
     /// How many requests ended in each way.
     pub(crate) outcomes: BTreeMap<String, usize>,
     pub(crate) faults: usize,
+    /// Changes of map.
+    pub(crate) changes: u64,
     /// How often the machine let nothing run for a while.
     pub(crate) stalls: usize,
     pub(crate) violations: Vec<Violation>,
@@ -62,7 +64,7 @@
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
     let net = Net::of(std::process::id(), round.seed);
     let bounds = match round.plan {
-        Plan::Single | Plan::Returns | Plan::Restores | Plan::Deadly => BOUNDS,
+        Plan::Single | Plan::Returns | Plan::Restores | Plan::Groups | Plan::Deadly => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let stage = Arc::new(Stage::start(platform, net, round.size, bounds, folder).await?);
@@ -78,8 +80,10 @@
         plan,
         size,
     } = round;
-    await_service(stage, START)
-        .await
+    let served = await_service(stage, START).await;
+    let changed = await_change(stage, START).await;
+    served
+        .and(changed)
         .map_err(|missing| format!("at the start {missing}"))?;
     let over = watch::Sender::new(false);
     let callers = call(stage, seed, &over);
@@ -87,12 +91,13 @@
     for target in 0..size.targets {
         tokio::spawn(drive::crash(Arc::clone(stage), target));
     }
-    if plan == Plan::Restores {
+    if matches!(plan, Plan::Restores | Plan::Groups) {
         tokio::spawn(drive::beat(Arc::clone(stage), over.subscribe()));
     }
     let planned = fault::plan(&mut ChaCha8Rng::seed_from_u64(seed), length, plan, size);
     let faults = harm(stage, planned).await;
     let recovered = await_service(stage, RECOVERY).await;
+    let followed = await_change(stage, RECOVERY).await;
     over.send_replace(true);
     for task in callers.into_iter().chain([watching]) {
         task.await.map_err(|error| error.to_string())?;
@@ -107,6 +112,14 @@
             what: format!("{} s after the last fault {what}", RECOVERY.as_secs()),
         });
     }
+    if let Err(what) = followed {
+        violations.push(Violation { promise: "group", what });
+    }
+    let mixed = stage.engines.group().mixed().to_vec();
+    violations.extend(mixed.into_iter().map(|what| Violation {
+        promise: "one map",
+        what,
+    }));
     let mut outcomes = BTreeMap::new();
     for attempt in &ledger.attempts {
         *outcomes.entry(attempt.outcome.name()).or_default() += 1;
@@ -117,6 +130,7 @@
         requests: ledger.attempts.len(),
         outcomes,
         faults,
+        changes: stage.engines.group().changes(),
         violations,
     })
 }
@@ -206,6 +220,22 @@
     Ok(())
 }
 
+/// Waits until the group has taken another map in one pass, and goes on, if there is a group.
+async fn await_change(stage: &Arc<Stage>, limit: Duration) -> Result<(), String> {
+    if stage.size.ranks == 0 {
+        return Ok(());
+    }
+    let before = stage.engines.group().changes();
+    let began = Instant::now();
+    while stage.engines.group().changes() == before {
+        if began.elapsed() > limit {
+            return Err(format!("no change of map within {} s", limit.as_secs()));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
 async fn ask_until_served(mut caller: Caller, until: Instant) -> Result<(), String> {
     for (index, route) in ROUTES.iter().enumerate() {
         loop {
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -9,9 +9,10 @@
 use sparscale_fleet::Process;
 use tokio::sync::Mutex;
 
+use crate::engines::Engines;
 use crate::ledger::{Book, Incident};
-use crate::places::{HOST, KEYS, Net, PEER_PORT, ROUTES, SERVICE, Size};
-use crate::platform::{Bounds, EntryPlace, Listed, Offer, Platform};
+use crate::places::{GROUP, HOST, KEYS, MODEL, Net, PEER_PORT, ROUTES, SERVICE, Size};
+use crate::platform::{AgentPlace, Bounds, EntryPlace, Listed, Offer, Platform, Rank};
 use crate::proxy::Proxy;
 use crate::store::Store;
 use crate::target::Target;
@@ -22,7 +23,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Entries that an entry's settings name, at most.
 const SEEDS: usize = 3;
-/// Most memory that an entry may hold, in kilobytes: several times what it has at rest.
+/// Most memory that a process may hold, in kilobytes: several times what it has at rest.
 const MEMORY_KB: u64 = 64 << 10;
 
 /// One target and what leads to it.
@@ -33,8 +34,10 @@
     incarnations: Mutex<u32>,
 }
 
-/// One entry: its process, while there is one.
-struct EntrySlot {
+/// One entry or agent: its process, while there is one.
+struct Slot {
+    name: String,
+    program: &'static str,
     process: Mutex<Option<Process>>,
     /// Whether the process was asked to end.
     stopping: AtomicBool,
@@ -50,10 +53,12 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) book: Arc<Book>,
     pub(crate) store: Arc<Store>,
-    /// For each entry, its way to the store.
+    /// For each process, its way to the store.
     pub(crate) store_proxies: Vec<Proxy>,
     pub(crate) targets: Vec<TargetPlace>,
-    entries: Vec<EntrySlot>,
+    pub(crate) engines: Arc<Engines>,
+    /// The entries, then the agents.
+    processes: Vec<Slot>,
     offer: Mutex<Offer>,
 }
 
@@ -70,8 +75,8 @@
         let said = |error: std::io::Error| error.to_string();
         let store = Store::start(Arc::clone(&platform), net.store()).await.map_err(said)?;
         let mut store_proxies = Vec::new();
-        for entry in 0..size.entries {
-            let proxy = Proxy::start(net.store_for(entry), net.store()).await.map_err(said)?;
+        for process in 0..size.processes() {
+            let proxy = Proxy::start(net.store_for(process), net.store()).await.map_err(said)?;
             store_proxies.push(proxy);
         }
         let mut targets = Vec::new();
@@ -91,13 +96,20 @@
             service: SERVICE,
             routes: &ROUTES,
             keys: (0..KEYS).map(|key| format!("key-{key}")).collect(),
+            model: (size.ranks > 0).then_some(MODEL),
         };
-        let slot = |index: usize| EntrySlot {
+        let slot = |name: String, program| Slot {
             process: Mutex::default(),
             stopping: AtomicBool::new(false),
-            log: folder.join(format!("entry-{index}.log")),
-            settings: folder.join(format!("entry-{index}.json")),
+            log: folder.join(format!("{name}.log")),
+            settings: folder.join(format!("{name}.json")),
+            name,
+            program,
         };
+        let entries = (0..size.entries).map(|entry| slot(format!("entry-{entry}"), platform.program()));
+        let agents = (0..size.ranks).map(|rank| slot(format!("agent-{rank}"), platform.agent_program()));
+        let processes = entries.chain(agents).collect();
+        let engines = Engines::start(Arc::clone(&platform), net, size).await.map_err(said)?;
         let stage = Self {
             net,
             size,
@@ -107,13 +119,14 @@
             store,
             store_proxies,
             targets,
-            entries: (0..size.entries).map(slot).collect(),
+            engines,
+            processes,
             offer: Mutex::new(offer),
         };
         stage.fill_store().await;
-        for entry in 0..size.entries {
-            stage.write_settings(entry)?;
-            stage.start_entry(entry).await?;
+        for process in 0..size.processes() {
+            stage.write_settings(process)?;
+            stage.start_process(process).await?;
         }
         Ok(stage)
     }
@@ -124,13 +137,41 @@
         for index in 0..self.targets.len() {
             self.list(index, false);
         }
+        for rank in 0..self.size.ranks {
+            self.list_rank(rank);
+        }
+    }
+
+    fn write_settings(&self, process: usize) -> Result<(), String> {
+        let settings = match process.checked_sub(self.size.entries) {
+            Some(rank) => self.agent_settings(rank),
+            None => self.entry_settings(process),
+        };
+        let path = &self.processes[process].settings;
+        std::fs::write(path, settings).map_err(|error| format!("{}: {error}", path.display()))
+    }
+
+    fn agent_settings(&self, rank: usize) -> String {
+        let process = self.size.agent(rank);
+        let seeds = 0..self.size.entries.min(SEEDS);
+        let place = AgentPlace {
+            name: self.processes[process].name.clone(),
+            address: self.net.machine(process),
+            metrics: self.net.metrics(process),
+            peer_port: PEER_PORT,
+            seeds: seeds.map(|entry| self.net.peer(entry)).collect(),
+            engine: self.net.engine(process),
+            service: MODEL,
+            store: self.net.store_for(process),
+        };
+        self.platform.agent_settings(&place)
     }
 
-    fn write_settings(&self, entry: usize) -> Result<(), String> {
+    fn entry_settings(&self, entry: usize) -> String {
         let seeds = (0..self.size.entries).filter(|other| *other != entry).take(SEEDS);
         let place = EntryPlace {
-            name: format!("entry-{entry}"),
-            address: self.net.entry(entry),
+            name: self.processes[entry].name.clone(),
+            address: self.net.machine(entry),
             callers: self.net.callers(entry),
             ready: self.net.ready(entry),
             metrics: self.net.metrics(entry),
@@ -139,61 +180,60 @@
             store: self.net.store_for(entry),
             bounds: self.bounds,
         };
-        let path = &self.entries[entry].settings;
-        std::fs::write(path, self.platform.settings(&place)).map_err(|error| format!("{}: {error}", path.display()))
+        self.platform.settings(&place)
     }
 
-    /// Starts an entry's process.
-    pub(crate) async fn start_entry(&self, entry: usize) -> Result<(), String> {
-        let slot = &self.entries[entry];
+    /// Starts a process.
+    pub(crate) async fn start_process(&self, process: usize) -> Result<(), String> {
+        let slot = &self.processes[process];
         let arguments = [slot.settings.display().to_string()];
-        let process = Process::start(self.platform.program(), &arguments, &slot.log)?;
+        let process = Process::start(slot.program, &arguments, &slot.log)?;
         slot.stopping.store(false, Ordering::SeqCst);
         *slot.process.lock().await = Some(process);
         Ok(())
     }
 
-    /// Sends a signal to an entry's process, if it runs.
-    pub(crate) async fn signal(&self, entry: usize, signal: Signal) {
-        let process = self.entries[entry].process.lock().await;
+    /// Sends a signal to a process, if it runs.
+    pub(crate) async fn signal(&self, index: usize, signal: Signal) {
+        let process = self.processes[index].process.lock().await;
         let sent = process.as_ref().map(|process| process.signal(signal));
         if let Some(Err(error)) = sent {
-            self.note(entry, format!("{signal} could not be sent: {error}"));
+            self.note(index, format!("{signal} could not be sent: {error}"));
         }
     }
 
-    /// Ends an entry's process at once.
-    pub(crate) async fn kill(&self, entry: usize) {
-        if let Some(process) = self.entries[entry].process.lock().await.take() {
+    /// Ends a process at once.
+    pub(crate) async fn kill(&self, index: usize) {
+        if let Some(process) = self.processes[index].process.lock().await.take() {
             process.kill();
         }
     }
 
-    /// Asks an entry's process to end, and waits until it has.
-    pub(crate) async fn stop(&self, entry: usize) {
-        self.entries[entry].stopping.store(true, Ordering::SeqCst);
-        self.signal(entry, Signal::SIGTERM).await;
+    /// Asks a process to end, and waits until it has.
+    pub(crate) async fn stop(&self, index: usize) {
+        self.processes[index].stopping.store(true, Ordering::SeqCst);
+        self.signal(index, Signal::SIGTERM).await;
         let asked = Instant::now();
         while asked.elapsed() < self.bounds.grace + LATE {
-            if self.has_ended(entry).await {
-                self.kill(entry).await;
+            if self.has_ended(index).await {
+                self.kill(index).await;
                 return;
             }
             tokio::time::sleep(LOOK).await;
         }
         self.note(
-            entry,
+            index,
             format!("still there {} s after SIGTERM", asked.elapsed().as_secs()),
         );
-        self.kill(entry).await;
+        self.kill(index).await;
     }
 
-    async fn has_ended(&self, entry: usize) -> bool {
-        let mut process = self.entries[entry].process.lock().await;
+    async fn has_ended(&self, index: usize) -> bool {
+        let mut process = self.processes[index].process.lock().await;
         let Some(process) = process.as_mut() else { return true };
         match process.exit_status() {
             Some(status) if !status.success() => {
-                self.note(entry, format!("ended with {status} when asked to stop"));
+                self.note(index, format!("ended with {status} when asked to stop"));
                 true
             }
             Some(_) => true,
@@ -203,7 +243,7 @@
 
     /// Notes processes that have ended by themselves, that hold too much, or whose log tells of a panic.
     pub(crate) async fn look_at_processes(&self) {
-        for (index, slot) in self.entries.iter().enumerate() {
+        for (index, slot) in self.processes.iter().enumerate() {
             let mut process = slot.process.lock().await;
             let Some(process) = process.as_mut() else { continue };
             let asked = slot.stopping.load(Ordering::SeqCst);
@@ -219,7 +259,7 @@
 
     /// Notes panics that the logs tell of.
     pub(crate) fn look_at_logs(&self) {
-        for (index, slot) in self.entries.iter().enumerate() {
+        for (index, slot) in self.processes.iter().enumerate() {
             match std::fs::read_to_string(&slot.log) {
                 Ok(text) if text.contains("panicked at") => self.note(index, "its log tells of a panic".to_owned()),
                 Ok(_) => {}
@@ -230,8 +270,8 @@
 
     /// Ends all processes.
     pub(crate) async fn end(&self) {
-        for entry in 0..self.entries.len() {
-            self.kill(entry).await;
+        for index in 0..self.processes.len() {
+            self.kill(index).await;
         }
     }
 
@@ -243,6 +283,26 @@
             address: self.net.listed(index),
             leaving,
             born_ms: self.targets[index].target.born_ms(),
+            rank: None,
+        };
+        self.store.add(self.platform.listed(&listed));
+    }
+
+    /// Lists an engine of the group in the store.
+    pub(crate) fn list_rank(&self, rank: usize) {
+        let report = self.engines.group().report(rank, Instant::now());
+        let listed = Listed {
+            id: format!("rank-{rank}"),
+            service: MODEL,
+            address: self.net.engine(self.size.agent(rank)),
+            leaving: false,
+            born_ms: report.born_ms,
+            rank: Some(Rank {
+                group: GROUP,
+                epoch: report.epoch,
+                number: rank,
+                size: report.size,
+            }),
         };
         self.store.add(self.platform.listed(&listed));
     }
@@ -255,6 +315,7 @@
             address: self.net.listed(0),
             leaving: false,
             born_ms: 0,
+            rank: None,
         };
         self.store.beat(self.platform.listed(&any).topic);
     }
@@ -267,6 +328,7 @@
             address: self.net.listed(index),
             leaving: true,
             born_ms: 0,
+            rank: None,
         };
         let mut record = self.platform.listed(&listed);
         record.value = None;
@@ -281,6 +343,7 @@
             address: self.net.listed(index),
             leaving: false,
             born_ms: self.targets[index].target.born_ms(),
+            rank: None,
         };
         for record in self.platform.foreign(&listed) {
             self.store.add(record);
@@ -295,6 +358,7 @@
             address: self.net.listed(0),
             leaving: false,
             born_ms: 0,
+            rank: None,
         };
         for mut record in self.platform.foreign(&listed) {
             record.value = None;
@@ -342,8 +406,10 @@
         true
     }
 
-    fn note(&self, entry: usize, what: String) {
-        self.book.open().incidents.push(Incident { entry, what });
+    /// Notes something that a process did by itself.
+    pub(crate) fn note(&self, process: usize, what: String) {
+        let process = self.processes[process].name.clone();
+        self.book.open().incidents.push(Incident { process, what });
     }
 }
 
--- a/crates/sparscale_soak/src/store.rs
+++ b/crates/sparscale_soak/src/store.rs
@@ -44,6 +44,11 @@
         self.records().add(record);
     }
 
+    /// The rank whose agent was the last to claim the group.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        self.platform.leader(&self.records())
+    }
+
     /// Whether calls are refused.
     pub(crate) fn set_busy(&self, busy: bool) {
         self.busy.store(busy, Ordering::SeqCst);
