Map switch: an answer for a change that was given up says nothing of the next one

At 9.44 s two woken ranks refused the order to load map 1048592. The first refusal ended that change; the second one counted for 1048593, begun meanwhile, and ended it, too; the answer for 1048593 then counted for 1048594, so that one rank was never told to load it and was waited for until the change was given up at 10.57 s. Skew 2.8 all the while. Ruled out: the woken agent does not answer (its line says Done, for 1048593); a lost message (the order was never sent). Change: the conductor takes an answer to an order to load, or a refused arm, only for the change that is under way. Tests: barrier_switch::late_answers, both red before; the walks of barrier_switch green.

--- a/crates/sparscale_place/src/barrier/conductor.rs
+++ b/crates/sparscale_place/src/barrier/conductor.rs
@@ -383,8 +383,14 @@
             (Phase::Undo { fenced }, Act::Disarm { .. }) if order.fence == self.fence => {
                 fenced[rank] = certain && view.is_some() && !armed;
             }
-            (Phase::Stage { .. }, Act::Stage { .. }) if answer == Answer::Refused => self.fail(Phase::Idle),
-            (Phase::Stage { begun, .. }, Act::Stage { .. }) => begun[rank] = certain,
+            // An answer for a change that was given up says nothing of this one.
+            (Phase::Stage { number, begun }, Act::Stage { number: ordered }) if ordered == *number => {
+                if answer == Answer::Refused {
+                    self.fail(Phase::Idle);
+                } else {
+                    begun[rank] = certain;
+                }
+            }
             (Phase::Hold { number, step }, Act::Hold { step: ordered }) if own && ordered == *step => {
                 let change = Change {
                     number: *number,
@@ -392,7 +398,9 @@
                 };
                 self.held(change, answer, view);
             }
-            (Phase::Arm { .. }, Act::Arm(_)) if answer == Answer::Refused => self.undo(),
+            (Phase::Arm { change }, Act::Arm(ordered)) if ordered == *change && answer == Answer::Refused => {
+                self.undo()
+            }
             (Phase::Release { change }, Act::Release { step }) if own && step == change.at => {
                 let released = view.is_some_and(|view| view.held != Some(step));
                 if certain && released {
--- a/crates/sparscale_place/tests/barrier_switch/main.rs
+++ b/crates/sparscale_place/tests/barrier_switch/main.rs
@@ -3,6 +3,7 @@
 
 mod forgotten_claims;
 mod group;
+mod late_answers;
 mod silent_rank;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
