Map switch: nothing is loaded while a rank is silent

Cause: while a box stands still no change can come in force (its rank can't be armed), yet a map was loaded and given up each 0.8 s: loads in vain, passes 15 in 100 longer meanwhile; and the change under way at the wake had to be given up first. Ruled out: a change without the silent rank (all ranks begin a pass with one map; its engine takes no orders). Change: the conductor decides on no change while a rank is silent; as soon as it speaks, from the counts of that moment.

--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -292,7 +292,8 @@
         self.tell_now |= silent > self.silent_ranks;
         self.silent_ranks = silent;
         self.note_progress();
-        if self.conductor.progress() == Progress::Idle && self.undecided {
+        // While a rank is silent no change can come in force: it would be loaded in vain, again and again.
+        if self.conductor.progress() == Progress::Idle && self.undecided && silent == 0 {
             self.undecided = false;
             self.decide();
         }
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -53,6 +53,8 @@
     pub hot: usize,
     pub mixed: bool,
     pub changes: u32,
+    /// Orders to load a map that engines took.
+    pub stages: u32,
     pub claims: Vec<String>,
     /// How often the list of claims came back from an older copy.
     pub era: u64,
@@ -292,6 +294,7 @@
             Act::Stage { number } => {
                 let fits = number > rank.highest && rank.armed.is_none();
                 if let Some(map) = map.filter(|_| fits) {
+                    self.stages += 1;
                     rank.highest = number;
                     rank.staged = Some((number, map.clone(), Instant::now() + LOAD));
                 }
--- a/crates/sparscale_conduct/tests/group/leading.rs
+++ b/crates/sparscale_conduct/tests/group/leading.rs
@@ -18,7 +18,7 @@
 }
 
 /// The rank whose agent claimed last.
-fn leader(world: &World) -> usize {
+pub fn leader(world: &World) -> usize {
     let claim = world.lock().claims.last().cloned().expect("a claim");
     let rank = claim.rsplit('/').next().and_then(|rank| rank.parse().ok());
     rank.expect("a rank")
--- a/crates/sparscale_conduct/tests/group/main.rs
+++ b/crates/sparscale_conduct/tests/group/main.rs
@@ -5,4 +5,5 @@
 mod leading;
 mod old_state;
 mod returned;
+mod sleeping;
 mod wide_group;
