Agent: its files form no circle

Cause: inquiry, leader, link, member and rank imported each other; what a term of leadership and the agent's handle are stood in the files that use them most. Change: `context` (what leading works with, the term) and `handle` (the agent's handle, orders, who leads) are files of their own, below the others. Nothing but places changed; a semicolon that clippy asks for in the conductor.

--- a/crates/sparscale_conduct/src/inquiry.rs
+++ b/crates/sparscale_conduct/src/inquiry.rs
@@ -9,10 +9,10 @@
 use sparscale_wire::{Ask, Channel, Frame, Role, Word};
 use tokio::task::JoinSet;
 
+use crate::context::Context;
 use crate::engine::EngineState;
-use crate::leader::Context;
+use crate::handle::Handle;
 use crate::pace::Pace;
-use crate::rank::Handle;
 
 /// Agents that are asked, far apart in the group: boxes of one hall are gone together.
 const ASKED: usize = 3;
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -2,29 +2,23 @@
 
 mod talk;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sparscale_belief::Board;
-use sparscale_mesh::Mesh;
 use sparscale_place::barrier::{Conductor, Progress};
 use sparscale_place::{Map, Trend};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Base, Endpoint, RankNews};
+use sparscale_wire::{Base, RankNews};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
-use crate::bandwidth::Bandwidth;
+use crate::context::{Context, Term};
 use crate::decision::Decider;
-use crate::engine::Engines;
-use crate::figures::Figures;
 use crate::link::{DIALS, Event};
 use crate::maps::Offer;
-use crate::member::{Change, Delegation, Member, Proof, assemble, member};
+use crate::member::{Change, Delegation, Member, Proof, QUEUE, assemble, member};
 use crate::outbox::Outbox;
 use crate::pace::Pace;
-use crate::rank::Handle;
 
 /// Fences of one claim: each change uses two at most.
 const FENCES_PER_CLAIM: u64 = 1 << 20;
@@ -39,36 +33,6 @@
 const STALL_PAUSE: Duration = Duration::from_secs(2);
 /// Ranks that such a line tells of.
 const NAMED: usize = 6;
-/// Orders and events that wait, of each rank.
-pub(crate) const QUEUE: usize = 256;
-
-/// What a leader works with.
-#[derive(Clone)]
-pub(crate) struct Context {
-    pub(crate) board: Arc<Board>,
-    pub(crate) mesh: Arc<Mesh>,
-    pub(crate) endpoint: Arc<Endpoint>,
-    pub(crate) engines: Arc<dyn Engines>,
-    pub(crate) handle: Handle,
-    /// The engine beside this process.
-    pub(crate) engine: SocketAddr,
-    /// Port at which every agent takes connections.
-    pub(crate) port: u16,
-    /// Link of this box.
-    pub(crate) bandwidth: Bandwidth,
-    pub(crate) figures: Figures,
-}
-
-/// One term of leadership: the group that is led, and the claim by which it is.
-#[derive(Debug, Clone)]
-pub(crate) struct Term {
-    pub(crate) group: String,
-    pub(crate) service: String,
-    pub(crate) own: usize,
-    pub(crate) size: usize,
-    /// Number of the claim.
-    pub(crate) claim: u64,
-}
 
 pub(crate) struct Leader {
     pub(crate) context: Context,
--- a/crates/sparscale_conduct/src/leadership.rs
+++ b/crates/sparscale_conduct/src/leadership.rs
@@ -7,11 +7,12 @@
 use tokio::time::Instant;
 
 use crate::claims::{self, Claim, Claims};
+use crate::context::{Context, Term};
 use crate::engine::EngineState;
+use crate::handle::Led;
 use crate::inquiry::{self, Verdict};
-use crate::leader::{Context, Leader, Term};
+use crate::leader::Leader;
 use crate::pace::Pace;
-use crate::rank::Led;
 
 /// Time without a word from any conductor after which the first in line claims the leadership of a group whose ranks still have
 /// the map that every group starts with: nobody has led it in this epoch, and its passes are several times as long as
--- a/crates/sparscale_conduct/src/lib.rs
+++ b/crates/sparscale_conduct/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod bandwidth;
 mod claims;
+mod context;
 mod decision;
 mod delegation;
 mod distant;
 mod engine;
 mod figures;
+mod handle;
 mod inquiry;
 mod leader;
 mod leadership;
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -12,9 +12,9 @@
 
 use crate::distant::Distant;
 use crate::engine::Engines;
+use crate::handle::{Command, Handle, Lead};
 use crate::inquiry;
 use crate::pace::Pace;
-use crate::rank::{Command, Handle};
 
 /// Time that reaching an agent may take: a lost first packet is sent again after 150 ms, and after 300 ms more.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
@@ -37,16 +37,6 @@
     Lost { rank: usize },
 }
 
-/// What a conductor leads an agent as.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Lead {
-    pub(crate) group: String,
-    /// Rank that the conductor takes the agent's engine for.
-    pub(crate) rank: usize,
-    /// Number of the claim by which it leads.
-    pub(crate) claim: u64,
-}
-
 /// Where the engine and the agent of a rank are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Place {
--- a/crates/sparscale_conduct/src/member.rs
+++ b/crates/sparscale_conduct/src/member.rs
@@ -8,11 +8,15 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
-use crate::leader::{Context, QUEUE, Term};
-use crate::link::{Event, Lead, Link, Place, Remote, lead_own};
+use crate::context::{Context, Term};
+use crate::handle::Lead;
+use crate::link::{Event, Link, Place, Remote, lead_own};
 use crate::maps::{Offer, Sent};
 use crate::pace::Pace;
 
+/// Orders and events that wait, of each rank.
+pub(crate) const QUEUE: usize = 256;
+
 /// One rank.
 pub(crate) struct Member {
     pub(crate) orders: mpsc::Sender<RankOrder>,
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -13,9 +13,9 @@
 
 use crate::bandwidth::Bandwidth;
 use crate::claims::Claims;
+use crate::context::Context;
 use crate::engine::Engines;
 use crate::figures::Figures;
-use crate::leader::Context;
 use crate::leadership;
 use crate::link;
 use crate::rank;
--- a/crates/sparscale_conduct/src/rank.rs
+++ b/crates/sparscale_conduct/src/rank.rs
@@ -14,7 +14,7 @@
 use crate::bandwidth::Bandwidth;
 use crate::engine::{Counts, Engine, EngineState, Engines};
 use crate::figures::Figures;
-use crate::link::Lead;
+use crate::handle::{Command, Handle, Lead, Led, QUEUE, Subscriber};
 use crate::maps::Cache;
 use crate::pace::Pace;
 use crate::reporter::Reporter;
@@ -28,58 +28,6 @@
 /// Tries of one order; an engine that leaves an order unanswered may carry it out later, and every order may be
 /// carried out twice.
 const TRIES: u32 = 4;
-/// News that wait for a slow conductor.
-const QUEUE: usize = 64;
-
-/// An order from a conductor.
-#[derive(Debug)]
-pub(crate) struct Command {
-    pub(crate) lead: Lead,
-    pub(crate) order: RankOrder,
-}
-
-/// A conductor that wants to hear of the rank.
-#[derive(Debug)]
-pub(crate) struct Subscriber {
-    pub(crate) lead: Lead,
-    pub(crate) news: mpsc::Sender<RankNews>,
-}
-
-/// What others may ask of the rank's agent.
-#[derive(Debug, Clone)]
-pub(crate) struct Handle {
-    commands: mpsc::Sender<Command>,
-    subscribers: mpsc::Sender<Subscriber>,
-    /// Latest state of the rank.
-    pub(crate) state: watch::Receiver<Option<EngineState>>,
-    /// Highest claim by which a conductor led this rank, and when it last spoke.
-    pub(crate) led: watch::Receiver<Led>,
-    /// When this agent started.
-    pub(crate) started: Instant,
-}
-
-/// Who leads the rank.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Led {
-    /// Its claim; none if nobody has spoken yet.
-    pub(crate) claim: Option<u64>,
-    /// When it last spoke.
-    pub(crate) spoke: Instant,
-}
-
-impl Handle {
-    /// Hands an order over; nothing happens if the agent is stopping.
-    pub(crate) async fn command(&self, command: Command) {
-        let _stopping = self.commands.send(command).await;
-    }
-
-    /// Lets a conductor hear of the rank, and gives what it hears.
-    pub(crate) async fn subscribe(&self, lead: Lead) -> mpsc::Receiver<RankNews> {
-        let (news, receiver) = mpsc::channel(QUEUE);
-        let _stopping = self.subscribers.send(Subscriber { lead, news }).await;
-        receiver
-    }
-}
 
 /// Reads and orders one rank.
 struct Agent {
--- a/crates/sparscale_conduct/src/standby.rs
+++ b/crates/sparscale_conduct/src/standby.rs
@@ -11,7 +11,7 @@
 use sparscale_wire::Role;
 use tokio::sync::Semaphore;
 
-use crate::leader::Context;
+use crate::context::Context;
 
 /// Ranks from the first on that keep connections: when the conductor's box is gone, the first in line may be gone with it.
 const STANDBYS: usize = 3;
--- a/crates/sparscale_place/src/barrier/conductor.rs
+++ b/crates/sparscale_place/src/barrier/conductor.rs
@@ -399,7 +399,7 @@
                 self.held(change, answer, view);
             }
             (Phase::Arm { change }, Act::Arm(ordered)) if ordered == *change && answer == Answer::Refused => {
-                self.undo()
+                self.undo();
             }
             (Phase::Release { change }, Act::Release { step }) if own && step == change.at => {
                 let released = view.is_some_and(|view| view.held != Some(step));
