Queue: places that come free in a group are shared by all its entries

An entry reckoned its wait from the requests that it has in itself. One of 53 entries has a few or none, so its wait came out as a whole stay where the group's places come free all the time, and it turned first tries away at once. Test: return_order::one_of_many, red before (turned away, 1 s expected where 0.17 s is due).

--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -100,6 +100,8 @@
     line: Line<T>,
     /// When the next caller that is turned away is to come back.
     next_return: Instant,
+    /// This entry's share of the requests in the group, as last told; none while nobody tells.
+    held: f64,
     /// Mean time for which a request stays in.
     stay: Duration,
     /// Mean time from letting a stream in to its first event, once one was seen.
@@ -116,6 +118,7 @@
             untold: Vec::new(),
             line: Line::default(),
             next_return: now,
+            held: 0.0,
             stay: FIRST_STAY,
             first: None,
         }
@@ -131,12 +134,14 @@
             self.untold.retain(|let_in| *let_in + UNTOLD > now);
             let capacity = room::capacity_now(load, group.engine, group.pause);
             let held = room::held(load);
+            self.held = held / entries;
             let share = |capacity: f64| (capacity - held) / entries - self.untold.len() as f64;
             self.room = Room {
                 timely: share(capacity.timely),
                 late: share(capacity.late),
             };
         } else if now.saturating_duration_since(self.told) > LOAD_AGE {
+            self.held = 0.0;
             self.room = Room::alike(UNTOLD_RANK * group.ranks as f64 / entries - inside as f64);
         }
     }
@@ -171,7 +176,7 @@
     fn promise(&mut self, request: &Request, inside: usize, expected: Duration, lot: f64, now: Instant) -> Duration {
         let longest = request.left.map_or(MAX_RETRY, |left| left.mul_f64(RETURN_PART));
         let at = self.next_return.max(now + expected).min(now + longest);
-        let place = self.stay.div_f64(inside.max(1) as f64);
+        let place = self.stay.div_f64(self.leaving(inside));
         self.next_return = at + place.mul_f64(PLACES_A_RETURN);
         // All entries promise by themselves, so that even those who are told the same time must not return together.
         let spread = 0.75 + 0.5 * lot;
@@ -217,7 +222,13 @@
     pub fn expected_wait(&self, inside: usize) -> Duration {
         let room = self.room.timely.max(self.room.late);
         let ahead = self.line.len() as f64 + 1.0 - room.clamp(-64.0, 0.0);
-        self.stay.mul_f64(ahead / (inside.max(1) as f64))
+        self.stay.mul_f64(ahead / self.leaving(inside))
+    }
+
+    /// Requests whose places this entry may fill as they leave. Places that come free anywhere in the group are shared by all
+    /// entries: one of many that has few in at the moment does not wait for those to leave.
+    fn leaving(&self, inside: usize) -> f64 {
+        self.held.max(inside as f64).max(1.0)
     }
 
     /// The loads that the room was worked out from.
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -24,6 +24,11 @@
 
 /// A queue before a group with `running` requests on each rank, whose experts' work is as uneven as `skew`.
 fn queue(running: u32, skew: f64, now: Instant) -> Queue<usize> {
+    shared(running, skew, 1, now)
+}
+
+/// The same of one of `entries` entries that share the group.
+fn shared(running: u32, skew: f64, entries: usize, now: Instant) -> Queue<usize> {
     let rank = RankLoad {
         running,
         ..RankLoad::default()
@@ -42,7 +47,7 @@
         engine: &engine,
         pause: PAUSE,
         ranks: RANKS,
-        entries: 1,
+        entries,
     };
     let mut queue = Queue::new(now);
     queue.refresh(Some(&load), &group, INSIDE, now);
@@ -80,6 +85,20 @@
     assert!(first_tries < returned, "{first_tries} and {returned}");
 }
 
+/// One of many entries has few requests in at the moment. It does not wait for those to leave: places that come free anywhere
+/// in the group are shared by all entries.
+#[test]
+fn one_of_many() {
+    let now = Instant::now();
+    let queue = &mut shared(samples::engine().slots, 1.1, 24, now);
+    let inside = 1;
+    let decision = queue.decide(&request(now, Duration::ZERO), inside, MIDDLE, now);
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+    let expected = queue.expected_wait(inside);
+    // Six of its group's requests are its own share, and each stays for a second.
+    assert!(expected <= Duration::from_millis(200), "{expected:?}");
+}
+
 #[test]
 fn one_after_another() {
     let now = Instant::now();
