Soak: its files form no circle

Cause: targets, faults and the ledger imported each other, as did the round and what plays its faults; `Caller` was put together in the round. Change: `mood` is a file of its own below both, `Caller::new` makes callers, their fields are private again. Tests: clippy.

--- a/crates/sparscale_soak/src/caller.rs
+++ b/crates/sparscale_soak/src/caller.rs
@@ -20,6 +20,7 @@
 use crate::ledger::{Answer, Attempt, Book, Outcome};
 use crate::places::{DEADLINE, HOST, KEYS, LATER_KEYS, ROUTES};
 use crate::platform::RouteKind;
+use crate::stage::Stage;
 
 /// Time that a caller waits beyond the deadline that it told, before it notes that nothing came.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(3);
@@ -40,17 +41,31 @@
 /// One caller.
 pub(crate) struct Caller {
     pub(crate) entry: usize,
-    pub(crate) address: SocketAddr,
-    pub(crate) habit: Habit,
-    pub(crate) dialect: Dialect,
-    pub(crate) book: Arc<Book>,
-    pub(crate) random: ChaCha8Rng,
-    pub(crate) kept: Option<SendRequest<Full<Bytes>>>,
+    address: SocketAddr,
+    habit: Habit,
+    dialect: Dialect,
+    book: Arc<Book>,
+    random: ChaCha8Rng,
+    kept: Option<SendRequest<Full<Bytes>>>,
     /// Body of all its requests; one of its own for each if none.
     pub(crate) body: Option<&'static str>,
 }
 
 impl Caller {
+    /// A caller of `entry` that draws from `random`.
+    pub(crate) fn new(stage: &Stage, entry: usize, habit: Habit, random: ChaCha8Rng) -> Self {
+        Self {
+            entry,
+            address: stage.net.callers(entry),
+            habit,
+            dialect: stage.platform.dialect(),
+            book: Arc::clone(&stage.book),
+            random,
+            kept: None,
+            body: None,
+        }
+    }
+
     /// Sends requests until `over`.
     pub(crate) async fn run(mut self, mut over: watch::Receiver<bool>) {
         while !*over.borrow_and_update() {
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -8,14 +8,13 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
 
-use crate::caller::Habit;
+use crate::caller::{Caller, Habit};
 use crate::fault::{Before, Fault, Planned};
 use crate::ledger::{Change, Trouble};
+use crate::mood::Mood;
 use crate::places::{DEADLY, KEYS, LATER_KEYS};
 use crate::proxy::Link;
-use crate::round::caller;
 use crate::stage::Stage;
-use crate::target::Mood;
 
 /// Time after which the store drops the entry of a target that says nothing any more.
 const LAPSE: Duration = Duration::from_secs(3);
@@ -180,7 +179,7 @@
 
 /// Sends a request that ends what runs it, each time under a new id.
 async fn send_deadly(stage: &Stage, entry: usize, route: usize, lasts: Duration) {
-    let mut caller = caller(stage, entry, Habit::Opens, ChaCha8Rng::from_os_rng());
+    let mut caller = Caller::new(stage, entry, Habit::Opens, ChaCha8Rng::from_os_rng());
     caller.body = Some(DEADLY);
     let until = Instant::now() + lasts;
     while Instant::now() < until {
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -5,9 +5,9 @@
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::mood::Mood;
 use crate::places::{KEYS, LATER_KEYS, ROUTES, Size};
 use crate::proxy::Link;
-use crate::target::Mood;
 
 /// One fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sparscale_soak/src/lib.rs
+++ b/crates/sparscale_soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod fault;
 mod group;
 mod ledger;
+mod mood;
 mod places;
 mod platform;
 mod proxy;
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -147,25 +147,12 @@
     let places = (0..stage.size.entries).flat_map(|entry| each.iter().map(move |habit| (entry, *habit)));
     places
         .map(|(entry, habit)| {
-            let caller = caller(stage, entry, habit, ChaCha8Rng::from_rng(&mut random));
+            let caller = Caller::new(stage, entry, habit, ChaCha8Rng::from_rng(&mut random));
             tokio::spawn(caller.run(over.subscribe()))
         })
         .collect()
 }
 
-pub(crate) fn caller(stage: &Stage, entry: usize, habit: Habit, random: ChaCha8Rng) -> Caller {
-    Caller {
-        entry,
-        address: stage.net.callers(entry),
-        habit,
-        dialect: stage.platform.dialect(),
-        book: Arc::clone(&stage.book),
-        random,
-        kept: None,
-        body: None,
-    }
-}
-
 /// Plays faults at their times and waits until all are over; one whose thing is held by another is left out.
 async fn harm(stage: &Arc<Stage>, planned: Vec<Planned>) -> usize {
     let began = tokio::time::Instant::now();
@@ -211,7 +198,7 @@
     let mut asking = JoinSet::new();
     for entry in 0..stage.size.entries {
         let random = ChaCha8Rng::from_os_rng();
-        let caller = caller(stage, entry, Habit::Opens, random);
+        let caller = Caller::new(stage, entry, Habit::Opens, random);
         asking.spawn(ask_until_served(caller, began + limit));
     }
     while let Some(served) = asking.join_next().await {
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::ledger::{Arrival, Book, End, Run};
+use crate::mood::Mood;
 use crate::places::{DEADLY, EVENTS};
 use crate::server::{self, Broken, Content};
 
@@ -27,19 +28,6 @@
 /// Events after which a stream breaks off.
 const BROKEN_AFTER: u64 = 4;
 
-/// How a target behaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Mood {
-    /// It runs what it gets.
-    Well,
-    /// It runs, and answers 500.
-    Errors,
-    /// It runs nothing and says so.
-    Full,
-    /// It runs, and breaks its answers off.
-    BreaksOff,
-}
-
 /// One target; incarnations follow each other at its address.
 pub(crate) struct Target {
     book: Arc<Book>,
