Soak: stalls of the machine are noted until the callers have ended

Change: the watch goes on until all callers have ended. The promise and its bound are as they were; a stall counts for the requests that it overlaps, as for all others. Test: none that makes the machine stall at will.

--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -87,7 +87,9 @@
         .map_err(|missing| format!("at the start {missing}"))?;
     let over = watch::Sender::new(false);
     let callers = call(stage, seed, &over);
-    let watching = tokio::spawn(watch_processes(Arc::clone(stage), over.subscribe()));
+    // Callers end their last requests after the round is over, and the machine may let nothing run then, too.
+    let ended = watch::Sender::new(false);
+    let watching = tokio::spawn(watch_processes(Arc::clone(stage), ended.subscribe()));
     for target in 0..size.targets {
         tokio::spawn(drive::crash(Arc::clone(stage), target));
     }
@@ -99,9 +101,11 @@
     let recovered = await_service(stage, RECOVERY).await;
     let followed = await_change(stage, RECOVERY).await;
     over.send_replace(true);
-    for task in callers.into_iter().chain([watching]) {
+    for task in callers {
         task.await.map_err(|error| error.to_string())?;
     }
+    ended.send_replace(true);
+    watching.await.map_err(|error| error.to_string())?;
     tokio::time::sleep(AFTERMATH).await;
     stage.look_at_logs();
     let ledger = stage.book.open();
@@ -175,9 +179,9 @@
     played
 }
 
-async fn watch_processes(stage: Arc<Stage>, over: watch::Receiver<bool>) {
+async fn watch_processes(stage: Arc<Stage>, ended: watch::Receiver<bool>) {
     let mut looked = Instant::now();
-    while !*over.borrow() {
+    while !*ended.borrow() {
         stage.look_at_processes().await;
         tokio::time::sleep(LOOK).await;
         let now = Instant::now();
