--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -439,6 +439,7 @@
         let reason = match (&self.decider, self.conductor.progress()) {
             (None, _) => "no catalog that tells of experts",
             (Some(decider), _) if !decider.knows() => "no counts",
+            (_, Progress::Idle) if has_map && self.silent_ranks > 0 => "ranks that say nothing",
             (_, Progress::Idle) if has_map => "no new counts",
             (_, Progress::Idle) => "no map that all ranks have",
             _ => "ranks that do not answer",
