Bundle, fleet, placer: files without circles

Change: hash, names and placer_context are files below them. Nothing but places changed. Tests: clippy over the workspace; those of the bundle and the entry pass. Left: dispatch and live, mesh and link, made and tls.

--- a/crates/sparscale_bundle/src/bundle.rs
+++ b/crates/sparscale_bundle/src/bundle.rs
@@ -9,33 +9,11 @@
 
 use crate::check::{self, Error};
 use crate::document::{Document, Fleet, KeyHash, Workspace};
+use crate::hash::Hash;
 
 /// Buckets of workspaces; a delta of one workspace hashes one bucket and the list of bucket hashes.
 const BUCKETS: usize = 256;
 
-/// Hash of a whole bundle's content.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Hash([u8; 32]);
-
-impl Hash {
-    /// The raw digest.
-    pub fn as_bytes(&self) -> &[u8; 32] {
-        &self.0
-    }
-}
-
-impl fmt::Display for Hash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&hex::encode(self.0))
-    }
-}
-
-impl fmt::Debug for Hash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Hash({}..)", hex::encode(&self.0[..4]))
-    }
-}
-
 #[derive(Clone)]
 struct Bucket {
     workspaces: BTreeMap<String, Arc<Workspace>>,
--- /dev/null
+++ b/crates/sparscale_bundle/src/hash.rs
@@ -0,0 +1,28 @@
+//! Hash of a bundle.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Hash of a whole bundle's content.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hash(pub(crate) [u8; 32]);
+
+impl Hash {
+    /// The raw digest.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Hash({}..)", hex::encode(&self.0[..4]))
+    }
+}
--- a/crates/sparscale_bundle/src/lib.rs
+++ b/crates/sparscale_bundle/src/lib.rs
@@ -7,12 +7,14 @@
 mod check;
 mod delta;
 mod document;
+mod hash;
 pub mod sign;
 
-pub use bundle::{Bundle, Hash};
+pub use bundle::Bundle;
 pub use check::Error;
 pub use delta::{Change, Delta};
 pub use document::{
     Call, Document, Fleet, Group, Hall, KeyHash, Limits, Model, Operator, Placement, QuietHours, Service, Target, Tier,
     Workspace,
 };
+pub use hash::Hash;
--- a/crates/sparscale_bundle/src/sign.rs
+++ b/crates/sparscale_bundle/src/sign.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::bundle::Hash;
 use crate::document::Operator;
+use crate::hash::Hash;
 
 /// What an operator says by signing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sparscale_entry/src/lib.rs
+++ b/crates/sparscale_entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod live;
 mod peer;
 mod placer;
+mod placer_context;
 mod placer_group;
 mod problem;
 mod program;
--- a/crates/sparscale_entry/src/placer.rs
+++ b/crates/sparscale_entry/src/placer.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 
 use sparscale_control::process::Process;
-use sparscale_control::{Journal, Listing};
 use sparscale_journal::Duty;
-use sparscale_wire::Endpoint;
-use tokio::sync::watch;
 
 use crate::board_control::SharedBoard;
 use crate::duty::Watch;
+use crate::placer_context::Context;
 use crate::placer_group::GroupPlacer;
 
 /// Pause between two looks at the groups of the bundle.
@@ -24,16 +22,6 @@
     context: Arc<Context>,
 }
 
-/// What every task needs.
-pub(crate) struct Context {
-    pub(crate) name: String,
-    pub(crate) incarnation: u64,
-    pub(crate) journal: Arc<Journal>,
-    pub(crate) endpoint: Arc<Endpoint>,
-    pub(crate) board: Arc<SharedBoard>,
-    pub(crate) boxes: watch::Receiver<Arc<Listing>>,
-}
-
 impl Placers {
     pub(crate) fn new(name: String, process: &Process, board: Arc<SharedBoard>) -> Self {
         Self {
--- a/crates/sparscale_entry/src/placer_group.rs
+++ b/crates/sparscale_entry/src/placer_group.rs
@@ -13,7 +13,7 @@
 use sparscale_wire::{Ask, Frame, Role};
 use tokio::time::Instant;
 
-use crate::placer::Context;
+use crate::placer_context::Context;
 
 /// Pause between two rounds of orders while a switch goes on.
 const BUSY_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -17,16 +17,10 @@
 use sparscale_standin::{Fault, keys};
 
 use crate::client::{Client, Reply};
+use crate::names::{MODEL, SERVICE};
 use crate::plan::{Plan, caller_key};
 use crate::process::{Process, find_program};
 
-/// Name of the model.
-pub const MODEL: &str = "lark";
-/// Name of the group that serves it.
-pub const GROUP: &str = "lark-a";
-/// Name of the plain service.
-pub const SERVICE: &str = "calculator";
-
 /// Time after which something that must happen counts as not happening.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Pause between two looks.
--- a/crates/sparscale_fleet/src/lib.rs
+++ b/crates/sparscale_fleet/src/lib.rs
@@ -6,10 +6,12 @@
 mod client;
 mod files;
 mod fleet;
+mod names;
 mod plan;
 mod process;
 
 pub use client::{Client, Reply, StreamReply};
-pub use fleet::{Error, Fleet, GROUP, MODEL, SERVICE, eventually};
+pub use fleet::{Error, Fleet, eventually};
+pub use names::{GROUP, MODEL, SERVICE};
 pub use plan::{Plan, caller_key};
 pub use process::Process;
--- a/crates/sparscale_fleet/src/plan.rs
+++ b/crates/sparscale_fleet/src/plan.rs
@@ -4,7 +4,7 @@
     Call, Document, Fleet, Group, Hall, KeyHash, Limits, Model, Operator, Placement, Service, Target, Tier, Workspace,
 };
 
-use crate::fleet::{GROUP, MODEL, SERVICE};
+use crate::names::{GROUP, MODEL, SERVICE};
 
 /// Size and habits of a fleet.
 #[derive(Debug, Clone)]
