Soak: each round of a process has addresses of its own

A round's addresses came from its seed, by 250; those of seeds 1 and 501 are the same, and the stand-ins of a round listen on after it. Ruled out: another process (the same round alone passes); a port of an earlier run (all were by then ended). Change: addresses come from how many rounds the process has begun.

--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng as _;
@@ -36,6 +37,9 @@
 /// Entries up to which callers have all habits at each; beyond, a machine would be busy with callers alone.
 const FEW_ENTRIES: usize = 6;
 
+/// Rounds that this process has begun. Stand-ins of a round listen on after it, so each has addresses of its own.
+static PLAYED: AtomicU64 = AtomicU64::new(0);
+
 /// One round.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Round {
@@ -62,7 +66,7 @@
 
 /// Plays a round; files go to `folder`.
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
-    let net = Net::of(std::process::id(), round.seed);
+    let net = Net::of(std::process::id(), PLAYED.fetch_add(1, Ordering::SeqCst));
     let bounds = match round.plan {
         Plan::Single | Plan::Returns | Plan::Restores | Plan::Groups | Plan::Deadly => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
