--- a/crates/sparscale_conduct/tests/group/sleeping.rs
+++ b/crates/sparscale_conduct/tests/group/sleeping.rs
@@ -1,7 +1,5 @@
-//! While a box stands still no map comes in force, so none is loaded: each load makes passes longer and is in vain.
-//!
-//! A map was loaded and given up again each 0.8 s for as long as a box stood still, and the change that was under way as it
-//! woke had to be given up before the next one began.
+//! While a box stands still no map comes in force, so none is loaded: each load makes passes longer and would be in vain, and the
+//! change that is under way as the box wakes would have to be given up before the next one can begin.
 
 use std::time::Duration;
 
--- a/crates/sparscale_place/tests/barrier_switch/late_answers.rs
+++ b/crates/sparscale_place/tests/barrier_switch/late_answers.rs
@@ -1,7 +1,7 @@
 //! An answer to an order of a change that was given up says nothing about the change that followed.
 //!
-//! Boxes that had stood still answered the order to load the map before. Their answers counted for the next one: a refusal
-//! ended it, and a rank that had answered was never told to load it, so that it was waited for in vain.
+//! Boxes that stood still answer, as they wake, the order to load the map before. If that counted for the next one, a refusal
+//! would end it, and a rank that has answered would never be told to load it, and be waited for in vain.
 
 use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress, Report, View};
 
