--- a/crates/sparscale_place/tests/barrier_switch/late_answers.rs
+++ b/crates/sparscale_place/tests/barrier_switch/late_answers.rs
@@ -3,7 +3,9 @@
 //! Boxes that stood still answer, as they wake, the order to load the map before. If that counted for the next one, a refusal
 //! would end it, and a rank that has answered would never be told to load it, and be waited for in vain.
 
-use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress, Report, View};
+use sparscale_place::barrier::{Act, Answer, Conductor, Order, Progress, Report};
+
+use crate::silent_rank::view;
 
 const RANKS: usize = 3;
 /// The rank that answers late.
@@ -11,18 +13,6 @@
 const FIRST: u64 = 7;
 const NEXT: u64 = 8;
 
-fn view(staged: Option<u64>) -> View {
-    View {
-        epoch: 1,
-        open: true,
-        step: 10,
-        map: 0,
-        staged,
-        armed: None,
-        held: None,
-    }
-}
-
 fn report(order: Order, answer: Answer, staged: Option<u64>) -> Report {
     Report {
         serial: order.serial,
--- a/crates/sparscale_place/tests/barrier_switch/silent_rank.rs
+++ b/crates/sparscale_place/tests/barrier_switch/silent_rank.rs
@@ -8,7 +8,8 @@
 const RANKS: usize = 3;
 const NUMBER: u64 = 7;
 
-fn view(staged: Option<u64>) -> View {
+/// A rank that runs, with the map of this number loaded, if any.
+pub fn view(staged: Option<u64>) -> View {
     View {
         epoch: 1,
         open: true,
