Soak: one way to box an answer, one name of the group

The stand-ins of the store and of the engines each turned a whole answer into the server's and each built a 503; the group's name stood in the soak and in the platform's wire; a process number was called a rank. Change: `server::boxed` and `server::unavailable` serve both, `GROUP` is exported, the number is called what it is.

--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -364,8 +364,8 @@
     stage.store.set_busy(false);
     if before == Before::Takeover {
         // Whoever leads now has claimed what the store has forgotten: it knows an earlier one, or none.
-        if let Some(rank) = claimed {
-            kill(stage, rank, 1, FOLLOWED).await;
+        if let Some(leader) = claimed {
+            kill(stage, leader, 1, FOLLOWED).await;
         }
     }
     tokio::time::sleep(WRITTEN_AGAIN).await;
--- a/crates/sparscale_soak/src/engines.rs
+++ b/crates/sparscale_soak/src/engines.rs
@@ -1,11 +1,10 @@
 //! The engines of a group, each reached at its own address.
 
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full};
+use http::{Request, Response};
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
 use crate::group::Group;
@@ -58,22 +57,14 @@
             let call = Request::from_parts(head, body);
             self.platform.answer_of_engine(&call, rank, &mut self.group())
         });
-        let mut answer = match answer {
-            Some(answer) => answer,
-            None => unanswered().await,
+        let Some(answer) = answer else {
+            tokio::time::sleep(UNANSWERED).await;
+            return server::boxed(server::unavailable());
         };
-        let content = std::mem::take(answer.body_mut());
-        answer.map(|_taken| content.map_err(|never: Infallible| match never {}).boxed_unsync())
+        server::boxed(answer)
     }
 }
 
-async fn unanswered() -> Response<Full<bytes::Bytes>> {
-    tokio::time::sleep(UNANSWERED).await;
-    let mut answer = Response::new(Full::default());
-    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    answer
-}
-
 /// Lets passes follow each other; never ends.
 async fn run(engines: Arc<Engines>) {
     let mut tick = tokio::time::interval(PASS);
--- a/crates/sparscale_soak/src/lib.rs
+++ b/crates/sparscale_soak/src/lib.rs
@@ -27,5 +27,6 @@
 
 pub use command::run;
 pub use group::{Act, EXPERTS, Group, Lists, Order, PLACES, Report, SETS, SPARE, Word};
+pub use places::GROUP;
 pub use platform::{AgentPlace, Bounds, EntryPlace, Listed, Offer, Platform, Rank, Route, RouteKind};
 pub use records::{Record, Records};
--- a/crates/sparscale_soak/src/places.rs
+++ b/crates/sparscale_soak/src/places.rs
@@ -47,7 +47,7 @@
 /// Service of the group of engines.
 pub(crate) const MODEL: &str = "model";
 /// Name of that group.
-pub(crate) const GROUP: &str = "model-0";
+pub const GROUP: &str = "model-0";
 /// Events of a stream.
 pub(crate) const EVENTS: u64 = 12;
 /// Body of a request that ends each target which runs it.
--- a/crates/sparscale_soak/src/server.rs
+++ b/crates/sparscale_soak/src/server.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +29,19 @@
 /// Content of an answer.
 pub(crate) type Content = UnsyncBoxBody<Bytes, Broken>;
 
+/// A whole answer, as the server sends it.
+pub(crate) fn boxed(mut answer: Response<Full<Bytes>>) -> Response<Content> {
+    let content = std::mem::take(answer.body_mut());
+    answer.map(|_taken| content.map_err(|never: Infallible| match never {}).boxed_unsync())
+}
+
+/// The answer of a stand-in that does nothing now.
+pub(crate) fn unavailable() -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    answer
+}
+
 /// Answers requests at `address` with `handle`, on a task that goes on after this returns.
 pub(crate) async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<()>
 where
--- a/crates/sparscale_soak/src/store.rs
+++ b/crates/sparscale_soak/src/store.rs
@@ -1,14 +1,12 @@
 //! A stand-in of the platform's store: holds records, and may refuse all calls or forget targets' entries.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full};
+use http::{Request, Response};
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
 use crate::platform::Platform;
@@ -91,20 +89,13 @@
             Ok(body) if !self.busy.load(Ordering::SeqCst) => self
                 .platform
                 .answer(&Request::from_parts(head, body), &mut self.records()),
-            _ => refusal(),
+            _ => server::unavailable(),
         };
         self.platform.stamp(&mut answer, self.records().era());
-        let content = std::mem::take(answer.body_mut());
-        answer.map(|_taken| content.map_err(|never: Infallible| match never {}).boxed_unsync())
+        server::boxed(answer)
     }
 
     fn records(&self) -> MutexGuard<'_, Records> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn refusal() -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::default());
-    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    answer
-}
