Sight: what a target asks in its answers is read, kept by its start and logged

Change: the head of each answer is decoded once (gateway, backpressure) into a typed signal; one register (policy, throttle) keeps it by start of a target; a line rate_limit says what changed, at which target, told by whom, how old. Nothing goes by it yet.

Ruled out: taking the header from an answer to another request or from another start at the same address (421).

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -12,6 +12,7 @@
 use crate::belief::{Belief, Change};
 use crate::heard::Heard;
 use crate::quarantine::Quarantine;
+use crate::throttle::Throttle;
 
 /// Beliefs of one process.
 #[derive(Debug)]
@@ -24,6 +25,8 @@
     starts: Mutex<Incarnations>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
+    /// What targets ask of those that send to them.
+    pub throttle: Throttle,
     clock: Arc<dyn Clock>,
 }
 
@@ -42,6 +45,7 @@
             heard: Mutex::default(),
             starts: Mutex::default(),
             quarantine: Quarantine::new(Arc::clone(&clock)),
+            throttle: Throttle::new(Arc::clone(&clock)),
             clock,
         }
     }
--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -12,9 +12,11 @@
 mod quarantine;
 mod reader;
 mod source;
+mod throttle;
 
 pub use belief::{Belief, Change};
 pub use board::Board;
 pub use quarantine::{Archive, Quarantine};
 pub use reader::{Pace, ReadFigures, read_catalog, read_roster, read_strikes};
 pub use source::{Error, Reading, Source};
+pub use throttle::Throttle;
--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use crate::incarnation::{Incarnation, Incarnations};
+use crate::incarnation::{Incarnation, Incarnations, Start};
 use crate::roster::{Membership, Roster, Standing, Target};
 
 /// A target and the key of its start.
@@ -11,6 +11,8 @@
 pub struct Seat {
     /// Key under which everything that is known of this start is kept.
     pub key: Incarnation,
+    /// Its start, as other processes name it.
+    pub start: Start,
     /// What the list says of it.
     pub target: Target,
 }
@@ -39,9 +41,13 @@
 impl Directory {
     /// Takes in `roster`; its targets get their keys from `starts`.
     pub fn new(roster: &Roster, starts: &mut Incarnations) -> Self {
-        let seat = |target: &Target| Seat {
-            key: starts.key(target),
-            target: target.clone(),
+        let seat = |target: &Target| {
+            let start = Start::of(&target.id, target.born_ms);
+            Seat {
+                key: starts.key(start),
+                start,
+                target: target.clone(),
+            }
         };
         let seats: Vec<Seat> = roster.targets.iter().map(seat).collect();
         let mut keys: Vec<Incarnation> = seats.iter().map(|seat| seat.key).collect();
--- a/crates/sparscale_catalog/src/incarnation.rs
+++ b/crates/sparscale_catalog/src/incarnation.rs
@@ -4,8 +4,10 @@
 //! what is known of one start (connections, failures, loads) must not be believed of the next.
 
 use std::collections::HashMap;
+use std::fmt;
 
-use crate::roster::Target;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
 /// Names that are remembered beside those of the targets that are there, so that a target whose entry comes back after an
 /// outage has the key that it had.
@@ -15,11 +17,32 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(u64);
 
-/// What tells one start from another: its target's id, and when it began.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Start {
-    id: String,
-    born_ms: Option<u64>,
+/// One start of one target, named alike by all processes: a digest of the target's id and of when it began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Start(u64);
+
+impl Start {
+    /// The start of the target `id` that began at `born_ms`, if targets tell that.
+    pub fn of(id: &str, born_ms: Option<u64>) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(born_ms.unwrap_or_default().to_be_bytes());
+        hasher.update(id);
+        let digest = hasher.finalize();
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&digest[..8]);
+        Self(u64::from_be_bytes(bytes))
+    }
+
+    /// The digest.
+    pub fn digest(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Start {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 /// The starts that a process has heard of. Each gets a key of its own, and no key is given out twice.
@@ -30,12 +53,8 @@
 }
 
 impl Incarnations {
-    /// The key of this start of `target`.
-    pub fn key(&mut self, target: &Target) -> Incarnation {
-        let start = Start {
-            id: target.id.clone(),
-            born_ms: target.born_ms,
-        };
+    /// The key of this start of a target.
+    pub fn key(&mut self, start: Start) -> Incarnation {
         let given = &mut self.given;
         *self.by_start.entry(start).or_insert_with(|| {
             *given += 1;
--- a/crates/sparscale_catalog/src/lib.rs
+++ b/crates/sparscale_catalog/src/lib.rs
@@ -17,6 +17,6 @@
 pub use document::{Document, Kind, Limits, Route, Service, Share, Workspace};
 pub use engine::{Engine, Experts};
 pub use error::Error;
-pub use incarnation::{Incarnation, Incarnations};
+pub use incarnation::{Incarnation, Incarnations, Start};
 pub use roster::{Membership, Roster, Standing, Target, start_mark};
 pub use routes::{RouteKey, ServiceKey};
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -9,11 +9,13 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
+use sparscale_belief::Board;
 use sparscale_catalog::{Incarnation, Seat, Target};
 use sparscale_clock::{Clock, Moment};
 use sparscale_quarantine::Fingerprint;
 use tokio::time::Instant;
 
+use crate::backpressure::Signal;
 use crate::dialect::Dialect;
 use crate::head::{Head, without_hop_by_hop};
 use crate::pool::{Connection, Pool, connect};
@@ -141,6 +143,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) dialect: Arc<Dialect>,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) board: Arc<Board>,
     /// Longest rest of a connection that a request which may run once is sent on.
     pub(crate) max_rest_once: Duration,
 }
@@ -189,6 +192,7 @@
             Err(error) if error.message().is_some() => return Outcome::NotSent,
             Err(_) => return Outcome::Lost(Loss::Broken),
         };
+        self.note_signal(chosen, &parts, outbound);
         match self.judge(&parts, outbound) {
             Verdict::Lost(loss) => Outcome::Lost(loss),
             Verdict::Refused => {
@@ -227,6 +231,18 @@
         request
     }
 
+    /// Notes what the target asks of those that send to it. An answer to another request, or by another target at the same
+    /// address, says nothing of it.
+    fn note_signal(&self, chosen: &Seat, parts: &Parts, outbound: &Outbound) {
+        let own = parts.headers.get(&self.dialect.request_id) == outbound.head.id.as_ref();
+        if !own || parts.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if let Ok(signal) = Signal::read(&parts.headers, &self.dialect) {
+            self.board.throttle.note(chosen, signal.rate);
+        }
+    }
+
     /// What the head of an answer says about the request.
     fn judge(&self, parts: &Parts, outbound: &Outbound) -> Verdict {
         if parts.headers.get(&self.dialect.request_id) != outbound.head.id.as_ref() {
--- a/crates/sparscale_gateway/src/dialect.rs
+++ b/crates/sparscale_gateway/src/dialect.rs
@@ -27,6 +27,8 @@
     pub answer_guess: HeaderName,
     /// Id of the target at fault, in an answer that was refused because of another target.
     pub at_fault: HeaderName,
+    /// Requests a second that the answering target takes from all entries together, as a decimal number.
+    pub rate_limit: HeaderName,
 }
 
 impl Dialect {
@@ -44,6 +46,7 @@
             sizes: HeaderName::from_bytes(b"sparscale-sizes")?,
             answer_guess: HeaderName::from_bytes(b"sparscale-answer-guess")?,
             at_fault: HeaderName::from_bytes(b"sparscale-at-fault")?,
+            rate_limit: HeaderName::from_bytes(b"sparscale-rate-limit")?,
         })
     }
 }
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -103,6 +103,7 @@
             caller: Caller {
                 pool: Arc::new(Pool::new(Arc::clone(&parts.clock))),
                 clock: Arc::clone(&parts.clock),
+                board: Arc::clone(&board),
                 dialect: Arc::new(parts.dialect),
                 max_rest_once: MAX_REST_ONCE,
             },
@@ -251,6 +252,7 @@
         gateway.caller.pool.retain(&belief.value);
         gateway.loads.retain(&belief.value);
         gateway.silences.retain(&belief.value);
+        gateway.board.throttle.retain(&belief.value);
         if let Some(catalog) = gateway.board.catalog() {
             let routes = &catalog.value.document().routes;
             let is_there = |name: &str| routes.iter().any(|route| route.name == name);
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod answer;
 mod attempt;
+mod backpressure;
 mod body;
 mod dialect;
 mod entry;
--- /dev/null
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -0,0 +1,126 @@
+//! What targets ask of those that send to them, by start of a target.
+//!
+//! Load pattern: a target in need says so in its answers, and each path that sends (a first try, a repeat, a resumed
+//! stream, a move away from a slow or silent target) meets it independently. All of them ask this register.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sparscale_catalog::Start;
+use sparscale_clock::Moment;
+
+use crate::rate_limit::{Members, Pacer, Rate};
+
+/// What one target asks, and what this entry may send to it.
+#[derive(Debug)]
+struct State {
+    rate: Option<Rate>,
+    /// When the target said so.
+    as_of: Moment,
+    /// When this entry learnt of it, among all that it learnt.
+    position: u64,
+    pacer: Pacer,
+}
+
+/// What a target asks, as entries tell each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Notice {
+    /// The start of the target that asks it.
+    pub start: Start,
+    /// Requests a second that it takes from all entries; none if it limits them no longer.
+    pub rate: Option<Rate>,
+    /// When it said so.
+    pub as_of: Moment,
+}
+
+/// What all targets ask.
+#[derive(Debug, Default)]
+pub struct Register {
+    targets: HashMap<Start, State>,
+    /// Who shares; none before that is known.
+    members: Option<Members>,
+    learnt: u64,
+}
+
+impl Register {
+    /// Divides shares among `members` from now on.
+    pub fn set_members(&mut self, members: Members, now: Moment) {
+        for (start, state) in &mut self.targets {
+            let interval = state.rate.and_then(|rate| members.interval(rate, *start));
+            state.pacer.set_interval(interval, now);
+        }
+        self.members = Some(members);
+    }
+
+    /// Takes in what a target said, unless something later is known. Tells whether it is news.
+    pub fn note(&mut self, notice: Notice, now: Moment) -> bool {
+        let Notice { start, rate, as_of } = notice;
+        if rate.is_none() && !self.targets.contains_key(&start) {
+            return false;
+        }
+        let state = self.targets.entry(start).or_insert_with(|| State {
+            rate: None,
+            as_of,
+            position: 0,
+            pacer: Pacer::new(now),
+        });
+        if as_of < state.as_of {
+            return false;
+        }
+        state.as_of = as_of;
+        if state.rate == rate {
+            return false;
+        }
+        state.rate = rate;
+        let members = self.members.as_ref();
+        let interval = rate.and_then(|rate| members?.interval(rate, start));
+        state.pacer.set_interval(interval, now);
+        self.learnt += 1;
+        state.position = self.learnt;
+        true
+    }
+
+    /// Whether this entry may send to a target now.
+    pub fn is_open(&self, start: Start, now: Moment) -> bool {
+        self.opens_at(start, now).is_none()
+    }
+
+    /// Whether this entry may send to a target now; if so, a request counts as sent.
+    pub fn take(&mut self, start: Start, now: Moment) -> bool {
+        match self.targets.get_mut(&start) {
+            Some(state) if state.rate.is_some() => state.pacer.take(now),
+            _ => true,
+        }
+    }
+
+    /// When the target takes the next request, from this entry or from another one that holds a share; none if it takes one from
+    /// this entry now.
+    pub fn opens_at(&self, start: Start, now: Moment) -> Option<Moment> {
+        let state = self.targets.get(&start)?;
+        let rate = state.rate?;
+        let elsewhere = || now + Duration::from_secs_f64(1.0 / rate.per_second());
+        let next = state.pacer.next().unwrap_or_else(elsewhere);
+        (next > now).then_some(next)
+    }
+
+    /// Whether no target asks anything.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// What was learnt after position `since`, and the position now.
+    pub fn news(&self, since: u64) -> (Vec<Notice>, u64) {
+        let new = self.targets.iter().filter(|(_, state)| state.position > since);
+        let notices = new.map(|(start, state)| Notice {
+            start: *start,
+            rate: state.rate,
+            as_of: state.as_of,
+        });
+        (notices.collect(), self.learnt)
+    }
+
+    /// Forgets starts that `is_there` does not know.
+    pub fn retain(&mut self, is_there: impl Fn(Start) -> bool) {
+        self.targets.retain(|start, _| is_there(*start));
+    }
+}
