Test: entries together exceed the rate that a target names (fails)

Four linked entries before three targets, one of which names a rate of one request a second in each answer: it gets 104 requests within 4 s, 11 are allowed (once and a half the rate, and five). The other two would have served all. Hypothesis 1 holds: nothing goes by what the target asks.

--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod crashing;
 mod entry;
 mod groups;
+mod rate_limits;
 mod requests;
 mod returned;
 mod shared_budget;
--- a/crates/sparscale_gateway/tests/path/target.rs
+++ b/crates/sparscale_gateway/tests/path/target.rs
@@ -13,6 +13,8 @@
     pub line: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// When it had arrived whole.
+    pub at: Option<Instant>,
 }
 
 impl Arrival {
@@ -178,6 +180,11 @@
         self.arrivals.lock().expect("no panic").clone()
     }
 
+    /// When they arrived.
+    pub fn times(&self) -> Vec<Instant> {
+        self.arrivals().iter().filter_map(|arrival| arrival.at).collect()
+    }
+
     /// Connections that were opened.
     pub fn connections(&self) -> usize {
         *self.connections.lock().expect("no panic")
@@ -211,7 +218,8 @@
             ended: false,
             crashes: false,
         };
-        while let Some(arrival) = read(&mut reader) {
+        while let Some(mut arrival) = read(&mut reader) {
+            arrival.at = Some(Instant::now());
             self.arrivals.lock().expect("no panic").push(arrival.clone());
             script(&arrival, &mut wire);
             if wire.crashes {
