Entries keep to the rate that a target names for all of them together

Callers saw nothing; a rank that had asked for one request a second went on getting 2 to 4, at all entries alike (12 within 4 s, 11 allowed).

Cause: a limit that a target sets for all processes together was read by none. Class: a bound over processes that no path of sending consults. Ruled out: a path of its own (hypothesis 3): arrivals did not change at any entry, on first sends either; each entry keeping to it alone (2): the test sees 104 requests within 4 s.

Change: one register, asked by the only function that chooses a target, so first sends, repeats, resumed streams and moves away from slow or silent targets all go by it. A few entries hold shares of a rate (a rank by hash of entry and start, the same at all), space their sends evenly and wait one interval first; the others leave the target alone. Bound, proof and constants stand in policy/rate_limit. Entries tell each other of limits and of their end with the age by the receiver's clock; the latest word counts. A request for which all targets are closed is refused at once, with the time at which one takes a request and in order of return; closed ranks count as full.

Weighed and not built: equal shares with a token each (53 entries would send 53 at a rate of 1), leases of tokens by one entry (one more process that may stand still), no burst for everyone (53 entries: one send a minute and entry).

Test, red before: rate_limits::rate_exceeded_together, 104 requests within 4 s; now within 11, and none refused. Red without their mechanism: limited_target::rate_exceeded and _by_islands (majority; holders), _by_turns (first interval), rate_wasted and shares_spread (smaller part while some are not heard), belief_exchange::limits_told (telling).

--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -4,14 +4,17 @@
 
 use sparscale_catalog::{Directory, Seat, Start};
 use sparscale_clock::{Clock, Moment};
-use sparscale_policy::rate_limit::Rate;
+use sparscale_policy::rate_limit::{Members, Rate};
 use sparscale_policy::throttle::{Notice, Register};
 use sparscale_telemetry::DECISION;
+use tokio::sync::watch;
 
 /// What this process knows.
 #[derive(Debug)]
 pub struct Throttle {
     register: Mutex<Register>,
+    /// Shows that something was learnt.
+    learnt: watch::Sender<()>,
     clock: Arc<dyn Clock>,
 }
 
@@ -19,6 +22,7 @@
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
             register: Mutex::default(),
+            learnt: watch::Sender::new(()),
             clock,
         }
     }
@@ -30,7 +34,58 @@
             rate,
             as_of: self.clock.now(),
         };
-        self.take_in(notice, "answer", Some(&seat.target.id));
+        let news = self.take_in(notice, "answer", Some(&seat.target.id));
+        self.tell(news);
+    }
+
+    /// Takes in what the peer `source` told.
+    pub fn offer(&self, notices: &[Notice], source: &str) {
+        let taken = notices.iter().map(|notice| self.take_in(*notice, source, None));
+        let news = taken.filter(|news| *news).count();
+        self.tell(news > 0);
+    }
+
+    /// Divides the rates of targets among `members` from now on.
+    pub fn set_members(&self, members: Members) {
+        let now = self.clock.now();
+        self.register().set_members(members, now);
+    }
+
+    /// Whether no target asks anything.
+    pub fn is_idle(&self) -> bool {
+        self.register().is_empty()
+    }
+
+    /// Whether this process may send to a target now.
+    pub fn is_open(&self, seat: &Seat) -> bool {
+        self.opens_at(seat).is_none()
+    }
+
+    /// Whether this process may send to a target now; if so, a request counts as sent.
+    pub fn take(&self, seat: &Seat) -> bool {
+        let now = self.clock.now();
+        self.register().take(seat.start, now)
+    }
+
+    /// When the target takes the next request; none if it takes one from this process now.
+    pub fn opens_at(&self, seat: &Seat) -> Option<Moment> {
+        let now = self.clock.now();
+        self.register().opens_at(seat.start, now)
+    }
+
+    /// Requests a second that the target takes from all entries, if it limits them.
+    pub fn rate(&self, seat: &Seat) -> Option<f64> {
+        self.register().rate(seat.start).map(Rate::per_second)
+    }
+
+    /// What was learnt after position `since`, and the position now.
+    pub fn news(&self, since: u64) -> (Vec<Notice>, u64) {
+        self.register().news(since)
+    }
+
+    /// Wakes whenever something was learnt.
+    pub fn learnings(&self) -> watch::Receiver<()> {
+        self.learnt.subscribe()
     }
 
     /// Forgets what targets ask that are gone.
@@ -52,6 +107,12 @@
         news
     }
 
+    fn tell(&self, news: bool) {
+        if news {
+            self.learnt.send_replace(());
+        }
+    }
+
     fn register(&self) -> MutexGuard<'_, Register> {
         // A panic leaves whole entries: each is replaced in one step.
         self.register.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -8,6 +8,7 @@
 
 use snafu::ResultExt as _;
 use sparscale_belief::{Archive, Board, Pace, ReadFigures, read_catalog, read_roster, read_strikes};
+use sparscale_catalog::Group;
 use sparscale_mesh::{Line, Mesh};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, FEW_STREAMS, Identity, Role};
@@ -119,12 +120,14 @@
             started: board.now(),
             gates: Gates::default(),
             deadlines: Mutex::default(),
+            returns: Mutex::default(),
         });
         let progress = Arc::new(Progress::default());
         tell_levels(&registry, &board, &mesh, &progress);
         tokio::spawn(admit_waiting(Arc::clone(&gateway)));
         let paces = [pace, strikes_pace];
         tokio::spawn(follow_line(Arc::clone(&mesh), paces, entries, Arc::clone(&gateway)));
+        tokio::spawn(follow_members(Arc::clone(&mesh), Arc::clone(&board)));
         tokio::spawn(forget_gone(Arc::clone(&gateway)));
         let (phase, phases) = watch::channel(Phase::Serving);
         let entry = Self {
@@ -208,6 +211,16 @@
     }
 }
 
+/// Keeps this entry's share of the rates of targets.
+async fn follow_members(mesh: Arc<Mesh>, board: Arc<Board>) {
+    let mut members = mesh.members();
+    members.mark_changed();
+    while members.changed().await.is_ok() {
+        let members = members.borrow_and_update().clone();
+        board.throttle.set_members(members);
+    }
+}
+
 /// Pause after news of loads: many groups tell theirs at many times, and each look goes through all targets.
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
 
@@ -235,7 +248,9 @@
                 Some((engine, catalog.value.pause_of(name)?))
             });
             if let Some((engine, pause)) = limits {
-                gateway.queues.refresh(&group, size, engine, pause);
+                let ranks = Group { name: &group, size };
+                let open_part = gateway.open_part(&targets.value, ranks);
+                gateway.queues.refresh(ranks, open_part, engine, pause);
             }
         }
         tokio::time::sleep(NEWS_PAUSE).await;
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod leave;
+mod throttled;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,6 +18,7 @@
 use sparscale_mesh::Mesh;
 use sparscale_policy::budget::{Allowance, Budget, Source};
 use sparscale_policy::heard::Wait;
+use sparscale_policy::returns::Returns;
 use sparscale_policy::silence::Awaited;
 use sparscale_policy::spent::Deadlines;
 use sparscale_policy::{gate, patience};
@@ -68,6 +70,8 @@
     pub(crate) gates: Gates,
     /// What callers spent on earlier tries.
     pub(crate) deadlines: Mutex<Deadlines>,
+    /// When callers of each service were told to come back.
+    pub(crate) returns: Mutex<HashMap<String, Returns>>,
 }
 
 /// How a send went.
@@ -159,6 +163,11 @@
             return Ok(None);
         };
         tries.service = self.service(job, &belief.value);
+        if let Some(service) = tries.service.as_deref()
+            && let Some(refusal) = self.throttled(job, service, &belief.value)
+        {
+            return Err(refusal);
+        }
         let Kind::Stream { longest_pause, .. } = job.route().kind else {
             return Ok(None);
         };
@@ -181,6 +190,7 @@
             objective: job.route().objective,
             tier: job.outbound.urgency.unwrap_or_default(),
             ranks: group.size,
+            open_part: self.open_part(&belief.value, group),
             began: job.began,
             spent,
             left: job.outbound.head.deadline,
@@ -217,7 +227,7 @@
                 return tries.give_up(refusal);
             }
             let Some(seat) = self.next_target(job, tries) else {
-                return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
+                return tries.give_up(self.unavailable(job, tries));
             };
             let attempt = self.attempt(job, &seat, tries).await;
             if let Some(answer) = self.settle(job, seat, attempt, tries).await? {
@@ -226,6 +236,14 @@
         }
     }
 
+    /// The refusal of a request for which there is no target.
+    fn unavailable(&self, job: &Job, tries: &Tries) -> Refusal {
+        let targets = self.board.targets();
+        let throttled = targets.zip(tries.service.as_deref());
+        let throttled = throttled.and_then(|(targets, service)| self.throttled(job, service, &targets.value));
+        throttled.unwrap_or(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY))
+    }
+
     /// Draws what follows from a send: an answer, another send (none), or a refusal.
     async fn settle(
         &self,
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -9,6 +9,7 @@
 use super::{Gateway, Job, pause_of};
 use crate::attempt::{Rejection, is_named};
 use crate::gate::Pass;
+use crate::loads::Search;
 use crate::tried::Tried;
 use crate::tries::Tries;
 
@@ -53,9 +54,18 @@
         }
         let service = tries.service.clone()?;
         let reported = |seat: &Seat| self.reported(seat);
+        let throttle = &self.board.throttle;
+        let idle = throttle.is_idle();
+        let may_take = |seat: &Seat| idle || throttle.is_open(seat);
         let choose = |tried: &Tried, group: Option<&str>| {
-            self.loads
-                .choose(&targets, &service, group, tried, &self.hall, reported)
+            let search = Search {
+                service: &service,
+                group,
+                tried,
+                hall: &self.hall,
+            };
+            let chosen = self.loads.choose(&targets, &search, may_take, reported);
+            chosen.filter(|seat| throttle.take(seat))
         };
         let in_group = tries
             .group
--- /dev/null
+++ b/crates/sparscale_gateway/src/exchange/throttled.rs
@@ -0,0 +1,59 @@
+//! Requests for which all targets are closed by what they ask of those that send to them.
+
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use sparscale_catalog::{Directory, Group, Seat, Standing};
+use sparscale_clock::Moment;
+use sparscale_telemetry::DECISION;
+
+use super::{Gateway, Job};
+use crate::refusal::{Reason, Refusal};
+
+impl Gateway {
+    /// The refusal of a request of `service` if its targets take none from this entry now; with the time at which the first
+    /// of them does.
+    pub(super) fn throttled(&self, job: &Job, service: &str, targets: &Directory) -> Option<Refusal> {
+        let throttle = &self.board.throttle;
+        if throttle.is_idle() {
+            return None;
+        }
+        let is_ready = |seat: &&Seat| seat.target.standing == Standing::Ready;
+        let ready: Vec<&Seat> = targets.of_service(service).filter(is_ready).collect();
+        let openings: Option<Vec<Moment>> = ready.iter().map(|seat| throttle.opens_at(seat)).collect();
+        let opens_at = openings?.into_iter().min()?;
+        // Callers come back to any entry, and each promises by itself.
+        let entries = self.mesh.line().borrow().entries;
+        let rate: f64 = ready.iter().filter_map(|seat| throttle.rate(seat)).sum();
+        let gap = Duration::try_from_secs_f64(entries as f64 / rate).unwrap_or_default();
+        let retry = {
+            let mut returns = self.returns.lock().unwrap_or_else(PoisonError::into_inner);
+            let returns = returns.entry(service.to_owned()).or_default();
+            returns.promise(opens_at, gap, self.board.now())
+        };
+        log::info!(
+            target: DECISION,
+            decision = "throttled",
+            request = job.outbound.head.id_text(),
+            service,
+            rate,
+            retry_ms = retry.as_millis() as u64;
+            "no target takes a request now"
+        );
+        Some(Refusal::retry(Reason::Throttled, retry))
+    }
+
+    /// Part of the ranks of `group` that take requests from this entry now.
+    pub(crate) fn open_part(&self, targets: &Directory, group: Group<'_>) -> f64 {
+        if self.board.throttle.is_idle() {
+            return 1.0;
+        }
+        let in_group = |seat: &&Seat| {
+            let place = seat.target.membership.as_ref();
+            place.is_some_and(|place| place.group == group.name)
+        };
+        let ranks = targets.seats().iter().filter(in_group);
+        let closed = ranks.filter(|seat| !self.board.throttle.is_open(seat)).count();
+        1.0 - closed.min(group.size) as f64 / group.size.max(1) as f64
+    }
+}
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -63,6 +63,18 @@
     pub(crate) slow: Slow,
 }
 
+/// What a request looks for.
+#[derive(Debug)]
+pub(crate) struct Search<'a> {
+    pub(crate) service: &'a str,
+    /// The only group that it may go to, if it has one.
+    pub(crate) group: Option<&'a str>,
+    /// Targets that are left out.
+    pub(crate) tried: &'a Tried,
+    /// Hall of the entry.
+    pub(crate) hall: &'a str,
+}
+
 /// A request that counts as running at a target until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Running {
@@ -82,28 +94,28 @@
         }
     }
 
-    /// The target for a request of `service`, other than those tried, for an entry in `hall`; of one group only, if
-    /// `group` names it.
+    /// The target that `search` is for, among those that `may_take` allows.
     ///
     /// Among ranks whose loads were told, so that all entries together fill them evenly (see [`sparscale_policy::spread`]); else the
     /// one that this entry has least at. A target that failed a moment ago is taken only if there is no other.
     pub(crate) fn choose(
         &self,
         targets: &Directory,
-        service: &str,
-        group: Option<&str>,
-        tried: &Tried,
-        hall: &str,
+        search: &Search<'_>,
+        may_take: impl Fn(&Seat) -> bool,
         reported: impl Fn(&Seat) -> Option<RankLoad>,
     ) -> Option<Seat> {
-        let ready = |seat: &&Seat| seat.target.standing == Standing::Ready && !tried.contains(seat.key);
+        let ready = |seat: &&Seat| {
+            let is_ready = seat.target.standing == Standing::Ready;
+            is_ready && !search.tried.contains(seat.key) && may_take(seat)
+        };
         let of_group = |seat: &&Seat| {
-            group.is_none_or(|group| {
+            search.group.is_none_or(|group| {
                 let place = seat.target.membership.as_ref();
                 place.is_some_and(|place| place.group == group)
             })
         };
-        let all = targets.of_service(service).filter(ready);
+        let all = targets.of_service(search.service).filter(ready);
         let all: Vec<&Seat> = all.filter(|seat| !self.is_superseded(targets, seat)).collect();
         let open: Vec<&Seat> = all.iter().copied().filter(of_group).collect();
         let part = open.len() as f64 / all.len().max(1) as f64;
@@ -115,9 +127,9 @@
             told.retain(|(seat, _)| !self.slow.contains(seat.key));
         }
         if told.is_empty() {
-            return self.least(open.into_iter(), hall).cloned();
+            return self.least(open.into_iter(), search.hall).cloned();
         }
-        self.spread(&told, part, hall).cloned()
+        self.spread(&told, part, search.hall).cloned()
     }
 
     /// Whether a later entry names the address of `seat`, and nothing has shown yet that this one is not there.
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -34,6 +34,8 @@
     Busy,
     /// The group of targets does not run now.
     GroupClosed,
+    /// All targets of the service have asked for less than what comes.
+    Throttled,
     /// Targets turned the request away without running it.
     TurnedAway,
     /// No target could be reached.
@@ -65,6 +67,7 @@
             Self::NoTarget => "no_target",
             Self::Busy => "busy",
             Self::GroupClosed => "group_closed",
+            Self::Throttled => "throttled",
             Self::TurnedAway => "turned_away",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
@@ -89,6 +92,7 @@
             | Self::StaleCatalog
             | Self::NoTarget
             | Self::GroupClosed
+            | Self::Throttled
             | Self::TurnedAway
             | Self::Unreachable
             | Self::Quarantined
--- a/crates/sparscale_gateway/src/waiting.rs
+++ b/crates/sparscale_gateway/src/waiting.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sparscale_catalog::Engine;
+use sparscale_catalog::{Engine, Group};
 use sparscale_mesh::Mesh;
 use sparscale_policy::group;
 use sparscale_policy::line::Ticket;
@@ -32,6 +32,8 @@
     pub(crate) tier: u8,
     /// Ranks of the group.
     pub(crate) ranks: usize,
+    /// Part of them that take requests from this entry.
+    pub(crate) open_part: f64,
     /// When it came.
     pub(crate) began: Instant,
     /// What its caller spent on tries before it; worth counts from the first.
@@ -140,16 +142,17 @@
     }
 
     /// Lets waiting requests in after news of a group's loads.
-    pub(crate) fn refresh(&self, group: &str, ranks: usize, engine: &Engine, pause: Duration) {
+    pub(crate) fn refresh(&self, group: Group<'_>, open_part: f64, engine: &Engine, pause: Duration) {
         let mut queues = self.lock();
         let arrival = Arrival {
             request: "",
-            group,
+            group: group.name,
             engine,
             pause,
             objective: Duration::ZERO,
             tier: 0,
-            ranks,
+            ranks: group.size,
+            open_part,
             began: Instant::now(),
             spent: Duration::ZERO,
             left: None,
@@ -180,6 +183,7 @@
             engine: arrival.engine,
             pause: arrival.pause,
             ranks: arrival.ranks,
+            open_part: arrival.open_part,
             entries: self.entries.load(Ordering::Relaxed),
         };
         let load = self.mesh.group(arrival.group);
--- a/crates/sparscale_gateway/tests/path/rate_limits.rs
+++ b/crates/sparscale_gateway/tests/path/rate_limits.rs
@@ -1,5 +1,7 @@
 //! Targets that limit the rate of all entries together.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use sparscale_gateway::Settings;
@@ -13,6 +15,8 @@
 /// Time after which an entry that was told has to keep to it.
 const TOLD: Duration = Duration::from_millis(500);
 const ENTRIES: usize = 4;
+/// A refusal at once, on a busy machine.
+const AT_ONCE: Duration = Duration::from_millis(500);
 
 fn serve(arrival: &Arrival, wire: &mut Wire) {
     wire.answer(arrival, "200 OK", "good");
@@ -93,3 +97,57 @@
     assert!(most > 0, "a target in need that gets nothing is wasted");
     assert_eq!(unserved, 0, "other targets have room");
 }
+
+/// A request for which all targets are at their limit waits for its deadline, or comes back too early.
+#[test]
+fn held_at_limit() {
+    let targets = [Target::start(serve_limited), Target::start(serve_limited)];
+    let world = World::new(&[&targets[0], &targets[1]], &[]);
+    world.ask(&Request::new("GET", "/any/x", "first"));
+    world.ask(&Request::new("GET", "/any/x", "second"));
+    let mut waits = Vec::new();
+    for number in 0..3 {
+        let answer = world.ask(&Request::new("GET", "/any/x", &format!("refused-{number}")));
+        assert_eq!(answer.status, 503, "it has not run");
+        assert!(answer.took < AT_ONCE, "{:?}", answer.took);
+        let wait = answer.header("retry-after").and_then(|wait| wait.parse().ok());
+        waits.push(Duration::from_secs_f64(wait.expect("a time to come back")));
+    }
+    assert!(
+        waits.is_sorted() && waits[0] < waits[2],
+        "no order of return: {waits:?}"
+    );
+    std::thread::sleep(waits[0]);
+    let again = world.ask(&Request::new("GET", "/any/x", "returned"));
+    assert_eq!(again.status, 200, "it came back at the time that it was told");
+}
+
+/// A limit outlives the need: an answer without one ends it, at all entries.
+#[test]
+fn limit_outlives_need() {
+    let limited = Arc::new(AtomicBool::new(true));
+    let target = {
+        let limited = Arc::clone(&limited);
+        Target::start(move |arrival, wire| {
+            if limited.load(Ordering::SeqCst) {
+                serve_limited(arrival, wire);
+            } else {
+                serve(arrival, wire);
+            }
+        })
+    };
+    let worlds = linked(&[&target]);
+    worlds[0].ask(&Request::new("GET", "/any/x", "first"));
+    limited.store(false, Ordering::SeqCst);
+    let is_served = |number: u32, world: &World| {
+        let request = Request::new("GET", "/any/x", &format!("again-{number}"));
+        world.ask(&request).status == 200
+    };
+    let began = Instant::now();
+    let mut number = 0;
+    while !worlds.iter().all(|world| is_served(number, world)) {
+        assert!(began.elapsed() < Duration::from_secs(20), "still limited");
+        number += 1;
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -10,9 +10,13 @@
 use sparscale_catalog::{Catalog, Document, Roster};
 use sparscale_clock::Moment;
 use sparscale_history::Place;
+use sparscale_policy::rate_limit::Rate;
+use sparscale_policy::throttle;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Channel, Exchange, Frame, GroupLoad, Known, KnownRoster, Receiver, Role, Sender};
+use sparscale_wire::{
+    Channel, Exchange, Frame, GroupLoad, Known, KnownRoster, Notice, Notices, Receiver, Role, Sender,
+};
 use tokio::time::Instant;
 
 use crate::mesh::Mesh;
@@ -28,6 +32,8 @@
 
 /// Strikes in one message: well inside the longest frame.
 const MAX_STRIKES: usize = 1_000;
+/// Notices in one message.
+const MAX_NOTICES: usize = 1_000;
 
 /// Place of one message about a group's loads among all of them.
 type LoadOrder = (u64, u64);
@@ -65,6 +71,8 @@
     sent_loads: BTreeMap<String, LoadOrder>,
     /// Position up to which the other side was told what this process learnt of requests that crash targets.
     sent_strikes: u64,
+    /// The same of what targets ask.
+    sent_notices: u64,
     sent_entries: Vec<SocketAddr>,
     /// Messages since the entries were told.
     since_entries: u32,
@@ -86,6 +94,7 @@
             sent_roster: None,
             sent_loads: BTreeMap::new(),
             sent_strikes: 0,
+            sent_notices: 0,
             sent_entries: Vec::new(),
             since_entries: 0,
             pending_catalog: None,
@@ -113,6 +122,7 @@
         let mut groups = mesh.groups.subscribe();
         let mut strikes = mesh.board.quarantine.learnings();
         strikes.mark_changed();
+        let mut notices = mesh.board.throttle.learnings();
         // What was told before the link stood is told on it, too.
         groups.mark_changed();
         let interval = mesh.settings.interval;
@@ -130,6 +140,7 @@
                 Ok(()) = catalogs.changed() => self.tell(sender).await,
                 Ok(()) = rosters.changed() => self.tell(sender).await,
                 Ok(()) = strikes.changed() => self.tell_strikes(sender).await,
+                Ok(()) = notices.changed() => self.tell_notices(sender).await,
                 Ok(()) = groups.changed(), if !pausing => {
                     loads_due = Instant::now() + mesh.loads_pause();
                     self.tell_groups(sender).await
@@ -172,6 +183,7 @@
         let roster = self.mesh.board.told_roster().filter(|_| tells);
         let strikes_age = self.mesh.board.quarantine.age().filter(|_| tells);
         self.tell_strikes(sender).await?;
+        self.tell_notices(sender).await?;
         if self.peer.is_some() {
             self.send_catalog(sender, catalog.as_ref()).await?;
             self.send_roster(sender, roster.as_ref()).await?;
@@ -208,6 +220,30 @@
         Some(())
     }
 
+    /// What targets ask, as far as it was learnt since the last time, from whomever. It waits for the other side's first stamp,
+    /// without which nobody could tell how old it is.
+    async fn tell_notices(&mut self, sender: &mut Sender) -> Option<()> {
+        if self.role != Role::Entry || self.mesh.settings.role != Role::Entry {
+            return Some(());
+        }
+        let now = self.mesh.board.now();
+        let Some(echo) = self.stamps.echo(now) else {
+            return Some(());
+        };
+        let (news, position) = self.mesh.board.throttle.news(self.sent_notices);
+        self.sent_notices = position;
+        let notice = |notice: &throttle::Notice| Notice {
+            start: notice.start,
+            per_second: notice.rate.map(Rate::per_second),
+            age_ms: millis(now.since(notice.as_of)),
+        };
+        for part in news.chunks(MAX_NOTICES) {
+            let notices = part.iter().map(notice).collect();
+            send(sender, &Frame::Notices(Notices { echo, notices })).await?;
+        }
+        Some(())
+    }
+
     /// Live entries if there is news of them, or nobody was told for a while: the other side forgets whom it does not
     /// reach, and learns of them again only here. Else nothing.
     fn news_of_entries(&mut self) -> Vec<SocketAddr> {
@@ -283,6 +319,7 @@
                 self.pending_roster = Some(Arc::new(roster));
             }
             Frame::Strikes(strikes) => self.take_strikes(&strikes),
+            Frame::Notices(notices) => self.take_notices(&notices),
             Frame::Group(load) => self.take_group(load),
             _ => log::warn!("a frame that has no place on a link was left out"),
         }
@@ -293,6 +330,21 @@
         self.mesh.board.quarantine.offer(strikes, &source);
     }
 
+    fn take_notices(&self, told: &Notices) {
+        let source = self.peer.map(|peer| peer.to_string()).unwrap_or_default();
+        let read = |notice: &Notice| {
+            // A rate that is none cannot come from a sound peer; it says nothing.
+            let rate = notice.per_second.map(Rate::try_from).transpose().ok()?;
+            Some(throttle::Notice {
+                start: notice.start,
+                rate,
+                as_of: self.stamps.as_of(told.echo, notice.age_ms)?,
+            })
+        };
+        let notices: Vec<throttle::Notice> = told.notices.iter().filter_map(read).collect();
+        self.mesh.board.throttle.offer(&notices, &source);
+    }
+
     fn take_group(&mut self, load: GroupLoad) {
         self.mesh.heard.loads.fetch_add(1, Ordering::Relaxed);
         self.mesh.offer_group(load, self.role == Role::Agent);
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -9,6 +9,7 @@
 use sparscale_belief::Board;
 use sparscale_clock::Moment;
 use sparscale_history::Place;
+use sparscale_policy::rate_limit::{self, Members};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Ask, Channel, Endpoint, Frame, GroupLoad, Peer, Role};
 use tokio::sync::watch;
@@ -127,6 +128,7 @@
     endpoint: Arc<Endpoint>,
     entries: Mutex<BTreeMap<SocketAddr, Known>>,
     line: watch::Sender<Line>,
+    members: watch::Sender<Members>,
     asked_catalog: Asked,
     asked_roster: Asked,
     pub(crate) heard: Heard,
@@ -155,6 +157,7 @@
                 entries: 1,
                 sharers: None,
             }),
+            members: watch::Sender::new(Members::new(settings.address, &[])),
             asked_catalog: Asked::default(),
             asked_roster: Asked::default(),
             heard: Heard::default(),
@@ -185,6 +188,11 @@
         self.line.subscribe()
     }
 
+    /// Entries among which the rates of targets are divided.
+    pub fn members(&self) -> watch::Receiver<Members> {
+        self.members.subscribe()
+    }
+
     /// Latest loads of a group.
     pub fn group(&self, name: &str) -> Option<Arc<GroupLoad>> {
         self.groups.borrow().get(name).map(|told| Arc::clone(&told.load))
@@ -407,11 +415,20 @@
                 sharers: (2 * linked > known).then_some(known),
             }
         };
-        self.line.send_if_modified(|known| {
-            let changed = *known != line;
-            *known = line;
-            changed
-        });
+        replace(&self.line, line);
+        replace(&self.members, self.known_members());
+    }
+
+    fn known_members(&self) -> Members {
+        let now = self.board.now();
+        let entries = self.lock();
+        let peer = |(address, known): (&SocketAddr, &Known)| rate_limit::Peer {
+            address: *address,
+            linked: known.links > 0,
+            silent: known.heard.map(|heard| now.since(heard)),
+        };
+        let peers: Vec<rate_limit::Peer> = entries.iter().map(peer).collect();
+        Members::new(self.settings.address, &peers)
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Known>> {
@@ -419,6 +436,15 @@
     }
 }
 
+/// Readers are woken for a new value only.
+fn replace<T: PartialEq>(cell: &watch::Sender<T>, value: T) {
+    cell.send_if_modified(|known| {
+        let changed = *known != value;
+        *known = value;
+        changed
+    });
+}
+
 /// Wakes when loads of a group were told.
 #[derive(Debug)]
 pub struct GroupNews(watch::Receiver<BTreeMap<String, GroupReport>>);
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -6,9 +6,10 @@
 
 use quickcheck::{Gen, QuickCheck};
 use sparscale_belief::Board;
-use sparscale_catalog::{Catalog, Document, Roster};
+use sparscale_catalog::{Catalog, Directory, Document, Incarnations, Roster};
 use sparscale_clock::{Clock, Machine};
 use sparscale_mesh::{LOADS_PAUSE, Mesh, Settings, Stamps};
+use sparscale_policy::rate_limit::Rate;
 use sparscale_samples as samples;
 use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
 use tokio::time::Instant;
@@ -309,3 +310,28 @@
         .tests(2_000)
         .quickcheck(holds as fn(u16, u16, u16, u16) -> bool);
 }
+
+/// An entry hears of a target's limit from the one that met it, and of its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_told() {
+    let (first, others) = gathered(2).await;
+    let target = samples::target("t-1", samples::MODEL, 1);
+    let roster = Roster::new(vec![target]);
+    let directory = Directory::new(&roster, &mut Incarnations::default());
+    let seat = directory.seats().first().expect("a target");
+    for rate in [Some(2.0), None] {
+        let told = rate.map(|rate| Rate::try_from(rate).expect("a rate"));
+        others[0].board.throttle.note(seat, told);
+        for process in [&first, &others[1]] {
+            let mut learnt = process.board.throttle.learnings();
+            let heard = async {
+                while process.board.throttle.rate(seat) != rate {
+                    learnt.changed().await.expect("a board");
+                }
+            };
+            tokio::time::timeout(Duration::from_secs(10), heard)
+                .await
+                .expect("told");
+        }
+    }
+}
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod patience;
 pub mod queue;
 pub mod rate_limit;
+pub mod returns;
 pub mod room;
 pub mod silence;
 pub mod slow;
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -135,14 +135,14 @@
             let capacity = room::capacity_now(load, group.engine, group.pause);
             let held = room::held(load);
             self.held = held / entries;
-            let share = |capacity: f64| (capacity - held) / entries - self.untold.len() as f64;
+            let share = |capacity: f64| (capacity * group.open_part - held) / entries - self.untold.len() as f64;
             self.room = Room {
                 timely: share(capacity.timely),
                 late: share(capacity.late),
             };
         } else if now.saturating_duration_since(self.told) > LOAD_AGE {
             self.held = 0.0;
-            self.room = Room::alike(UNTOLD_RANK * group.ranks as f64 / entries - inside as f64);
+            self.room = Room::alike(UNTOLD_RANK * group.ranks as f64 * group.open_part / entries - inside as f64);
         }
     }
 
@@ -269,6 +269,8 @@
     pub pause: Duration,
     /// Its ranks.
     pub ranks: usize,
+    /// Part of them that take requests from this entry: those that limit or refuse its requests count as full.
+    pub open_part: f64,
     /// Entries that share its room, this one included.
     pub entries: usize,
 }
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -140,7 +140,7 @@
     words.into_iter().fold(0, |mixed, word| mix(mixed ^ word))
 }
 
-/// The finalizer of SplitMix64.
+/// Spreads a word over all bits: the finalizer of `SplitMix64`.
 fn mix(word: u64) -> u64 {
     let word = word.wrapping_add(0x9E37_79B9_7F4A_7C15);
     let word = (word ^ (word >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -80,9 +80,9 @@
         true
     }
 
-    /// Whether this entry may send to a target now.
-    pub fn is_open(&self, start: Start, now: Moment) -> bool {
-        self.opens_at(start, now).is_none()
+    /// Requests a second that a target takes from all entries, if it limits them.
+    pub fn rate(&self, start: Start) -> Option<Rate> {
+        self.targets.get(&start)?.rate
     }
 
     /// Whether this entry may send to a target now; if so, a request counts as sent.
--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -246,6 +246,7 @@
             engine: &self.engine,
             pause: PAUSE,
             ranks: RANKS,
+            open_part: 1.0,
             entries: ENTRIES,
         };
         let now = self.began + Duration::from_millis(self.now);
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -47,6 +47,7 @@
         engine: &engine,
         pause: PAUSE,
         ranks: RANKS,
+        open_part: 1.0,
         entries,
     };
     let mut queue = Queue::new(now);
--- /dev/null
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -0,0 +1,75 @@
+//! What is known of a target's limit follows the latest word of its present start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sparscale_catalog::Start;
+use sparscale_clock::{Clock as _, Machine, Moment};
+use sparscale_policy::rate_limit::{Members, Rate};
+use sparscale_policy::throttle::{Notice, Register};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn register() -> (Register, Moment) {
+    let now = Machine::default().now();
+    let mut register = Register::default();
+    register.set_members(Members::new(SocketAddr::from(([10, 0, 0, 1], 7_000)), &[]), now);
+    (register, now)
+}
+
+fn limit(born_ms: u64, rate: Option<f64>, as_of: Moment) -> Notice {
+    Notice {
+        start: Start::of("target-1", Some(born_ms)),
+        rate: rate.map(|rate| Rate::try_from(rate).expect("a rate")),
+        as_of,
+    }
+}
+
+/// A word that is older than what is known, told late, changes nothing.
+#[test]
+fn late_word() {
+    let (mut register, now) = register();
+    let later = now + SECOND;
+    assert!(register.note(limit(1, Some(1.0), later), later));
+    assert!(
+        !register.note(limit(1, None, now), later),
+        "an older word ended the limit"
+    );
+    assert!(register.opens_at(limit(1, None, now).start, later).is_some());
+    assert!(register.note(limit(1, None, later), later), "the latest word counts");
+    assert!(register.opens_at(limit(1, None, now).start, later).is_none());
+}
+
+/// A target that starts again asks nothing yet.
+#[test]
+fn next_start() {
+    let (mut register, now) = register();
+    register.note(limit(1, Some(1.0), now), now);
+    assert!(register.opens_at(Start::of("target-1", Some(2)), now).is_none());
+}
+
+/// A rate that changes with each answer does not keep the target from getting any.
+#[test]
+fn changing_rate() {
+    let (mut register, began) = register();
+    let mut sends = 0;
+    for tenth in 0_u32..100 {
+        let now = began + SECOND / 10 * tenth;
+        let rate = 1.0 + f64::from(tenth % 3) / 10.0;
+        register.note(limit(1, Some(rate), now), now);
+        sends += u32::from(register.take(limit(1, None, now).start, now));
+    }
+    assert!((7..=12).contains(&sends), "{sends} sends in 10 s");
+}
+
+/// Whoever asks for news hears of each limit once, and of its end.
+#[test]
+fn news_once() {
+    let (mut register, now) = register();
+    register.note(limit(1, Some(1.0), now), now);
+    let (news, position) = register.news(0);
+    assert_eq!(news, [limit(1, Some(1.0), now)]);
+    assert!(register.news(position).0.is_empty());
+    register.note(limit(1, None, now + SECOND), now + SECOND);
+    assert_eq!(register.news(position).0, [limit(1, None, now + SECOND)]);
+}
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -10,7 +10,7 @@
 use sparscale_place::switch;
 use sparscale_quarantine::Strike;
 
-use crate::peer::{Exchange, GroupLoad, RankNews, RankOrder};
+use crate::peer::{Exchange, GroupLoad, Notices, RankNews, RankOrder};
 
 /// Names one dispatch of one request to one agent; never used twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -54,6 +54,8 @@
     Roster(Roster),
     /// Targets that ended under requests, on an [`Ask::Exchange`] stream.
     Strikes(Vec<Strike>),
+    /// What targets ask of those that send to them, on an [`Ask::Exchange`] stream.
+    Notices(Notices),
     /// Loads of a group, on an [`Ask::Exchange`] stream.
     Group(GroupLoad),
     /// An order to a rank, on an [`Ask::Conduct`] stream.
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -13,7 +13,8 @@
     Settlement, Word,
 };
 pub use peer::{
-    Base, Echo, Exchange, GroupLoad, Known, KnownRoster, MapUpdate, Placement, RankLoad, RankNews, RankOrder,
+    Base, Echo, Exchange, GroupLoad, Known, KnownRoster, MapUpdate, Notice, Notices, Placement, RankLoad, RankNews,
+    RankOrder,
 };
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
 pub use tls::{Error as TlsError, Files, Identity, Role};
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use sparscale_catalog::Start;
 use sparscale_history::Place;
 use sparscale_place::barrier::{Answer, Order, Report};
 use sparscale_place::{Map, Patch, Shape};
@@ -44,6 +45,26 @@
     pub held_ms: u64,
 }
 
+/// What targets ask of those that send to them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Notices {
+    /// The receiver's latest stamp: it tells how old the message is.
+    pub echo: Echo,
+    /// What was learnt since the last message.
+    pub notices: Vec<Notice>,
+}
+
+/// What one target asks.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The start of the target that asks it.
+    pub start: Start,
+    /// Requests a second that it takes from all entries; none if it limits them no longer.
+    pub per_second: Option<f64>,
+    /// Time since it said so when this was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What is known of a belief.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
