Sight: a line for each request that a target turns away

Cause: nothing told which target turned a request away, with which status and time to come back, on which send of the request; so an entry that sends to a target that rests could not be told from a repeat that walks over such targets.

Change: a line turned_away with request, target, status, its time to come back, target at fault. Nothing else.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -280,7 +280,7 @@
                 return tries.pass_over(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY), paid);
             }
             Attempt::Refused(rejection) => {
-                self.note_rejection(&seat, &rejection);
+                self.note_rejection(job, &seat, &rejection);
                 self.leave_group(job, tries);
                 let wait = rejection.retry_after.unwrap_or(TURNED_AWAY_RETRY);
                 tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -103,7 +103,17 @@
     }
 
     /// Notes what a target said of itself, or of another one, as it turned a request away.
-    pub(super) fn note_rejection(&self, seat: &Seat, rejection: &Rejection) {
+    pub(super) fn note_rejection(&self, job: &Job, seat: &Seat, rejection: &Rejection) {
+        log::info!(
+            target: DECISION,
+            decision = "turned_away",
+            request = job.outbound.head.id_text(),
+            at = seat.target.id.as_str(),
+            status = rejection.status.as_u16(),
+            retry_ms = rejection.retry_after.map(|retry| retry.as_millis() as u64),
+            at_fault = rejection.at_fault.as_deref();
+            "its target has not run it"
+        );
         if let Some(place) = &seat.target.membership
             && rejection.status == StatusCode::SERVICE_UNAVAILABLE
         {
