--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod groups;
 mod rate_limits;
+mod requested_rests;
 mod requests;
 mod returned;
 mod shared_budget;
