Targets that ask an entry for rest get nothing from it until its end

Callers saw 53 of 260 streams refused while eight of twelve ranks could have served all: four ranks turned away 46 to 58 of 51 to 60 requests, and each repeat, resumed stream and first send went to them again.

Cause: the time of a refusal was told to the caller and kept nowhere, and a rank that refuses at once looks empty, so the spread preferred it. Class: the same as of the rate limit, a word of a target that no path of sending asks for.

Change: the rest is read with the other words of an answer (503 and 429), kept by start of the target in the same register, and so asked by every path; a later, shorter time does not end it; ten minutes at most; what cannot be read is logged and asks nothing. A caller is told a target's rest only if no other target of the service takes a request, then the earliest end, in order.

--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -1,6 +1,7 @@
 //! What targets ask of those that send to them, as this process knows it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use sparscale_catalog::{Directory, Seat, Start};
 use sparscale_clock::{Clock, Moment};
@@ -38,6 +39,23 @@
         self.tell(news);
     }
 
+    /// Notes that a target wants nothing from this process for `rest`.
+    pub fn rest(&self, seat: &Seat, rest: Duration) {
+        let now = self.clock.now();
+        let Some(until) = self.register().rest(seat.start, rest, now) else {
+            return;
+        };
+        log::info!(
+            target: DECISION,
+            decision = "rest",
+            at = seat.target.id.as_str(),
+            start = seat.start.to_string().as_str(),
+            asked_ms = rest.as_millis() as u64,
+            rest_ms = until.since(now).as_millis() as u64;
+            "a target wants nothing from this process for a time"
+        );
+    }
+
     /// Takes in what the peer `source` told.
     pub fn offer(&self, notices: &[Notice], source: &str) {
         let taken = notices.iter().map(|notice| self.take_in(*notice, source, None));
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use sparscale_quarantine::Fingerprint;
 use tokio::time::Instant;
 
-use crate::backpressure::Signal;
+use crate::backpressure::{Asked, Signal};
 use crate::dialect::Dialect;
 use crate::head::{Head, without_hop_by_hop};
 use crate::pool::{Connection, Pool, connect};
@@ -192,11 +192,11 @@
             Err(error) if error.message().is_some() => return Outcome::NotSent,
             Err(_) => return Outcome::Lost(Loss::Broken),
         };
-        self.note_signal(chosen, &parts, outbound);
+        let signal = self.note_signal(chosen, &parts, outbound);
         match self.judge(&parts, outbound) {
             Verdict::Lost(loss) => Outcome::Lost(loss),
             Verdict::Refused => {
-                let rejection = self.rejection(&parts);
+                let rejection = self.rejection(&parts, signal);
                 self.give_back(chosen.key, connection, incoming, &parts.headers).await;
                 Outcome::Refused(rejection)
             }
@@ -233,14 +233,21 @@
 
     /// Notes what the target asks of those that send to it. An answer to another request, or by another target at the same
     /// address, says nothing of it.
-    fn note_signal(&self, chosen: &Seat, parts: &Parts, outbound: &Outbound) {
+    fn note_signal(&self, chosen: &Seat, parts: &Parts, outbound: &Outbound) -> Signal {
+        let signal = Signal::read(parts, &self.dialect);
         let own = parts.headers.get(&self.dialect.request_id) == outbound.head.id.as_ref();
         if !own || parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
+            return signal;
         }
-        if let Ok(signal) = Signal::read(&parts.headers, &self.dialect) {
-            self.board.throttle.note(chosen, signal.rate);
+        match signal.rate {
+            Asked::Nothing => self.board.throttle.note(chosen, None),
+            Asked::For(rate) => self.board.throttle.note(chosen, Some(rate)),
+            Asked::Unreadable => {}
         }
+        if let Asked::For(rest) = signal.rest {
+            self.board.throttle.rest(chosen, rest);
+        }
+        signal
     }
 
     /// What the head of an answer says about the request.
@@ -267,13 +274,16 @@
         Verdict::Answered
     }
 
-    fn rejection(&self, parts: &Parts) -> Rejection {
+    fn rejection(&self, parts: &Parts, signal: Signal) -> Rejection {
         let text = |name: &header::HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
-        let seconds = text(&header::RETRY_AFTER).and_then(|value| value.parse::<f64>().ok());
+        let retry_after = match signal.rest {
+            Asked::For(rest) => Some(rest),
+            Asked::Nothing | Asked::Unreadable => None,
+        };
         Rejection {
             status: parts.status,
             at_fault: text(&self.dialect.at_fault).map(str::to_owned),
-            retry_after: seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()),
+            retry_after,
         }
     }
 
--- a/crates/sparscale_gateway/src/backpressure.rs
+++ b/crates/sparscale_gateway/src/backpressure.rs
@@ -1,7 +1,10 @@
 //! What the head of an answer asks of those that send to its target.
 
-use http::HeaderMap;
-use http::header::HeaderName;
+use std::time::Duration;
+
+use http::StatusCode;
+use http::header::{self, HeaderName};
+use http::response::Parts;
 use sparscale_policy::rate_limit::Rate;
 use sparscale_telemetry::DECISION;
 
@@ -11,29 +14,56 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Signal {
     /// Requests a second that it takes from all entries together, if it limits them.
-    pub(crate) rate: Option<Rate>,
+    pub(crate) rate: Asked<Rate>,
+    /// Time for which it wants nothing from this entry.
+    pub(crate) rest: Asked<Duration>,
 }
 
-/// A target's answer asks something that cannot be read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Unreadable;
+/// One thing that a target may ask.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Asked<T> {
+    /// It does not.
+    Nothing,
+    /// It asks this.
+    For(T),
+    /// What it asks cannot be read: it says neither that something is asked nor that nothing is.
+    Unreadable,
+}
 
 impl Signal {
-    /// Reads the head of an answer. A header that cannot be read is logged, and says neither that something is asked nor
-    /// that nothing is.
-    pub(crate) fn read(headers: &HeaderMap, dialect: &Dialect) -> Result<Self, Unreadable> {
-        let rate = match headers.get(&dialect.rate_limit) {
-            None => None,
-            Some(value) => {
-                let text = value.to_str().unwrap_or_default();
-                Some(Rate::try_from(text).map_err(|_malformed| unreadable(&dialect.rate_limit, text))?)
-            }
-        };
-        Ok(Self { rate })
+    /// Reads the head of an answer. What cannot be read is logged.
+    pub(crate) fn read(head: &Parts, dialect: &Dialect) -> Self {
+        let turns_away = matches!(
+            head.status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        let rest = read(head, &header::RETRY_AFTER, |text| seconds(text).ok_or(Unreadable));
+        Self {
+            rate: read(head, &dialect.rate_limit, |text| {
+                Rate::try_from(text).map_err(|_malformed| Unreadable)
+            }),
+            rest: if turns_away { rest } else { Asked::Nothing },
+        }
     }
 }
 
-fn unreadable(name: &HeaderName, text: &str) -> Unreadable {
+/// A text that cannot be read.
+struct Unreadable;
+
+fn read<T>(head: &Parts, name: &HeaderName, parse: impl Fn(&str) -> Result<T, Unreadable>) -> Asked<T> {
+    let Some(value) = head.headers.get(name) else {
+        return Asked::Nothing;
+    };
+    let text = value.to_str().unwrap_or_default();
+    if let Ok(asked) = parse(text) {
+        return Asked::For(asked);
+    }
     log::warn!(target: DECISION, decision = "unreadable", header = name.as_str(), text; "a target asks something that cannot be read");
-    Unreadable
+    Asked::Unreadable
+}
+
+/// A number of seconds that is a time.
+fn seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
 }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -227,7 +227,9 @@
                 return tries.give_up(refusal);
             }
             let Some(seat) = self.next_target(job, tries) else {
-                return tries.give_up(self.unavailable(job, tries));
+                let throttled = self.throttled_now(job, tries);
+                tries.refusal = throttled.or(tries.refusal);
+                return tries.give_up(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY));
             };
             let attempt = self.attempt(job, &seat, tries).await;
             if let Some(answer) = self.settle(job, seat, attempt, tries).await? {
@@ -236,12 +238,10 @@
         }
     }
 
-    /// The refusal of a request for which there is no target.
-    fn unavailable(&self, job: &Job, tries: &Tries) -> Refusal {
-        let targets = self.board.targets();
-        let throttled = targets.zip(tries.service.as_deref());
-        let throttled = throttled.and_then(|(targets, service)| self.throttled(job, service, &targets.value));
-        throttled.unwrap_or(Refusal::retry(Reason::NoTarget, NO_TARGET_RETRY))
+    /// The refusal of a request whose service takes nothing from this entry now.
+    fn throttled_now(&self, job: &Job, tries: &Tries) -> Option<Refusal> {
+        let targets = self.board.targets()?;
+        self.throttled(job, tries.service.as_deref()?, &targets.value)
     }
 
     /// Draws what follows from a send: an answer, another send (none), or a refusal.
@@ -282,8 +282,7 @@
             Attempt::Refused(rejection) => {
                 self.note_rejection(job, &seat, &rejection);
                 self.leave_group(job, tries);
-                let wait = rejection.retry_after.unwrap_or(TURNED_AWAY_RETRY);
-                tries.refusal = Some(Refusal::retry(Reason::TurnedAway, wait));
+                tries.refusal = Some(Refusal::retry(Reason::TurnedAway, TURNED_AWAY_RETRY));
             }
             Attempt::Failed(whole) => tries.failure = Some(whole),
             Attempt::Lost(loss) => self.lost(job, &seat, loss, tries).await?,
@@ -292,6 +291,9 @@
         if self.may_send_again(job, tries) {
             return Ok(None);
         }
+        if tries.refusal.is_some() {
+            tries.refusal = self.throttled_now(job, tries).or(tries.refusal);
+        }
         tries.give_up(Refusal::new(Reason::NoAnswer)).map(Some)
     }
 
--- a/crates/sparscale_gateway/tests/path/requested_rests.rs
+++ b/crates/sparscale_gateway/tests/path/requested_rests.rs
@@ -98,6 +98,31 @@
     assert_eq!(sent, 0, "requests to targets that all rested");
 }
 
+/// A rest that cannot be read, or is beyond all measure, closes a target for good, or brings the entry down.
+#[test]
+fn garbled_rests() {
+    for rest in ["-1", "NaN", "inf", "1e300", "soon", "", "Fri, 31 Dec 2027 23:59:59 GMT"] {
+        let tired = Target::start(move |arrival, wire| refuse_for(arrival, wire, rest));
+        let sound = Target::start(serve);
+        let world = World::new(&[&tired, &sound], &[]);
+        let unserved = load(&world, "/any/x", Duration::from_millis(200));
+        assert_eq!(unserved, 0, "{rest:?}");
+    }
+}
+
+/// A caller is told the rest of one target while another one has room.
+#[test]
+fn rest_told_to_callers() {
+    let (tired, sound) = (resting(), Target::start(serve));
+    let world = World::new(&[&tired, &sound], &[]);
+    for number in 0..20 {
+        let answer = world.ask(&Request::new("POST", "/once/x", &format!("r-{number}")));
+        if answer.status != 200 {
+            assert!(wait_told(&answer) < REST / 2, "{:?}", wait_told(&answer));
+        }
+    }
+}
+
 /// A stream that breaks off goes on at a target that rests.
 #[test]
 fn resumes_at_resting() {
@@ -106,7 +131,7 @@
     let breaking = {
         let sends = Arc::clone(&sends);
         Target::start(move |arrival, wire| {
-            if sends.fetch_add(1, Ordering::SeqCst) % 2 == 0 {
+            if sends.fetch_add(1, Ordering::SeqCst).is_multiple_of(2) {
                 wire.stream_head(arrival, "d");
                 wire.event(1);
                 std::thread::sleep(Duration::from_millis(20));
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -11,9 +11,14 @@
 
 use crate::rate_limit::{Members, Pacer, Rate};
 
+/// Longest rest that is granted. A target that asks for more is tried again after it.
+const MAX_REST: Duration = Duration::from_mins(10);
+
 /// What one target asks, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
+    /// Until when the target wants nothing from this entry.
+    rests_until: Option<Moment>,
     rate: Option<Rate>,
     /// When the target said so.
     as_of: Moment,
@@ -58,12 +63,7 @@
         if rate.is_none() && !self.targets.contains_key(&start) {
             return false;
         }
-        let state = self.targets.entry(start).or_insert_with(|| State {
-            rate: None,
-            as_of,
-            position: 0,
-            pacer: Pacer::new(now),
-        });
+        let state = self.targets.entry(start).or_insert_with(|| State::new(as_of, now));
         if as_of < state.as_of {
             return false;
         }
@@ -85,22 +85,38 @@
         self.targets.get(&start)?.rate
     }
 
+    /// Notes that a target wants nothing from this entry for `rest`. Whatever it asked for before holds as well. Tells until
+    /// when it rests, if that is later than known.
+    pub fn rest(&mut self, start: Start, rest: Duration, now: Moment) -> Option<Moment> {
+        let until = now + rest.min(MAX_REST);
+        let state = self.targets.entry(start).or_insert_with(|| State::new(now, now));
+        if state.rests_until.is_some_and(|known| known >= until) {
+            return None;
+        }
+        state.rests_until = Some(until);
+        Some(until)
+    }
+
     /// Whether this entry may send to a target now; if so, a request counts as sent.
     pub fn take(&mut self, start: Start, now: Moment) -> bool {
-        match self.targets.get_mut(&start) {
-            Some(state) if state.rate.is_some() => state.pacer.take(now),
-            _ => true,
+        let Some(state) = self.targets.get_mut(&start) else {
+            return true;
+        };
+        if state.rests_until.is_some_and(|until| now < until) {
+            return false;
         }
+        state.rate.is_none() || state.pacer.take(now)
     }
 
     /// When the target takes the next request, from this entry or from another one that holds a share; none if it takes one from
     /// this entry now.
     pub fn opens_at(&self, start: Start, now: Moment) -> Option<Moment> {
         let state = self.targets.get(&start)?;
-        let rate = state.rate?;
-        let elsewhere = || now + Duration::from_secs_f64(1.0 / rate.per_second());
-        let next = state.pacer.next().unwrap_or_else(elsewhere);
-        (next > now).then_some(next)
+        let elsewhere = |rate: Rate| now + Duration::from_secs_f64(1.0 / rate.per_second());
+        let next = state
+            .rate
+            .map(|rate| state.pacer.next().unwrap_or_else(|| elsewhere(rate)));
+        next.max(state.rests_until).filter(|opens_at| *opens_at > now)
     }
 
     /// Whether no target asks anything.
@@ -124,3 +140,15 @@
         self.targets.retain(|start, _| is_there(*start));
     }
 }
+
+impl State {
+    fn new(as_of: Moment, now: Moment) -> Self {
+        Self {
+            rests_until: None,
+            rate: None,
+            as_of,
+            position: 0,
+            pacer: Pacer::new(now),
+        }
+    }
+}
--- a/crates/sparscale_policy/tests/throttle_register.rs
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -73,3 +73,21 @@
     register.note(limit(1, None, now + SECOND), now + SECOND);
     assert_eq!(register.news(position).0, [limit(1, None, now + SECOND)]);
 }
+
+/// A rest holds until its end, whatever is asked meanwhile; a shorter one does not end it, and none lasts for ever.
+#[test]
+fn rests() {
+    let (mut register, now) = register();
+    let start = limit(1, None, now).start;
+    assert!(register.rest(start, 3 * SECOND, now).is_some());
+    assert!(register.rest(start, SECOND, now).is_none(), "it asked for more before");
+    register.note(limit(1, Some(40.0), now), now);
+    assert!(!register.take(start, now + 2 * SECOND));
+    assert_eq!(register.opens_at(start, now), Some(now + 3 * SECOND));
+    assert!(register.take(start, now + 3 * SECOND));
+    register.rest(start, Duration::MAX, now);
+    assert!(
+        register.take(start, now + Duration::from_hours(1)),
+        "a rest without end"
+    );
+}
