A target that says in an answer that it leaves gets no new requests

Cause: that a target leaves was learnt from its entry in the list alone. Its own word, in the head of any answer, was not read, so requests went on to it until the list was read, or for as long as the list could not be read.

Change: read with the other words of an answer, kept in the same register for the target's present start, for good; told to the other entries like a limit.

--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -6,7 +6,7 @@
 use sparscale_catalog::{Directory, Seat, Start};
 use sparscale_clock::{Clock, Moment};
 use sparscale_policy::rate_limit::{Members, Rate};
-use sparscale_policy::throttle::{Notice, Register};
+use sparscale_policy::throttle::{Notice, Opening, Register};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
 
@@ -28,11 +28,13 @@
         }
     }
 
-    /// Notes what the answer of a target asks: the requests a second that it takes from all entries, if it limits them.
-    pub fn note(&self, seat: &Seat, rate: Option<Rate>) {
+    /// Notes what the answer of a target asks: the requests a second that it takes from all entries, if it limits them, and
+    /// whether it leaves.
+    pub fn note(&self, seat: &Seat, rate: Option<Rate>, leaving: bool) {
         let notice = Notice {
             start: seat.start,
             rate,
+            leaving,
             as_of: self.clock.now(),
         };
         let news = self.take_in(notice, "answer", Some(&seat.target.id));
@@ -76,7 +78,7 @@
 
     /// Whether this process may send to a target now.
     pub fn is_open(&self, seat: &Seat) -> bool {
-        self.opens_at(seat).is_none()
+        self.opening(seat) == Opening::Now
     }
 
     /// Whether this process may send to a target now; if so, a request counts as sent.
@@ -85,10 +87,10 @@
         self.register().take(seat.start, now)
     }
 
-    /// When the target takes the next request; none if it takes one from this process now.
-    pub fn opens_at(&self, seat: &Seat) -> Option<Moment> {
+    /// When the target takes the next request.
+    pub fn opening(&self, seat: &Seat) -> Opening {
         let now = self.clock.now();
-        self.register().opens_at(seat.start, now)
+        self.register().opening(seat.start, now)
     }
 
     /// Requests a second that the target takes from all entries, if it limits them.
@@ -140,12 +142,13 @@
 fn log_notice(notice: &Notice, source: &str, target: Option<&str>, now: Moment) {
     log::info!(
         target: DECISION,
-        decision = "rate_limit",
+        decision = "target_asks",
         at = target,
         start = notice.start.to_string().as_str(),
         per_second = notice.rate.map(Rate::per_second),
+        leaving = notice.leaving,
         source,
         age_ms = now.since(notice.as_of).as_millis() as u64;
-        "a target limits its rate, or ceases to"
+        "a target limits its rate, ceases to, or leaves"
     );
 }
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -239,9 +239,10 @@
         if !own || parts.status == StatusCode::MISDIRECTED_REQUEST {
             return signal;
         }
+        let leaving = signal.leaving == Asked::For(());
         match signal.rate {
-            Asked::Nothing => self.board.throttle.note(chosen, None),
-            Asked::For(rate) => self.board.throttle.note(chosen, Some(rate)),
+            Asked::Nothing => self.board.throttle.note(chosen, None, leaving),
+            Asked::For(rate) => self.board.throttle.note(chosen, Some(rate), leaving),
             Asked::Unreadable => {}
         }
         if let Asked::For(rest) = signal.rest {
--- a/crates/sparscale_gateway/src/backpressure.rs
+++ b/crates/sparscale_gateway/src/backpressure.rs
@@ -17,6 +17,8 @@
     pub(crate) rate: Asked<Rate>,
     /// Time for which it wants nothing from this entry.
     pub(crate) rest: Asked<Duration>,
+    /// That it leaves.
+    pub(crate) leaving: Asked<()>,
 }
 
 /// One thing that a target may ask.
@@ -43,6 +45,11 @@
                 Rate::try_from(text).map_err(|_malformed| Unreadable)
             }),
             rest: if turns_away { rest } else { Asked::Nothing },
+            leaving: match read(head, &dialect.draining, flag) {
+                Asked::For(false) | Asked::Nothing => Asked::Nothing,
+                Asked::For(true) => Asked::For(()),
+                Asked::Unreadable => Asked::Unreadable,
+            },
         }
     }
 }
@@ -67,3 +74,11 @@
     let seconds: f64 = text.trim().parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
 }
+
+fn flag(text: &str) -> Result<bool, Unreadable> {
+    match text.trim() {
+        "1" | "true" => Ok(true),
+        "0" | "false" => Ok(false),
+        _ => Err(Unreadable),
+    }
+}
--- a/crates/sparscale_gateway/src/dialect.rs
+++ b/crates/sparscale_gateway/src/dialect.rs
@@ -29,6 +29,8 @@
     pub at_fault: HeaderName,
     /// Requests a second that the answering target takes from all entries together, as a decimal number.
     pub rate_limit: HeaderName,
+    /// Says that the answering target leaves.
+    pub draining: HeaderName,
 }
 
 impl Dialect {
@@ -47,6 +49,7 @@
             answer_guess: HeaderName::from_bytes(b"sparscale-answer-guess")?,
             at_fault: HeaderName::from_bytes(b"sparscale-at-fault")?,
             rate_limit: HeaderName::from_bytes(b"sparscale-rate-limit")?,
+            draining: HeaderName::from_bytes(b"sparscale-draining")?,
         })
     }
 }
--- a/crates/sparscale_gateway/src/exchange/throttled.rs
+++ b/crates/sparscale_gateway/src/exchange/throttled.rs
@@ -5,6 +5,7 @@
 
 use sparscale_catalog::{Directory, Group, Seat, Standing};
 use sparscale_clock::Moment;
+use sparscale_policy::throttle::Opening;
 use sparscale_telemetry::DECISION;
 
 use super::{Gateway, Job};
@@ -20,8 +21,15 @@
         }
         let is_ready = |seat: &&Seat| seat.target.standing == Standing::Ready;
         let ready: Vec<&Seat> = targets.of_service(service).filter(is_ready).collect();
-        let openings: Option<Vec<Moment>> = ready.iter().map(|seat| throttle.opens_at(seat)).collect();
-        let opens_at = openings?.into_iter().min()?;
+        let mut opens_at = None;
+        for seat in &ready {
+            match throttle.opening(seat) {
+                Opening::Now => return None,
+                Opening::At(at) => opens_at = Some(opens_at.map_or(at, |known: Moment| known.min(at))),
+                Opening::Never => {}
+            }
+        }
+        let opens_at = opens_at?;
         // Callers come back to any entry, and each promises by itself.
         let entries = self.mesh.line().borrow().entries;
         let rate: f64 = ready.iter().filter_map(|seat| throttle.rate(seat)).sum();
--- a/crates/sparscale_gateway/tests/path/crashing.rs
+++ b/crates/sparscale_gateway/tests/path/crashing.rs
@@ -13,9 +13,7 @@
 
 use std::time::Duration;
 
-use sparscale_gateway::Settings;
-
-use crate::entry::{Request, World, settings, wait};
+use crate::entry::{Request, World, seeded, settings, wait};
 use crate::target::{Arrival, Target, Wire};
 
 /// Body that crashes whatever runs it.
@@ -130,13 +128,6 @@
     }
 }
 
-fn seeded(first: &World) -> Settings {
-    Settings {
-        seeds: vec![first.entry.peers],
-        ..settings()
-    }
-}
-
 /// It comes to other entries: to one that hears the first, to one that does not, and to one that has just started after
 /// all others lost power.
 #[test]
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -186,6 +186,29 @@
     }
 }
 
+/// Settings of an entry that hears of the others from `first`.
+pub fn seeded(first: &World) -> Settings {
+    Settings {
+        seeds: vec![first.entry.peers],
+        ..settings()
+    }
+}
+
+/// Sends a request each 20 ms for `time`; tells how many were not served.
+pub fn load(world: &World, path: &str, time: Duration) -> usize {
+    let began = Instant::now();
+    let mut unserved = 0;
+    for number in 0.. {
+        if began.elapsed() >= time {
+            break;
+        }
+        let answer = world.ask(&Request::new("GET", path, &format!("r-{number}")));
+        unserved += usize::from(answer.status != 200);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    unserved
+}
+
 pub fn wait(what: &str, seen: impl Fn() -> bool) {
     let began = Instant::now();
     while !seen() {
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod crashing;
 mod entry;
 mod groups;
+mod leaving_targets;
 mod rate_limits;
 mod requested_rests;
 mod requests;
--- a/crates/sparscale_gateway/tests/path/rate_limits.rs
+++ b/crates/sparscale_gateway/tests/path/rate_limits.rs
@@ -4,9 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use sparscale_gateway::Settings;
-
-use crate::entry::{Request, World, settings, wait};
+use crate::entry::{Request, World, seeded, wait};
 use crate::target::{Arrival, Target, Wire};
 
 /// Time over which a target counts, and what it bears in it at one request a second: one and a half times that, and five.
@@ -29,13 +27,6 @@
     ));
 }
 
-fn seeded(first: &World) -> Settings {
-    Settings {
-        seeds: vec![first.entry.peers],
-        ..settings()
-    }
-}
-
 /// Entries before `targets` that all hear each other.
 fn linked(targets: &[&Target]) -> Vec<World> {
     let first = World::new(targets, &[]);
@@ -51,7 +42,7 @@
 }
 
 /// Sends requests through each entry at once for `time`; tells how many were not served.
-fn load(worlds: &[World], time: Duration) -> usize {
+fn load_all(worlds: &[World], time: Duration) -> usize {
     std::thread::scope(|scope| {
         let ask = |(index, world): (usize, &'_ World)| {
             let began = Instant::now();
@@ -91,7 +82,7 @@
     let others = [Target::start(serve), Target::start(serve)];
     let worlds = linked(&[&limited, &others[0], &others[1]]);
     let told = Instant::now() + TOLD;
-    let unserved = load(&worlds, WINDOW + Duration::from_secs(2));
+    let unserved = load_all(&worlds, WINDOW + Duration::from_secs(2));
     let most = most_in_window(&limited.times(), told);
     assert!(most <= MOST, "{most} requests within {} s", WINDOW.as_secs());
     assert!(most > 0, "a target in need that gets nothing is wasted");
--- a/crates/sparscale_gateway/tests/path/requested_rests.rs
+++ b/crates/sparscale_gateway/tests/path/requested_rests.rs
@@ -6,7 +6,7 @@
 
 use sparscale_samples as samples;
 
-use crate::entry::{Answer, Request, World};
+use crate::entry::{Answer, Request, World, load};
 use crate::groups::serve_from;
 use crate::target::{Arrival, Target, Wire};
 
@@ -34,21 +34,6 @@
     Target::start(|arrival, wire| refuse_for(arrival, wire, &REST.as_secs().to_string()))
 }
 
-/// Sends a request each 20 ms for `time`; tells how many were not served.
-fn load(world: &World, path: &str, time: Duration) -> usize {
-    let began = Instant::now();
-    let mut unserved = 0;
-    for number in 0.. {
-        if began.elapsed() >= time {
-            break;
-        }
-        let answer = world.ask(&Request::new("GET", path, &format!("r-{number}")));
-        unserved += usize::from(answer.status != 200);
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    unserved
-}
-
 /// Requests that reached a resting target in the rest that it asked for first.
 fn sent_while_resting(target: &Target) -> usize {
     let times = target.times();
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -235,6 +235,7 @@
         let notice = |notice: &throttle::Notice| Notice {
             start: notice.start,
             per_second: notice.rate.map(Rate::per_second),
+            leaving: notice.leaving,
             age_ms: millis(now.since(notice.as_of)),
         };
         for part in news.chunks(MAX_NOTICES) {
@@ -338,6 +339,7 @@
             Some(throttle::Notice {
                 start: notice.start,
                 rate,
+                leaving: notice.leaving,
                 as_of: self.stamps.as_of(told.echo, notice.age_ms)?,
             })
         };
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -321,7 +321,7 @@
     let seat = directory.seats().first().expect("a target");
     for rate in [Some(2.0), None] {
         let told = rate.map(|rate| Rate::try_from(rate).expect("a rate"));
-        others[0].board.throttle.note(seat, told);
+        others[0].board.throttle.note(seat, told, false);
         for process in [&first, &others[1]] {
             let mut learnt = process.board.throttle.learnings();
             let heard = async {
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -17,6 +17,8 @@
 /// What one target asks, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
+    /// Whether the target has said that it leaves. It does not come back in the same start.
+    leaving: bool,
     /// Until when the target wants nothing from this entry.
     rests_until: Option<Moment>,
     rate: Option<Rate>,
@@ -34,10 +36,23 @@
     pub start: Start,
     /// Requests a second that it takes from all entries; none if it limits them no longer.
     pub rate: Option<Rate>,
+    /// Whether it leaves.
+    pub leaving: bool,
     /// When it said so.
     pub as_of: Moment,
 }
 
+/// When a target takes the next request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Opening {
+    /// Now, and from this entry.
+    Now,
+    /// At a time, from this entry or from another one that holds a share.
+    At(Moment),
+    /// Never: it leaves.
+    Never,
+}
+
 /// What all targets ask.
 #[derive(Debug, Default)]
 pub struct Register {
@@ -57,32 +72,33 @@
         self.members = Some(members);
     }
 
-    /// Takes in what a target said, unless something later is known. Tells whether it is news.
+    /// Takes in what a target said. Of a limit, the latest word counts; that it leaves counts for good. Tells whether it is
+    /// news.
     pub fn note(&mut self, notice: Notice, now: Moment) -> bool {
-        let Notice { start, rate, as_of } = notice;
-        if rate.is_none() && !self.targets.contains_key(&start) {
+        let Notice { start, as_of, .. } = notice;
+        let asks = notice.rate.is_some() || notice.leaving;
+        if !asks && !self.targets.contains_key(&start) {
             return false;
         }
         let state = self.targets.entry(start).or_insert_with(|| State::new(as_of, now));
-        if as_of < state.as_of {
-            return false;
+        let is_later = as_of >= state.as_of;
+        let limits = is_later && state.rate != notice.rate;
+        let leaves = notice.leaving && !state.leaving;
+        if is_later {
+            state.as_of = as_of;
         }
-        state.as_of = as_of;
-        if state.rate == rate {
-            return false;
+        if limits {
+            state.rate = notice.rate;
+            let members = self.members.as_ref();
+            let interval = notice.rate.and_then(|rate| members?.interval(rate, start));
+            state.pacer.set_interval(interval, now);
         }
-        state.rate = rate;
-        let members = self.members.as_ref();
-        let interval = rate.and_then(|rate| members?.interval(rate, start));
-        state.pacer.set_interval(interval, now);
-        self.learnt += 1;
-        state.position = self.learnt;
-        true
-    }
-
-    /// Requests a second that a target takes from all entries, if it limits them.
-    pub fn rate(&self, start: Start) -> Option<Rate> {
-        self.targets.get(&start)?.rate
+        state.leaving |= leaves;
+        if limits || leaves {
+            self.learnt += 1;
+            state.position = self.learnt;
+        }
+        limits || leaves
     }
 
     /// Notes that a target wants nothing from this entry for `rest`. Whatever it asked for before holds as well. Tells until
@@ -99,24 +115,36 @@
 
     /// Whether this entry may send to a target now; if so, a request counts as sent.
     pub fn take(&mut self, start: Start, now: Moment) -> bool {
-        let Some(state) = self.targets.get_mut(&start) else {
-            return true;
-        };
-        if state.rests_until.is_some_and(|until| now < until) {
+        if self.opening(start, now) != Opening::Now {
             return false;
         }
-        state.rate.is_none() || state.pacer.take(now)
+        match self.targets.get_mut(&start) {
+            Some(state) if state.rate.is_some() => state.pacer.take(now),
+            _ => true,
+        }
     }
 
-    /// When the target takes the next request, from this entry or from another one that holds a share; none if it takes one from
-    /// this entry now.
-    pub fn opens_at(&self, start: Start, now: Moment) -> Option<Moment> {
-        let state = self.targets.get(&start)?;
+    /// When a target takes the next request.
+    pub fn opening(&self, start: Start, now: Moment) -> Opening {
+        let Some(state) = self.targets.get(&start) else {
+            return Opening::Now;
+        };
+        if state.leaving {
+            return Opening::Never;
+        }
         let elsewhere = |rate: Rate| now + Duration::from_secs_f64(1.0 / rate.per_second());
         let next = state
             .rate
             .map(|rate| state.pacer.next().unwrap_or_else(|| elsewhere(rate)));
-        next.max(state.rests_until).filter(|opens_at| *opens_at > now)
+        match next.max(state.rests_until) {
+            Some(opens_at) if opens_at > now => Opening::At(opens_at),
+            _ => Opening::Now,
+        }
+    }
+
+    /// Requests a second that a target takes from all entries, if it limits them.
+    pub fn rate(&self, start: Start) -> Option<Rate> {
+        self.targets.get(&start)?.rate
     }
 
     /// Whether no target asks anything.
@@ -130,6 +158,7 @@
         let notices = new.map(|(start, state)| Notice {
             start: *start,
             rate: state.rate,
+            leaving: state.leaving,
             as_of: state.as_of,
         });
         (notices.collect(), self.learnt)
@@ -144,6 +173,7 @@
 impl State {
     fn new(as_of: Moment, now: Moment) -> Self {
         Self {
+            leaving: false,
             rests_until: None,
             rate: None,
             as_of,
--- a/crates/sparscale_policy/tests/throttle_register.rs
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -6,7 +6,7 @@
 use sparscale_catalog::Start;
 use sparscale_clock::{Clock as _, Machine, Moment};
 use sparscale_policy::rate_limit::{Members, Rate};
-use sparscale_policy::throttle::{Notice, Register};
+use sparscale_policy::throttle::{Notice, Opening, Register};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -21,10 +21,15 @@
     Notice {
         start: Start::of("target-1", Some(born_ms)),
         rate: rate.map(|rate| Rate::try_from(rate).expect("a rate")),
+        leaving: false,
         as_of,
     }
 }
 
+fn is_open(register: &Register, start: Start, now: Moment) -> bool {
+    register.opening(start, now) == Opening::Now
+}
+
 /// A word that is older than what is known, told late, changes nothing.
 #[test]
 fn late_word() {
@@ -35,9 +40,9 @@
         !register.note(limit(1, None, now), later),
         "an older word ended the limit"
     );
-    assert!(register.opens_at(limit(1, None, now).start, later).is_some());
+    assert!(!is_open(&register, limit(1, None, now).start, later));
     assert!(register.note(limit(1, None, later), later), "the latest word counts");
-    assert!(register.opens_at(limit(1, None, now).start, later).is_none());
+    assert!(is_open(&register, limit(1, None, now).start, later));
 }
 
 /// A target that starts again asks nothing yet.
@@ -45,7 +50,7 @@
 fn next_start() {
     let (mut register, now) = register();
     register.note(limit(1, Some(1.0), now), now);
-    assert!(register.opens_at(Start::of("target-1", Some(2)), now).is_none());
+    assert!(is_open(&register, Start::of("target-1", Some(2)), now));
 }
 
 /// A rate that changes with each answer does not keep the target from getting any.
@@ -83,7 +88,7 @@
     assert!(register.rest(start, SECOND, now).is_none(), "it asked for more before");
     register.note(limit(1, Some(40.0), now), now);
     assert!(!register.take(start, now + 2 * SECOND));
-    assert_eq!(register.opens_at(start, now), Some(now + 3 * SECOND));
+    assert_eq!(register.opening(start, now), Opening::At(now + 3 * SECOND));
     assert!(register.take(start, now + 3 * SECOND));
     register.rest(start, Duration::MAX, now);
     assert!(
@@ -91,3 +96,19 @@
         "a rest without end"
     );
 }
+
+/// That a target leaves counts at once and for good, however late it is told; for its next start it says nothing.
+#[test]
+fn leaves() {
+    let (mut register, now) = register();
+    let leaving = Notice {
+        leaving: true,
+        ..limit(1, None, now)
+    };
+    register.note(limit(1, Some(1.0), now + SECOND), now + SECOND);
+    assert!(register.note(leaving, now + 2 * SECOND));
+    register.note(limit(1, None, now + 3 * SECOND), now + 3 * SECOND);
+    assert_eq!(register.opening(leaving.start, now + 4 * SECOND), Opening::Never);
+    assert!(!register.take(leaving.start, now + 4 * SECOND));
+    assert!(is_open(&register, Start::of("target-1", Some(2)), now));
+}
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -61,6 +61,8 @@
     pub start: Start,
     /// Requests a second that it takes from all entries; none if it limits them no longer.
     pub per_second: Option<f64>,
+    /// Whether it leaves.
+    pub leaving: bool,
     /// Time since it said so when this was sent, in milliseconds.
     pub age_ms: u64,
 }
