Soak: targets that limit their rate, ask for rest or say that they leave

Checked from outside: no entry sends more than two requests to a target that it was asked to leave alone, all entries that were told stay within once and a half a rate and five in 4 s, no entry sends what came 2 s after a target's word that it leaves. An entry that was killed, stopped or frozen since, and a harmed link to that target, are excused.

--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -1,5 +1,7 @@
 //! The promises, checked from what callers and targets saw.
 
+mod pressure;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -50,6 +52,7 @@
     found.extend(ran_after_revocation(ledger, bounds));
     found.extend(overspent(ledger, bounds));
     found.extend(deadly_sends(ledger));
+    found.extend(pressure::all(ledger));
     let incidents = ledger.incidents.iter().map(|incident| Violation {
         promise: "process",
         what: format!("{}: {}", incident.process, incident.what),
--- a/crates/sparscale_soak/src/command.rs
+++ b/crates/sparscale_soak/src/command.rs
@@ -47,6 +47,7 @@
         Some("restores") => Plan::Restores,
         Some("deadly") => Plan::Deadly,
         Some("groups") => Plan::Groups,
+        Some("pressed") => Plan::Pressed,
         _ => Plan::Single,
     };
     let size = Size {
@@ -88,6 +89,7 @@
         round(Plan::Restores, 401, 15, USUAL),
         round(Plan::Deadly, 301, 15, USUAL),
         round(Plan::Groups, 501, 15, grouped),
+        round(Plan::Pressed, 604, 15, USUAL),
     ]
 }
 
@@ -100,8 +102,8 @@
     };
     let plan = Arg::new("plan")
         .long("plan")
-        .value_parser(["single", "series", "returns", "restores", "deadly", "groups"])
-        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, with a store that comes back from older copies, with requests that end what runs them, or with a group of engines and its agents [single]");
+        .value_parser(["single", "series", "returns", "restores", "deadly", "groups", "pressed"])
+        .help("Faults one at a time, or also in series and all together, with targets that return under their ids, with a store that comes back from older copies, with requests that end what runs them, with a group of engines and its agents, or with targets that limit their rate, ask for rest or say that they leave [single]");
     // `cargo test NAME` hands names to every test program.
     let names = Arg::new("names")
         .num_args(0..)
--- a/crates/sparscale_soak/src/drive.rs
+++ b/crates/sparscale_soak/src/drive.rs
@@ -127,6 +127,7 @@
         Fault::Restore { copy, before } => restore(stage, copy, before, lasts).await,
         Fault::Deadly { entry, route } => send_deadly(stage, entry, route, lasts).await,
         Fault::Leave { target } => leave(stage, target).await,
+        Fault::SaysLeaving { target } => say_leaving(stage, target).await,
         Fault::Die { target } => die(stage, target, lasts).await,
         Fault::Stall => {}
         Fault::Revoke { key } => revoke(stage, key).await,
@@ -392,6 +393,17 @@
     stage.list(target, false);
 }
 
+/// The list tells of it only when it has gone.
+async fn say_leaving(stage: &Stage, target: usize) {
+    let place = &stage.targets[target];
+    place.target.set_mood(Mood::Leaving);
+    tokio::time::sleep(SERVES_ON).await;
+    stage.unlist(target, place.target.incarnation());
+    stage.renew(target).await;
+    place.target.set_mood(Mood::Well);
+    stage.list(target, false);
+}
+
 /// A target dies and starts again under its id, at once or after its entry has gone.
 async fn come_back(stage: &Stage, target: usize, lapsed: bool, lasts: Duration) {
     let place = &stage.targets[target];
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -82,6 +82,8 @@
     LateOrders { rank: usize },
     /// A rank's engine starts again, and the group forms anew.
     EngineReturn { rank: usize },
+    /// A target says in its answers that it leaves, and another comes to its place; its entry in the list does not say so.
+    SaysLeaving { target: usize },
     /// Another writer's records stand in the store's list of targets.
     Foreign { target: usize },
 }
@@ -115,6 +117,9 @@
     Groups,
     /// Requests that end the targets which run them, beside the first kind and entries that all start again.
     Deadly,
+    /// Targets that limit their rate, ask for rest or say that they leave, beside the first kind and entries that all start
+    /// again.
+    Pressed,
 }
 
 /// A fault and when it comes.
@@ -172,6 +177,21 @@
         }
     }
 
+    fn draw_pressed(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let target = random.random_range(0..size.targets);
+        let mood = if random.random() { Mood::Limited } else { Mood::Tired };
+        match random.random_range(0..10) {
+            0..=3 => Self::TargetMood { target, mood },
+            4 => Self::AllTargets { mood },
+            5 | 6 => Self::SaysLeaving { target },
+            7 => Self::KillAll {
+                times: 1,
+                pause: Duration::ZERO,
+            },
+            _ => Self::draw(random, size),
+        }
+    }
+
     fn draw_restores(random: &mut ChaCha8Rng, size: Size) -> Self {
         let copy = Duration::from_millis(random.random_range(COPY));
         let before = match random.random_range(0..4) {
@@ -291,6 +311,7 @@
             Self::TargetLink { target, .. }
             | Self::TargetMood { target, .. }
             | Self::Leave { target }
+            | Self::SaysLeaving { target }
             | Self::Die { target }
             | Self::Return { target, .. } => Hold::Target(target),
             Self::Stall | Self::Foreign { .. } | Self::Deadly { .. } => Hold::Nothing,
@@ -384,6 +405,7 @@
             Plan::Restores => Fault::draw_restores(random, size),
             Plan::Deadly => Fault::draw_deadly(random, size),
             Plan::Groups => Fault::draw_groups(random, size),
+            Plan::Pressed => Fault::draw_pressed(random, size),
         };
         planned.push(Planned { fault, at, lasts });
     }
--- a/crates/sparscale_soak/src/ledger.rs
+++ b/crates/sparscale_soak/src/ledger.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::fault::Fault;
+use crate::mood::Mood;
 use crate::platform::RouteKind;
 
 /// A target began to run a request.
@@ -24,6 +25,20 @@
     /// Path of a request that ends what runs it; none for others.
     pub(crate) deadly: Option<String>,
     pub(crate) at: Instant,
+    /// The start of the target that it reached.
+    pub(crate) start: Start,
+    /// What the target asked at that time.
+    pub(crate) mood: Mood,
+}
+
+/// One start of a target.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Start {
+    /// Number of the target.
+    pub(crate) target: usize,
+    pub(crate) incarnation: String,
+    /// When it began, in milliseconds.
+    pub(crate) born_ms: u64,
 }
 
 /// A target ended under a request.
--- a/crates/sparscale_soak/src/mood.rs
+++ b/crates/sparscale_soak/src/mood.rs
@@ -11,4 +11,10 @@
     Full,
     /// It runs, and breaks its answers off.
     BreaksOff,
+    /// It runs, and names a rate that it takes from all entries.
+    Limited,
+    /// It runs nothing, and asks each entry for rest.
+    Tired,
+    /// It runs, and says that it leaves.
+    Leaving,
 }
--- a/crates/sparscale_soak/src/places.rs
+++ b/crates/sparscale_soak/src/places.rs
@@ -52,6 +52,10 @@
 pub(crate) const EVENTS: u64 = 12;
 /// Body of a request that ends each target which runs it.
 pub(crate) const DEADLY: &str = "crashes what runs it";
+/// Requests a second that a target takes which limits them.
+pub(crate) const RATE: f64 = 1.0;
+/// Rest that a tired target asks for.
+pub(crate) const REST: Duration = Duration::from_secs(3);
 /// Time that a caller waits, also told to the entry.
 pub(crate) const DEADLINE: Duration = Duration::from_secs(3);
 
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -68,7 +68,7 @@
 pub(crate) async fn play(platform: Arc<dyn Platform>, round: Round, folder: &Path) -> Result<Report, String> {
     let net = Net::of(std::process::id(), PLAYED.fetch_add(1, Ordering::SeqCst));
     let bounds = match round.plan {
-        Plan::Single | Plan::Returns | Plan::Restores | Plan::Groups | Plan::Deadly => BOUNDS,
+        Plan::Single | Plan::Returns | Plan::Restores | Plan::Groups | Plan::Deadly | Plan::Pressed => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let stage = Arc::new(Stage::start(platform, net, round.size, bounds, folder).await?);
--- a/crates/sparscale_soak/src/stage.rs
+++ b/crates/sparscale_soak/src/stage.rs
@@ -83,7 +83,7 @@
         for index in 0..size.targets {
             let dialect = platform.dialect();
             let id = incarnation(index, 0);
-            let target = Target::start(net.target(index), id, dialect, Arc::clone(&book));
+            let target = Target::start(index, net.target(index), id, dialect, Arc::clone(&book));
             targets.push(TargetPlace {
                 target: target.await.map_err(said)?,
                 proxy: Proxy::start(net.listed(index), net.target(index)).await.map_err(said)?,
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -7,16 +7,16 @@
 
 use bytes::Bytes;
 use futures::StreamExt as _;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sparscale_gateway::Dialect;
 use tokio::sync::watch;
 
-use crate::ledger::{Arrival, Book, End, Run};
+use crate::ledger::{Arrival, Book, End, Run, Start};
 use crate::mood::Mood;
-use crate::places::{DEADLY, EVENTS};
+use crate::places::{DEADLY, EVENTS, RATE, REST};
 use crate::server::{self, Broken, Content};
 
 /// Shortest and longest time that a plain request runs.
@@ -30,6 +30,7 @@
 
 /// One target; incarnations follow each other at its address.
 pub(crate) struct Target {
+    index: usize,
     book: Arc<Book>,
     dialect: Dialect,
     state: Mutex<State>,
@@ -46,8 +47,9 @@
 }
 
 impl Target {
-    /// Starts it at `address`.
+    /// Starts target `index` at `address`.
     pub(crate) async fn start(
+        index: usize,
         address: SocketAddr,
         incarnation: String,
         dialect: Dialect,
@@ -55,6 +57,7 @@
     ) -> std::io::Result<Arc<Self>> {
         let mood = Mood::Well;
         let target = Arc::new(Self {
+            index,
             book,
             dialect,
             state: Mutex::new(State {
@@ -114,12 +117,22 @@
             request: id.clone(),
             deadly: deadly.clone(),
             at: Instant::now(),
+            start: Start {
+                target: self.index,
+                incarnation: state.incarnation.clone(),
+                born_ms: state.born_ms,
+            },
+            mood: state.mood,
         });
         if text(&head.headers, &self.dialect.expected_target) != state.incarnation {
             return self.refusal(StatusCode::MISDIRECTED_REQUEST, &id);
         }
-        if state.mood == Mood::Full {
-            return self.refusal(StatusCode::SERVICE_UNAVAILABLE, &id);
+        if matches!(state.mood, Mood::Full | Mood::Tired) {
+            let mut refusal = self.refusal(StatusCode::SERVICE_UNAVAILABLE, &id);
+            if state.mood == Mood::Tired {
+                insert(&mut refusal, &RETRY_AFTER, &REST.as_secs().to_string());
+            }
+            return refusal;
         }
         self.book.open().runs.push(Run {
             request: id.clone(),
@@ -147,6 +160,11 @@
         };
         let mut answer = self.head(status, &id, content);
         insert(&mut answer, &self.dialect.digest, &state.incarnation);
+        match state.mood {
+            Mood::Limited => insert(&mut answer, &self.dialect.rate_limit, &RATE.to_string()),
+            Mood::Leaving => insert(&mut answer, &self.dialect.draining, "1"),
+            _ => {}
+        }
         if streams {
             insert(&mut answer, &CONTENT_TYPE, "text/event-stream");
         }
