A list of targets that is confirmed is not taken in anew

Cause: each word of a peer that confirms the list (a message a link and interval, 60 links among 60 entries) made the directory of all targets anew, keys, groups and clones of 3,000 targets, and compared the two.

Change: the directory of the latest list is kept with the list's digest.

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -21,8 +21,7 @@
     targets: watch::Sender<Option<Belief<Directory>>>,
     /// The roster as the store gave it; `targets` is what this process goes by.
     heard: Mutex<Heard>,
-    /// Keys of the starts of targets.
-    starts: Mutex<Incarnations>,
+    seating: Mutex<Seating>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
     /// What targets ask of those that send to them.
@@ -30,6 +29,28 @@
     clock: Arc<dyn Clock>,
 }
 
+/// Gives targets the keys of their starts.
+#[derive(Debug, Default)]
+struct Seating {
+    starts: Incarnations,
+    /// Digest of the roster that was seated last, and its directory: rosters are confirmed far more often than they change.
+    latest: Option<(u64, Arc<Directory>)>,
+}
+
+impl Seating {
+    fn seat(&mut self, roster: &Roster) -> Arc<Directory> {
+        let digest = roster.digest();
+        if let Some((seated, directory)) = &self.latest
+            && *seated == digest
+        {
+            return Arc::clone(directory);
+        }
+        let directory = Arc::new(Directory::new(roster, &mut self.starts));
+        self.latest = Some((digest, Arc::clone(&directory)));
+        directory
+    }
+}
+
 impl Default for Board {
     fn default() -> Self {
         Self::new(sparscale_clock::machine())
@@ -43,7 +64,7 @@
             catalog: watch::Sender::new(None),
             targets: watch::Sender::new(None),
             heard: Mutex::default(),
-            starts: Mutex::default(),
+            seating: Mutex::default(),
             quarantine: Quarantine::new(Arc::clone(&clock)),
             throttle: Throttle::new(Arc::clone(&clock)),
             clock,
@@ -124,9 +145,9 @@
 
     /// Gives each target the key of its start.
     fn seat(&self, belief: &Belief<Roster>) -> Belief<Directory> {
-        let mut starts = self.starts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut seating = self.seating.lock().unwrap_or_else(PoisonError::into_inner);
         Belief {
-            value: Arc::new(Directory::new(&belief.value, &mut starts)),
+            value: seating.seat(&belief.value),
             position: belief.position,
             as_of: belief.as_of,
         }
