Own path: an agent keeps to the rate that its target names

Found by looking for the cause of the rate limit elsewhere: on the product's own path a target answers its agent, which read none of what it asks.

Change: the agent reads the head of each answer and hands on by the same register as the entries; it is the only one that sends to its target, so it has the whole rate, evenly spaced. What waits is handed on as the target takes it, what cannot wait is refused at once as not run with the time; the agent reports itself closed meanwhile, so entries choose other targets.

--- a/crates/sparscale_admit/src/queue.rs
+++ b/crates/sparscale_admit/src/queue.rs
@@ -121,6 +121,11 @@
         self.running
     }
 
+    /// Whether all places are taken.
+    pub fn is_busy(&self) -> bool {
+        self.running >= self.limits.running
+    }
+
     /// Takes `job` in, or refuses it at once.
     pub fn offer(&mut self, job: Job<K>, now: Duration) -> Result<Admission<K>, Refusal> {
         let wait = self.expected_wait(job.tier, job.cost);
--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -6,6 +6,7 @@
 
 use sparscale_admit::ledger::{self, Keyed, Ledger};
 use sparscale_admit::queue::{self, Queue};
+use sparscale_policy::rate_limit::Rate;
 use sparscale_telemetry::{DECISION, Metrics};
 use sparscale_wire::{Attempt, AttemptId, Chunk, Failure, Head, Load, Part, Refusal, RefusalReason, Settlement};
 use tokio::sync::watch;
@@ -13,6 +14,7 @@
 
 use crate::answer::Answer;
 use crate::engine::{CallError, Engine, EngineLoad};
+use crate::intake::{Intake, Signal};
 
 /// Time after its deadline for which an attempt stays in the ledger.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_mins(1);
@@ -24,6 +26,8 @@
 const DRAIN_RETRY_MS: u64 = 100;
 /// When to come back to a target that cannot be reached.
 const DOWN_RETRY_MS: u64 = 1_000;
+/// When to come back to a target that leaves: others take its place by then.
+const LEAVING_RETRY: Duration = Duration::from_mins(1);
 /// Entries whose highest counter is remembered.
 const MAX_ENTRIES: usize = 4_096;
 
@@ -49,6 +53,7 @@
     listening: bool,
     ready: bool,
     engine_load: EngineLoad,
+    intake: Intake,
 }
 
 struct Held {
@@ -91,6 +96,7 @@
                 listening: false,
                 ready: false,
                 engine_load: EngineLoad::default(),
+                intake: Intake::new(),
             }),
             engine,
             metrics,
@@ -140,6 +146,9 @@
             return;
         }
         state.listening = listening;
+        if listening {
+            state.intake.begin();
+        }
         log::info!(target: DECISION, decision = "target", listening; "the target began or ceased to listen");
         self.changed.send_replace(());
     }
@@ -182,6 +191,9 @@
         if let Some(reason) = self.refusal_before_entry(&state, &attempt) {
             return self.refuse(&mut state, id, reason, DRAIN_RETRY_MS);
         }
+        if let Some(opens_in) = closed_for(&state, &attempt) {
+            return self.refuse(&mut state, id, RefusalReason::Closed, whole_ms(opens_in));
+        }
         let deadline = now + Duration::from_millis(attempt.deadline_ms);
         let keep = Duration::from_secs(attempt.keep_seconds).max(KEEP_AFTER_DEADLINE);
         match state.ledger.enter(ledger_id(id), deadline + keep, now) {
@@ -297,6 +309,9 @@
         let mut state = self.lock();
         let mut expired = Vec::new();
         loop {
+            if state.queue.waiting() > 0 && !state.queue.is_busy() && !self.takes_one(&mut state) {
+                return;
+            }
             let job = state.queue.next(self.now(), &mut expired);
             for id in std::mem::take(&mut expired) {
                 self.refuse_waiting(&mut state, id, RefusalReason::TooLate, DRAIN_RETRY_MS);
@@ -317,6 +332,49 @@
         }
     }
 
+    /// Whether the target takes a request now; else this is asked again when it does.
+    fn takes_one(self: &Arc<Self>, state: &mut State) -> bool {
+        if state.intake.take() {
+            return true;
+        }
+        if let Some(opens_in) = state.intake.wake_in() {
+            let core = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(opens_in).await;
+                core.lock().intake.woken();
+                core.dispatch();
+            });
+        }
+        false
+    }
+
+    /// Takes in what an answer of the target asks; entries that watch are told at once, and again when it takes requests.
+    fn hear(self: &Arc<Self>, signal: Signal) {
+        let opens_in = {
+            let mut state = self.lock();
+            if !state.intake.hear(signal) {
+                return;
+            }
+            state.intake.opens_in()
+        };
+        log::info!(
+            target: DECISION,
+            decision = "target_asks",
+            per_second = signal.rate.map(Rate::per_second),
+            rest_ms = signal.rest.map(whole_ms),
+            leaving = signal.leaving;
+            "the target limits its rate, ceases to, wants rest, or leaves"
+        );
+        self.changed.send_replace(());
+        if let Some(opens_in) = opens_in {
+            let core = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(opens_in).await;
+                core.changed.send_replace(());
+            });
+        }
+    }
+
     async fn run(self: Arc<Self>, attempt: Arc<Attempt>, answer: Arc<Answer>, cost: f64) {
         let began = Instant::now();
         let deadline = began + Duration::from_millis(attempt.deadline_ms);
@@ -335,8 +393,9 @@
         self.dispatch();
     }
 
-    async fn call(&self, attempt: &Attempt, answer: &Answer) -> Result<u64, CallError> {
+    async fn call(self: &Arc<Self>, attempt: &Attempt, answer: &Answer) -> Result<u64, CallError> {
         let mut started = self.engine.call(attempt).await?;
+        self.hear(started.signal);
         answer.push(Part::Head(Head {
             status: started.status,
             content_type: started.content_type,
@@ -473,7 +532,7 @@
             prefill_tokens: state.engine_load.prefill_tokens,
             step_micros: state.engine_load.step_micros,
             map: state.engine_load.map,
-            closed: state.draining || !state.listening,
+            closed: state.draining || !state.listening || state.intake.opens_in() != Some(Duration::ZERO),
         }
     }
 
@@ -498,6 +557,16 @@
     }
 }
 
+/// Time until the target takes requests again, if the attempt cannot wait for that.
+fn closed_for(state: &State, attempt: &Attempt) -> Option<Duration> {
+    let bound = attempt
+        .key
+        .is_some_and(|key| state.ledger.bound(key.as_bytes()).is_some());
+    let opens_in = state.intake.opens_in().unwrap_or(LEAVING_RETRY);
+    let deadline = Duration::from_millis(attempt.deadline_ms);
+    (!bound && opens_in >= deadline).then_some(opens_in)
+}
+
 /// What a re-send under a key meets.
 enum Earlier {
     Attempt(AttemptId),
--- a/crates/sparscale_agent/src/engine.rs
+++ b/crates/sparscale_agent/src/engine.rs
@@ -7,6 +7,8 @@
 use sparscale_place::switch::{Order, Report};
 use sparscale_wire::Attempt;
 
+use crate::intake::Signal;
+
 /// Why a call of the target did not end well.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum CallError {
@@ -37,6 +39,8 @@
     pub status: u16,
     /// Media type.
     pub content_type: String,
+    /// What it asks of those that send to the target.
+    pub signal: Signal,
     /// The answer itself.
     pub chunks: Box<dyn Chunks>,
 }
--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 
 use crate::engine::{CallError, Chunks, Engine, EngineLoad, Numbered, Started};
+use crate::intake::Signal;
 use crate::settings::Kind;
 
 /// Time that a look at whether the target still listens may take; it is on the same box.
@@ -128,6 +129,7 @@
 impl Engine for HttpEngine {
     async fn call(&self, attempt: &Attempt) -> Result<Started, CallError> {
         let response = self.exchange(self.request(attempt)?).await?;
+        let signal = Signal::read(response.headers());
         let status = response.status().as_u16();
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type
@@ -143,6 +145,7 @@
         Ok(Started {
             status,
             content_type,
+            signal,
             chunks,
         })
     }
--- a/crates/sparscale_agent/src/lib.rs
+++ b/crates/sparscale_agent/src/lib.rs
@@ -8,10 +8,12 @@
 mod core;
 mod engine;
 mod http_engine;
+mod intake;
 mod order;
 mod program;
 mod settings;
 
 pub use engine::{CallError, Chunks, Engine, EngineLoad, Started};
+pub use intake::Signal;
 pub use program::{Error, command, run};
 pub use settings::{Raw, Settings};
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -391,6 +391,7 @@
             | RefusalReason::LedgerFull
             | RefusalReason::Tombstone
             | RefusalReason::TargetDown
+            | RefusalReason::Closed
             | RefusalReason::NotReady => {
                 // Else the nearest targets are chosen again and again while they are down, and none further away.
                 let now = self.board.now();
--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -379,6 +379,12 @@
         Ok(effects.into_iter().map(|effect| effect.body).collect())
     }
 
+    /// Calls that arrived at the plain service's server with this index, turned away or not.
+    pub async fn arrivals(&self, index: usize) -> Result<usize, Error> {
+        let reply = self.ask_standin(&format!("service-{index}"), "/admin/arrivals").await?;
+        reply.json()
+    }
+
     /// Replaces the box list.
     pub async fn put_boxes(&self, list: &List) -> Result<(), Error> {
         eventually("the box list is there", || async {
--- a/crates/sparscale_fleet/tests/process/log_outage.rs
+++ b/crates/sparscale_fleet/tests/process/log_outage.rs
@@ -8,6 +8,8 @@
     outage: Outage::Refuse,
     delay_ms: 0,
     lose_answers: 0,
+    rest_s: 0,
+    rate_limit: 0,
 };
 
 /// Highest bundle version that the process called `name` has put in force, and whether it ever went back.
--- a/crates/sparscale_fleet/tests/process/main.rs
+++ b/crates/sparscale_fleet/tests/process/main.rs
@@ -9,3 +9,4 @@
 mod map_change;
 mod operator_race;
 mod peer_certificates;
+mod target_pauses;
--- a/crates/sparscale_standin/src/fault.rs
+++ b/crates/sparscale_standin/src/fault.rs
@@ -33,6 +33,10 @@
     pub delay_ms: u64,
     /// The answers of this many calls are lost after the effect.
     pub lose_answers: u32,
+    /// A target turns calls away and asks for rest for so many seconds; 0 for none.
+    pub rest_s: u32,
+    /// A target names a rate of so many requests a second in its answers; 0 for none.
+    pub rate_limit: u32,
 }
 
 /// The faults in force.
@@ -46,7 +50,7 @@
         *self.now.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
-    fn get(&self) -> Fault {
+    pub(crate) fn get(&self) -> Fault {
         *self.now.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/sparscale_standin/src/service.rs
+++ b/crates/sparscale_standin/src/service.rs
@@ -1,6 +1,7 @@
 //! A plain service beside the models. Every call has an effect, which it counts.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -8,7 +9,8 @@
     ApiDescription, Body, HttpError, HttpResponseUpdatedNoContent, HttpServer, Path, RequestContext, TypedBody,
     UntypedBody, endpoint,
 };
-use http::Response;
+use http::header::{self, HeaderValue};
+use http::{Response, StatusCode};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +41,8 @@
 #[derive(Debug)]
 pub struct Store {
     effects: Mutex<Vec<Effect>>,
+    /// Calls that arrived.
+    arrivals: AtomicUsize,
     work: Duration,
     faults: Faults,
 }
@@ -61,6 +65,11 @@
 #[endpoint { method = POST, path = "/calls/{name}" }]
 async fn call(context: Context, path: Path<Call>, body: UntypedBody) -> Result<Response<Body>, HttpError> {
     let store = context.context();
+    store.arrivals.fetch_add(1, Ordering::Relaxed);
+    let fault = store.faults.get();
+    if fault.rest_s > 0 {
+        return turn_away(fault.rest_s);
+    }
     if body.as_bytes() == DEADLY_BODY.as_bytes() {
         log::warn!("a call ends this process");
         std::process::exit(DEADLY_STATUS);
@@ -92,11 +101,32 @@
     if store.faults.loses_answer() {
         return server::lost();
     }
-    server::json(&Done {
+    let mut answer = server::json(&Done {
         effect: number,
         call: &effect.call,
         body: &effect.body,
-    })
+    })?;
+    if fault.rate_limit > 0 {
+        answer
+            .headers_mut()
+            .insert("sparscale-rate-limit", HeaderValue::from(fault.rate_limit));
+    }
+    Ok(answer)
+}
+
+/// Turns a call away and asks for rest.
+fn turn_away(seconds: u32) -> Result<Response<Body>, HttpError> {
+    let mut answer = server::respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Body::from("resting"))?;
+    answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    Ok(answer)
+}
+
+/// Number of calls that arrived, turned away or not.
+#[endpoint { method = GET, path = "/admin/arrivals" }]
+async fn count_arrivals(context: Context) -> Result<Response<Body>, HttpError> {
+    server::json(&context.context().arrivals.load(Ordering::Relaxed))
 }
 
 /// All effects so far.
@@ -119,10 +149,12 @@
     let registered = api
         .register(call)
         .and_then(|()| api.register(list_effects))
+        .and_then(|()| api.register(count_arrivals))
         .and_then(|()| api.register(put_faults));
     registered.map_err(|error| error.to_string())?;
     let store = Store {
         effects: Mutex::default(),
+        arrivals: AtomicUsize::new(0),
         work,
         faults: Faults::default(),
     };
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -288,6 +288,8 @@
     NotReady,
     /// The idempotency key was used for a request with another body.
     KeyReused,
+    /// The target takes no request before the deadline: it limits its rate, wants rest, or leaves.
+    Closed,
 }
 
 /// A request that was handed on and did not end well.
