--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -129,7 +129,7 @@
 impl Engine for HttpEngine {
     async fn call(&self, attempt: &Attempt) -> Result<Started, CallError> {
         let response = self.exchange(self.request(attempt)?).await?;
-        let signal = Signal::read(response.headers());
+        let signal = Signal::read(response.status(), response.headers());
         let status = response.status().as_u16();
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type
--- a/crates/sparscale_agent/src/intake.rs
+++ b/crates/sparscale_agent/src/intake.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{HeaderMap, HeaderName};
+use http::StatusCode;
+use http::header::{HeaderMap, HeaderName, RETRY_AFTER};
 use sparscale_catalog::Start;
 use sparscale_clock::{Clock, machine};
 use sparscale_policy::rate_limit::{Members, Rate};
@@ -13,6 +14,9 @@
 
 /// Header with the requests a second that the target takes.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("sparscale-rate-limit");
+/// Header that says that the target leaves.
+const DRAINING: HeaderName = HeaderName::from_static("sparscale-draining");
+
 /// What an answer of the target asks.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Signal {
@@ -26,11 +30,15 @@
 
 impl Signal {
     /// Reads the head of an answer; what cannot be read is logged and asks nothing.
-    pub(crate) fn read(headers: &HeaderMap) -> Self {
+    pub(crate) fn read(status: StatusCode, headers: &HeaderMap) -> Self {
+        let turns_away = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        let rest = read(headers, &RETRY_AFTER, |text| {
+            Duration::try_from_secs_f64(text.parse().ok()?).ok()
+        });
         Self {
             rate: read(headers, &RATE_LIMIT, |text| Rate::try_from(text).ok()),
-            rest: None,
-            leaving: false,
+            rest: rest.filter(|_| turns_away),
+            leaving: read(headers, &DRAINING, |text| (text == "1").then_some(())).is_some(),
         }
     }
 }
