House: names that needed explaining

wire::Word is a Sighting (what an agent heard of its conductor), the soak's an Ack (an engine's answer to an order), silence::Word a Health (alive, silent, unknown). Complete answers for whole ones in the gateway and the decisions, unreported for untold, longest_silence for borne_silence, REPORT_DELAY for UNTOLD. No behaviour changes; heard, turned_away and MapUpdate::Whole stay for another time.

--- a/crates/sparscale_conduct/src/inquiry.rs
+++ b/crates/sparscale_conduct/src/inquiry.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use sparscale_wire::{Ask, Channel, Frame, Role, Word};
+use sparscale_wire::{Ask, Channel, Frame, Role, Sighting};
 use tokio::task::JoinSet;
 
 use crate::context::Context;
@@ -43,11 +43,11 @@
 }
 
 /// Draws what follows from `words`. `end` is how many claims there are, known for `known`.
-pub fn verdict(words: &[Word], end: u64, known: Duration, pace: &Pace) -> Verdict {
+pub fn verdict(words: &[Sighting], end: u64, known: Duration, pace: &Pace) -> Verdict {
     if words.is_empty() {
         return Verdict::Alone;
     }
-    let lately = |word: &&Word| Duration::from_millis(word.heard_ms) < pace.lives();
+    let lately = |word: &&Sighting| Duration::from_millis(word.heard_ms) < pace.lives();
     let lives = words.iter().filter(lately).filter_map(|word| word.claim);
     if let Some(claim) = lives.max().filter(|claim| claim + 1 >= end) {
         return Verdict::Lives { claim };
@@ -66,7 +66,7 @@
 }
 
 /// Asks others of the group of the engine in `state` what they have heard of its conductor.
-pub(crate) async fn ask(context: &Context, group: &str, state: &EngineState) -> Vec<Word> {
+pub(crate) async fn ask(context: &Context, group: &str, state: &EngineState) -> Vec<Sighting> {
     let mut asking = JoinSet::new();
     for part in 0..ASKED.min(state.size.saturating_sub(1)) {
         let rank = (state.rank + 1 + part * state.size / ASKED) % state.size;
@@ -87,7 +87,7 @@
     words
 }
 
-async fn ask_rank(context: &Context, group: &str, rank: usize) -> Option<Word> {
+async fn ask_rank(context: &Context, group: &str, rank: usize) -> Option<Sighting> {
     let targets = context.board.targets()?.value;
     let engine = *targets.places(group, rank).first()?;
     let agent = std::net::SocketAddr::new(engine.ip(), context.port);
@@ -113,7 +113,7 @@
         return;
     }
     let led = *handle.led.borrow();
-    let word = Word {
+    let word = Sighting {
         claim: led.claim,
         heard_ms: millis(led.spoke.elapsed()),
         up_ms: millis(handle.started.elapsed()),
--- a/crates/sparscale_conduct/tests/duty_inquiry.rs
+++ b/crates/sparscale_conduct/tests/duty_inquiry.rs
@@ -3,20 +3,20 @@
 use std::time::Duration;
 
 use sparscale_conduct::{Pace, Verdict, verdict};
-use sparscale_wire::Word;
+use sparscale_wire::Sighting;
 
 const LONG_UP: u64 = 60_000;
 
-fn heard(claim: u64, heard_ms: u64) -> Word {
-    Word {
+fn heard(claim: u64, heard_ms: u64) -> Sighting {
+    Sighting {
         claim: Some(claim),
         heard_ms,
         up_ms: LONG_UP,
     }
 }
 
-fn silent(up_ms: u64) -> Word {
-    Word {
+fn silent(up_ms: u64) -> Sighting {
+    Sighting {
         claim: None,
         heard_ms: up_ms,
         up_ms,
--- a/crates/sparscale_gateway/src/answer.rs
+++ b/crates/sparscale_gateway/src/answer.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub(crate) enum Answer {
     /// All of it.
-    Whole(Reply),
+    Complete(Reply),
     /// Longer than what is collected: passed on as it comes.
     Long(Box<Begun>, Running),
     /// Events.
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -79,7 +79,7 @@
     /// The target says that it has not run the request.
     Refused(Rejection),
     /// A whole answer.
-    Whole(Reply),
+    Complete(Reply),
     /// The head of an answer that goes on.
     Begun(Begun),
     /// It may have run; no whole answer came.
@@ -325,7 +325,7 @@
             }
         }
         let body = collected.freeze();
-        Outcome::Whole(Reply { status, headers, body })
+        Outcome::Complete(Reply { status, headers, body })
     }
 
     /// Reads the short body of a refusal, so that its connection can be used again.
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -133,7 +133,7 @@
         if is_stream(self) {
             Awaited::First
         } else {
-            Awaited::Whole
+            Awaited::Complete
         }
     }
 
@@ -150,7 +150,7 @@
     /// Silence after which its caller gives up.
     pub(crate) fn given_up_after(&self) -> Duration {
         match self.route().kind {
-            Kind::Stream { .. } => patience::borne_silence(self.route().objective, pause_of(self)),
+            Kind::Stream { .. } => patience::longest_silence(self.route().objective, pause_of(self)),
             Kind::Once | Kind::Repeatable => self.outbound.until.saturating_duration_since(self.began),
         }
     }
@@ -258,7 +258,7 @@
                 if let Some(place) = &seat.target.membership {
                     self.gates.answered(&place.group);
                 }
-                if matches!(answer, Answer::Whole(_)) {
+                if matches!(answer, Answer::Complete(_)) {
                     self.board.quarantine.note_answer(&job.outbound.fingerprint);
                 }
                 tries.tried.push(seat);
@@ -323,8 +323,8 @@
         let running = self.loads.enter(seat);
         let since = Instant::now();
         let outcome = self.caller.send(seat, &job.outbound).await;
-        if matches!(outcome, Outcome::Whole(_)) {
-            self.silences.note(seat, Awaited::Whole, since);
+        if matches!(outcome, Outcome::Complete(_)) {
+            self.silences.note(seat, Awaited::Complete, since);
         }
         match outcome {
             Outcome::Begun(begun) => match self.begin(job, begun, running).await {
@@ -334,8 +334,8 @@
                 }
                 Err(loss) => Attempt::Lost(loss),
             },
-            Outcome::Whole(whole) if is_failure(whole.status) && job.outbound.may_repeat => Attempt::Failed(whole),
-            Outcome::Whole(whole) => Attempt::Answered(Answer::Whole(whole)),
+            Outcome::Complete(whole) if is_failure(whole.status) && job.outbound.may_repeat => Attempt::Failed(whole),
+            Outcome::Complete(whole) => Attempt::Answered(Answer::Complete(whole)),
             Outcome::NotSent => Attempt::NotSent,
             Outcome::Refused(rejection) => Attempt::Refused(rejection),
             Outcome::Lost(loss) => Attempt::Lost(loss),
--- a/crates/sparscale_gateway/src/exchange/leave.rs
+++ b/crates/sparscale_gateway/src/exchange/leave.rs
@@ -39,7 +39,7 @@
             request = job.outbound.head.id_text(),
             at = seat.target.id.as_str(),
             awaited = evidence.awaited.name(),
-            word = evidence.word.name(),
+            health = evidence.health.name(),
             silence_ms = millis(verdict.silence),
             limit_ms = evidence.limit().map(millis),
             usual_ms = evidence.usual.map(millis),
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -38,7 +38,7 @@
     /// Whether its address was seen to be another's.
     gone: bool,
     /// Sends that a report may not hold yet.
-    untold: VecDeque<Instant>,
+    unreported: VecDeque<Instant>,
 }
 
 impl State {
@@ -46,8 +46,8 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
-    fn untold(&self, now: Instant) -> usize {
-        self.untold.iter().filter(|sent| **sent + STALE > now).count()
+    fn unreported(&self, now: Instant) -> usize {
+        self.unreported.iter().filter(|sent| **sent + STALE > now).count()
     }
 }
 
@@ -182,9 +182,9 @@
             let target = &seat.target;
             let state = targets.get(&seat.key);
             let own = state.map_or(0, |state| state.running);
-            let untold = state.map_or(0, |state| state.untold(now));
+            let unreported = state.map_or(0, |state| state.unreported(now));
             // What is told holds this entry's own requests, too, as they were then.
-            let running = f64::from(own).max(f64::from(load.running + load.queued) + untold as f64);
+            let running = f64::from(own).max(f64::from(load.running + load.queued) + unreported as f64);
             let distance = if target.hall == hall { 0.0 } else { OTHER_HALL };
             let capacity = f64::from(target.slots.max(1)) / load.pace();
             // The request itself takes longer there, too.
@@ -220,10 +220,10 @@
         let mut targets = self.lock();
         let state = targets.entry(seat.key).or_default();
         state.running += 1;
-        while state.untold.front().is_some_and(|sent| *sent + STALE < now) {
-            state.untold.pop_front();
+        while state.unreported.front().is_some_and(|sent| *sent + STALE < now) {
+            state.unreported.pop_front();
         }
-        state.untold.push_back(now);
+        state.unreported.push_back(now);
         drop(targets);
         Running {
             loads: Arc::clone(self),
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -48,7 +48,7 @@
 fn respond(gateway: &Arc<Gateway>, job: Job, tries: Tries, permit: Option<Permit>, answer: Answer) -> Response<Body> {
     gateway.figures.first(job.route().kind, job.began.elapsed());
     match answer {
-        Answer::Whole(whole) => {
+        Answer::Complete(whole) => {
             gateway.end(&job, "answered", &tries.tried, whole.status.as_u16());
             let body = Full::new(whole.body).map_err(|never| match never {}).boxed_unsync();
             response(whole.status, whole.headers, body)
--- a/crates/sparscale_gateway/src/tries.rs
+++ b/crates/sparscale_gateway/src/tries.rs
@@ -32,7 +32,7 @@
     /// `otherwise`.
     pub(crate) fn give_up(&mut self, otherwise: Refusal) -> Result<Answer, Refusal> {
         match self.failure.take() {
-            Some(failure) => Ok(Answer::Whole(failure)),
+            Some(failure) => Ok(Answer::Complete(failure)),
             None => Err(self.lost.or(self.refusal).unwrap_or(otherwise)),
         }
     }
--- a/crates/sparscale_policy/src/heard.rs
+++ b/crates/sparscale_policy/src/heard.rs
@@ -8,9 +8,9 @@
 use sparscale_catalog::{Directory, Incarnation, Seat};
 use sparscale_wire::GroupLoad;
 
-use crate::silence::{Awaited, Evidence, Usual, Word};
+use crate::silence::{Awaited, Evidence, Health, Usual};
 
-/// Age up to which a conductor's word counts: it speaks each 100 ms.
+/// Age up to which a conductor's report counts: one comes each 100 ms.
 const WORD_AGE: Duration = Duration::from_millis(450);
 /// Part of a group's ranks, as a divisor, of which a conductor may hear nothing and still be believed: beyond that its own
 /// box or link is the likelier cause.
@@ -67,19 +67,19 @@
         self.waits.keys().any(|target| *target != but)
     }
 
-    fn word(&self, rank: Option<usize>, now: Instant) -> Word {
+    fn health(&self, rank: Option<usize>, now: Instant) -> Health {
         let fresh = self
             .told
             .is_some_and(|(_, at)| now.saturating_duration_since(at) < WORD_AGE);
         match (&self.silent, rank) {
             (Some(silent), Some(rank)) if fresh => {
                 if silent.contains(&rank) {
-                    Word::Silent
+                    Health::Silent
                 } else {
-                    Word::Speaks
+                    Health::Alive
                 }
             }
-            _ => Word::Untold,
+            _ => Health::Unknown,
         }
     }
 
@@ -87,7 +87,7 @@
         match awaited {
             Awaited::First => &self.first,
             Awaited::Next => &self.next,
-            Awaited::Whole => &self.whole,
+            Awaited::Complete => &self.whole,
         }
     }
 
@@ -95,7 +95,7 @@
         match awaited {
             Awaited::First => &mut self.first,
             Awaited::Next => &mut self.next,
-            Awaited::Whole => &mut self.whole,
+            Awaited::Complete => &mut self.whole,
         }
     }
 }
@@ -156,14 +156,14 @@
         let known = self.peers.get(name_of(wait.seat))?;
         let rank = wait.seat.target.membership.as_ref().map(|place| place.rank);
         let others_heard = known.others_heard(wait.seat.key);
-        let word = known.word(rank, now);
+        let health = known.health(rank, now);
         // A group that stands still as a whole is idle towards an entry with one request there; its conductor knows better.
-        let idle_counts = rank.is_none() || word == Word::Silent;
+        let idle_counts = rank.is_none() || health == Health::Silent;
         Some(Evidence {
             awaited: wait.awaited,
             allowed: wait.allowed,
             usual: known.usual(wait.awaited).mean(),
-            word,
+            health,
             others_heard: others_heard.map(|at| now.saturating_duration_since(at)),
             others_idle: idle_counts && !known.others_owe(wait.seat.key),
             given_up_after: wait.given_up_after,
--- a/crates/sparscale_policy/src/patience.rs
+++ b/crates/sparscale_policy/src/patience.rs
@@ -15,11 +15,11 @@
 
 /// Silence after which callers take a stream for dead whose first event is due within `objective` and whose pauses may be
 /// `pause` long.
-pub fn borne_silence(objective: Duration, pause: Duration) -> Duration {
+pub fn longest_silence(objective: Duration, pause: Duration) -> Duration {
     SILENCE.max(objective * SILENT_OBJECTIVES).max(pause * SILENT_PAUSES)
 }
 
 /// How long a request may wait for room before its caller gives up.
 pub fn longest_wait(objective: Duration, pause: Duration) -> Duration {
-    borne_silence(objective, pause).mul_f64(SILENT_PART)
+    longest_silence(objective, pause).mul_f64(SILENT_PART)
 }
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -28,9 +28,9 @@
 const LOAD_AGE: Duration = Duration::from_millis(900);
 /// Requests that a rank is filled with while nobody tells loads: a group that begins anew deals its experts in turn, and
 /// with more its passes outlast the pauses of streams.
-const UNTOLD_RANK: f64 = 6.0;
+const UNREPORTED_RANK: f64 = 6.0;
 /// Time for which a request is not yet part of what the conductor tells.
-const UNTOLD: Duration = Duration::from_millis(120);
+const REPORT_DELAY: Duration = Duration::from_millis(120);
 /// First time after which a refused caller is told to come back; it rises with the queue.
 const MIN_RETRY: Duration = Duration::from_millis(250);
 /// Longest such time where the caller does not tell how long it still waits.
@@ -96,7 +96,7 @@
     /// This entry's share of the room, as last worked out, less what it has let in since.
     room: Room,
     /// When this entry let requests in that the conductor may not have told yet.
-    untold: Vec<Instant>,
+    unreported: Vec<Instant>,
     line: Line<T>,
     /// When the next caller that is turned away is to come back.
     next_return: Instant,
@@ -115,7 +115,7 @@
             order: (0, 0),
             told: now,
             room: Room::OPEN,
-            untold: Vec::new(),
+            unreported: Vec::new(),
             line: Line::default(),
             next_return: now,
             held: 0.0,
@@ -131,18 +131,18 @@
         if let Some(load) = load.filter(|load| load.order != self.order) {
             self.order = load.order;
             self.told = now;
-            self.untold.retain(|let_in| *let_in + UNTOLD > now);
+            self.unreported.retain(|let_in| *let_in + REPORT_DELAY > now);
             let capacity = room::capacity_now(load, group.engine, group.pause);
             let held = room::held(load);
             self.held = held / entries;
-            let share = |capacity: f64| (capacity * group.open_part - held) / entries - self.untold.len() as f64;
+            let share = |capacity: f64| (capacity * group.open_part - held) / entries - self.unreported.len() as f64;
             self.room = Room {
                 timely: share(capacity.timely),
                 late: share(capacity.late),
             };
         } else if now.saturating_duration_since(self.told) > LOAD_AGE {
             self.held = 0.0;
-            self.room = Room::alike(UNTOLD_RANK * group.ranks as f64 * group.open_part / entries - inside as f64);
+            self.room = Room::alike(UNREPORTED_RANK * group.ranks as f64 * group.open_part / entries - inside as f64);
         }
     }
 
@@ -202,8 +202,8 @@
     /// Counts a request as let in.
     pub fn admit(&mut self, now: Instant) {
         self.room.add(-1.0);
-        self.untold.retain(|let_in| *let_in + UNTOLD > now);
-        self.untold.push(now);
+        self.unreported.retain(|let_in| *let_in + REPORT_DELAY > now);
+        self.unreported.push(now);
     }
 
     /// Counts a request that was in as gone after `stayed`.
--- a/crates/sparscale_policy/src/silence.rs
+++ b/crates/sparscale_policy/src/silence.rs
@@ -22,7 +22,7 @@
     /// The next event of a stream.
     Next,
     /// A whole answer.
-    Whole,
+    Complete,
 }
 
 impl Awaited {
@@ -31,29 +31,29 @@
         match self {
             Self::First => "first_event",
             Self::Next => "next_event",
-            Self::Whole => "answer",
+            Self::Complete => "answer",
         }
     }
 }
 
 /// What is told of a target's box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
+pub enum Health {
     /// It speaks.
-    Speaks,
+    Alive,
     /// It has said nothing lately, unlike the others of its group.
     Silent,
     /// Nobody tells.
-    Untold,
+    Unknown,
 }
 
-impl Word {
+impl Health {
     /// Name in logs.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Speaks => "speaks",
+            Self::Alive => "alive",
             Self::Silent => "silent",
-            Self::Untold => "untold",
+            Self::Unknown => "unknown",
         }
     }
 }
@@ -68,7 +68,7 @@
     /// Time that the same took lately with all targets of the group or service; none if there were none.
     pub usual: Option<Duration>,
     /// What is told of the target's box.
-    pub word: Word,
+    pub health: Health,
     /// Time since another target of the group or service was heard, or its passes were seen to go on.
     pub others_heard: Option<Duration>,
     /// Whether no other target owes this entry anything that it could be heard by.
@@ -101,12 +101,12 @@
 
     /// A box that speaks may still have a target that hangs, so only the limit is wider.
     fn factors(&self) -> Limit {
-        let (allowed, usual) = match (self.awaited, self.word) {
-            (Awaited::First, Word::Silent) => (0.5, 2.0),
-            (Awaited::Next, Word::Silent) => (2.0, 3.0),
+        let (allowed, usual) = match (self.awaited, self.health) {
+            (Awaited::First, Health::Silent) => (0.5, 2.0),
+            (Awaited::Next, Health::Silent) => (2.0, 3.0),
             (Awaited::First, _) => (1.5, 4.0),
             (Awaited::Next, _) => (4.0, 6.0),
-            (Awaited::Whole, _) => (1.0, 5.0),
+            (Awaited::Complete, _) => (1.0, 5.0),
         };
         Limit { allowed, usual }
     }
--- a/crates/sparscale_policy/tests/heard_targets.rs
+++ b/crates/sparscale_policy/tests/heard_targets.rs
@@ -4,7 +4,7 @@
 
 use sparscale_catalog::{Directory, Incarnations, Membership, Roster, Seat, Target};
 use sparscale_policy::heard::{Register, Wait};
-use sparscale_policy::silence::{Awaited, Word};
+use sparscale_policy::silence::{Awaited, Health};
 use sparscale_samples as samples;
 use sparscale_wire::{GroupLoad, RankLoad};
 
@@ -39,7 +39,7 @@
     }
 }
 
-/// A conductor's word of its group, in which the ranks of `unheard` are missing.
+/// A conductor's report of its group, in which the ranks of `unheard` are missing.
 fn told(group: &str, unheard: &[usize]) -> GroupLoad {
     let load = |index: usize| (!unheard.contains(&index)).then(RankLoad::default);
     GroupLoad {
@@ -75,18 +75,22 @@
 fn conductor_believed() {
     let now = Instant::now();
     let targets = directory(&["a"]);
-    let word = |unheard: &[usize], rank: usize, later: Duration| {
+    let health = |unheard: &[usize], rank: usize, later: Duration| {
         let mut register = Register::default();
         register.note_told(&told("a", unheard), now);
         let evidence = register.evidence(&wait(&targets.seats()[rank]), now + later);
-        evidence.expect("the group is known").word
+        evidence.expect("the group is known").health
     };
-    assert_eq!(word(&[1], 1, Duration::ZERO), Word::Silent);
-    assert_eq!(word(&[1], 2, Duration::ZERO), Word::Speaks);
-    assert_eq!(word(&[1], 1, Duration::from_secs(1)), Word::Untold, "an old word");
+    assert_eq!(health(&[1], 1, Duration::ZERO), Health::Silent);
+    assert_eq!(health(&[1], 2, Duration::ZERO), Health::Alive);
     assert_eq!(
-        word(&[1, 2], 1, Duration::ZERO),
-        Word::Untold,
+        health(&[1], 1, Duration::from_secs(1)),
+        Health::Unknown,
+        "an old report"
+    );
+    assert_eq!(
+        health(&[1, 2], 1, Duration::ZERO),
+        Health::Unknown,
         "its own box is the likelier cause"
     );
 }
--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -273,7 +273,7 @@
 
     /// Callers leave whose first event is not there in time for them; they are behind, or in the line.
     fn leave_silent(&mut self) {
-        let borne = patience::borne_silence(OBJECTIVE, PAUSE).as_millis() as u64;
+        let borne = patience::longest_silence(OBJECTIVE, PAUSE).as_millis() as u64;
         let now = self.now;
         for rank in 0..RANKS {
             let calls = &self.calls;
--- a/crates/sparscale_policy/tests/silent_targets.rs
+++ b/crates/sparscale_policy/tests/silent_targets.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sparscale_policy::silence::{Awaited, Evidence, Usual, Word};
+use sparscale_policy::silence::{Awaited, Evidence, Health, Usual};
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(150);
@@ -19,7 +19,7 @@
         awaited: Awaited::Next,
         allowed: PAUSE,
         usual: Some(millis(50)),
-        word: Word::Silent,
+        health: Health::Silent,
         others_heard: Some(millis(30)),
         others_idle: false,
         given_up_after: GIVEN_UP_AFTER,
@@ -41,12 +41,12 @@
     assert!(first().limit().is_some_and(|limit| limit <= OBJECTIVE));
     assert!(stream().limit().is_some_and(|limit| limit <= OBJECTIVE));
     // Nobody tells, as when the conductor sleeps, too: later, and still before the caller gives up.
-    let untold = |evidence: Evidence| Evidence {
-        word: Word::Untold,
+    let unknown = |evidence: Evidence| Evidence {
+        health: Health::Unknown,
         ..evidence
     };
-    assert!(untold(first()).limit().is_some_and(|limit| limit <= 2 * OBJECTIVE));
-    assert!(untold(stream()).limit().is_some_and(|limit| limit <= 2 * OBJECTIVE));
+    assert!(unknown(first()).limit().is_some_and(|limit| limit <= 2 * OBJECTIVE));
+    assert!(unknown(stream()).limit().is_some_and(|limit| limit <= 2 * OBJECTIVE));
 }
 
 /// A straggler makes each pass of its group take 300 ms, up from 50 at once: nobody leaves, neither at first nor as it lasts.
@@ -57,7 +57,7 @@
     for _ in 0..100 {
         let seen = Evidence {
             usual: usual.mean(),
-            word: Word::Speaks,
+            health: Health::Alive,
             ..stream()
         };
         assert!(!seen.leaves(millis(300)), "{seen:?}");
@@ -68,10 +68,10 @@
 /// Load at its worst makes first events take over half of the callers' patience: leaving would send everything twice.
 #[test]
 fn overload_borne() {
-    for word in [Word::Speaks, Word::Untold] {
+    for health in [Health::Alive, Health::Unknown] {
         let seen = Evidence {
             usual: Some(millis(900)),
-            word,
+            health,
             ..first()
         };
         assert_eq!(seen.limit(), None);
@@ -83,7 +83,7 @@
 #[test]
 fn idle_others_left() {
     let last = Evidence {
-        awaited: Awaited::Whole,
+        awaited: Awaited::Complete,
         others_heard: Some(Duration::from_secs(3)),
         others_idle: true,
         ..first()
@@ -110,13 +110,13 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let time = |g: &mut Gen, most: u64| millis(u64::arbitrary(g) % most);
         let maybe = |g: &mut Gen, most: u64| bool::arbitrary(g).then(|| time(g, most));
-        let awaited = [Awaited::First, Awaited::Next, Awaited::Whole];
-        let word = [Word::Speaks, Word::Silent, Word::Untold];
+        let awaited = [Awaited::First, Awaited::Next, Awaited::Complete];
+        let health = [Health::Alive, Health::Silent, Health::Unknown];
         Self(Evidence {
             awaited: *g.choose(&awaited).unwrap_or(&Awaited::First),
             allowed: time(g, 2_000),
             usual: maybe(g, 4_000),
-            word: *g.choose(&word).unwrap_or(&Word::Untold),
+            health: *g.choose(&health).unwrap_or(&Health::Unknown),
             others_heard: maybe(g, 2_000),
             others_idle: bool::arbitrary(g),
             given_up_after: time(g, 10_000),
@@ -140,8 +140,8 @@
 
     /// A box that is told to be silent is never borne for longer than one that speaks.
     fn told_no_later(any: Any) -> bool {
-        let of = |word| Evidence { word, ..any.0 }.limit().unwrap_or(Duration::MAX);
-        of(Word::Silent) <= of(Word::Speaks) && of(Word::Speaks) == of(Word::Untold)
+        let of = |health| Evidence { health, ..any.0 }.limit().unwrap_or(Duration::MAX);
+        of(Health::Silent) <= of(Health::Alive) && of(Health::Alive) == of(Health::Unknown)
     }
 
     /// What is usually slow is borne for longer.
--- a/crates/sparscale_soak/src/group.rs
+++ b/crates/sparscale_soak/src/group.rs
@@ -79,7 +79,7 @@
 
 /// What a rank says to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
+pub enum Ack {
     /// Done, or it was so already.
     Done,
     /// It does not fit.
@@ -87,7 +87,7 @@
     /// A higher fence was seen.
     Fenced,
     /// Nothing; it may be done later.
-    Unsaid,
+    Lost,
 }
 
 /// A map that a rank holds.
@@ -305,7 +305,7 @@
     }
 
     /// Takes an order to `rank`.
-    pub fn order(&mut self, rank: usize, order: Order, now: Instant) -> Word {
+    pub fn order(&mut self, rank: usize, order: Order, now: Instant) -> Ack {
         if self.ranks[rank].late_until.is_some_and(|until| now < until) {
             self.unanswered += 1;
             // Some are never done, the others after those that follow.
@@ -313,25 +313,25 @@
                 let at = now + COPY * 10 * (self.unanswered % 7);
                 self.late.push(Late { at, rank, order });
             }
-            return Word::Unsaid;
+            return Ack::Lost;
         }
         self.take(rank, order, now)
     }
 
-    fn take(&mut self, rank: usize, order: Order, now: Instant) -> Word {
+    fn take(&mut self, rank: usize, order: Order, now: Instant) -> Ack {
         if order.epoch != self.epoch {
-            return Word::Unfit;
+            return Ack::Unfit;
         }
         let step = self.step;
         let rank = &mut self.ranks[rank];
         if order.fence < rank.fence {
-            return Word::Fenced;
+            return Ack::Fenced;
         }
         rank.fence = order.fence;
         if rank.do_order(order.act, step, now) {
-            Word::Done
+            Ack::Done
         } else {
-            Word::Unfit
+            Ack::Unfit
         }
     }
 
--- a/crates/sparscale_soak/src/lib.rs
+++ b/crates/sparscale_soak/src/lib.rs
@@ -26,7 +26,7 @@
 mod target;
 
 pub use command::run;
-pub use group::{Act, EXPERTS, Group, Lists, Order, PLACES, Report, SETS, SPARE, Word};
+pub use group::{Ack, Act, EXPERTS, Group, Lists, Order, PLACES, Report, SETS, SPARE};
 pub use places::GROUP;
 pub use platform::{AgentPlace, Bounds, EntryPlace, Listed, Offer, Platform, Rank, Route, RouteKind};
 pub use records::{Record, Records};
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -63,7 +63,7 @@
     /// What a rank's agent tells its conductor, on an [`Ask::Conduct`] stream.
     RankNews(RankNews),
     /// Answer to [`Ask::Leader`].
-    Leader(Word),
+    Leader(Sighting),
 }
 
 /// What the opener of a stream wants.
@@ -132,7 +132,7 @@
 
 /// What an agent knows of the conductor of its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Sighting {
     /// Claim of the conductor that it heard last; none if it has heard none.
     pub claim: Option<u64>,
     /// Time since then, in milliseconds.
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use endpoint::{Endpoint, Error as EndpointError, FEW_STREAMS, Incoming, Peer};
 pub use frame::{
     Answer, Ask, Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, Load, Part, Refusal, RefusalReason, Relayed,
-    Settlement, Word,
+    Settlement, Sighting,
 };
 pub use peer::{
     Base, Echo, Exchange, GroupLoad, Known, KnownRoster, MapUpdate, Notice, Notices, Placement, RankLoad, RankNews,
