A rate limit that nobody confirms is asked about again, by one entry after the other

Seen: rate_limits::limit_outlives_need failed once, after 20 s: the limit had ended, and all requests of the test came to the one entry of four that holds no share of the target. Such an entry hears of the end only from those that hold shares, and they had nothing to send: its callers were refused for ever. Ruled out: a lost telling (the entries that hold shares had sent nothing).

Change: who has the word from the target tells a limit that goes on each 3 s; an entry without a share sends one request once nobody has confirmed the limit for 10 s and a second for its place, so the answer to the first tells all.

The search for broken bounds has the tellings in its model. Not proved: entries that all stand still for longer than that and wake together may each send one.

--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -38,7 +38,9 @@
             as_of: self.clock.now(),
         };
         let news = self.take_in(notice, "answer", Some(&seat.target.id));
-        self.tell(news);
+        // Only who has the word from the target itself confirms it: the others would tell each other for ever.
+        let confirms = self.register().confirm(seat.start);
+        self.tell(news || confirms);
     }
 
     /// Notes that a target wants nothing from this process for `rest`.
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -9,6 +9,9 @@
 //! first. So `n` holders at a time, whoever they are and however often they start again, send at most `n * (t / interval + 1)`
 //! in any time `t`.
 //!
+//! An entry without a share sends a request once nobody has confirmed a limit for [`UNCONFIRMED`], one entry after the other:
+//! those that hold shares may have nothing to send, and only an answer tells that the limit has ended.
+//!
 //! Bound: while every entry hears all others, `n` is at most [`holders`] and the interval is that many over the rate: the
 //! sends are at most `rate * t + holders`. Where some are not heard, entries use [`SPLIT_PART`] of the rate, and only those
 //! that hear most of the others take the place of a silent holder, so `n` is at most twice `holders`. With [`FACTOR`],
@@ -31,6 +34,10 @@
 const SPLIT_PART: f64 = 0.6;
 /// Silence after which the share of an entry passes to another one.
 pub const TAKEOVER: Duration = Duration::from_secs(12);
+/// Time after which a limit that nobody confirms may have ended.
+const UNCONFIRMED: Duration = Duration::from_secs(10);
+/// What each place among the entries adds to it: the answer to the first tells all.
+const PROBE_STEP: Duration = Duration::from_secs(1);
 /// Least rate, in requests a second. The answers to requests are what tells that a limit has ended.
 const MIN_RATE: f64 = 0.05;
 
@@ -108,17 +115,34 @@
         }
     }
 
-    /// Time between two sends of this entry to the start `start` of a target that limits its rate; none if it holds no share.
-    pub fn interval(&self, rate: Rate, start: Start) -> Option<Duration> {
+    /// What this entry may send to the start `start` of a target that limits its rate.
+    pub fn share(&self, rate: Rate, start: Start) -> Share {
+        if self.live.is_empty() {
+            return Share::None;
+        }
         let own = weight(self.own, start);
         let is_before = |other: &&SocketAddr| (weight(**other, start), **other).cmp(&(own, self.own)) == Ordering::Less;
         let place = self.live.iter().filter(is_before).count();
         let holders = holders(rate).min(self.live.len());
         let part = if self.complete { 1.0 } else { SPLIT_PART };
-        (place < holders).then(|| Duration::from_secs_f64(holders as f64 / (rate.0 * part)))
+        if place < holders {
+            return Share::Each(Duration::from_secs_f64(holders as f64 / (rate.0 * part)));
+        }
+        Share::Unconfirmed(UNCONFIRMED + PROBE_STEP * u32::try_from(place).unwrap_or(u32::MAX))
     }
 }
 
+/// What one entry may send to a target that limits its rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// Nothing.
+    None,
+    /// A request each so often.
+    Each(Duration),
+    /// A request once nobody has confirmed the limit for so long: those that hold shares may have nothing to send.
+    Unconfirmed(Duration),
+}
+
 /// Entries that hold a share of `rate`, if there are as many.
 pub fn holders(rate: Rate) -> usize {
     let spare = rate.0 * WINDOW.as_secs_f64() * (FACTOR - 2.0 * SPLIT_PART) + BURST;
@@ -153,7 +177,9 @@
 pub struct Pacer {
     /// The latest send, or when the entry began to hold a share.
     last: Moment,
-    interval: Option<Duration>,
+    /// When the target was last known to limit its rate.
+    confirmed: Moment,
+    share: Share,
 }
 
 impl Pacer {
@@ -161,21 +187,31 @@
     pub fn new(now: Moment) -> Self {
         Self {
             last: now,
-            interval: None,
+            confirmed: now,
+            share: Share::None,
         }
     }
 
-    /// Sets the time between two sends, none for an entry that holds no share any more.
-    pub fn set_interval(&mut self, interval: Option<Duration>, now: Moment) {
-        if self.interval.is_none() {
+    /// Sets what the entry may send.
+    pub fn set_share(&mut self, share: Share, now: Moment) {
+        if !matches!(self.share, Share::Each(_)) && matches!(share, Share::Each(_)) {
             self.last = now;
         }
-        self.interval = interval;
+        self.share = share;
+    }
+
+    /// Notes that the target limited its rate at `as_of`.
+    pub fn confirm(&mut self, as_of: Moment) {
+        self.confirmed = self.confirmed.max(as_of);
     }
 
-    /// When the next send may go; none while the entry holds no share.
+    /// When the next send may go; none while the entry may send nothing.
     pub fn next(&self) -> Option<Moment> {
-        self.interval.map(|interval| self.last + interval)
+        match self.share {
+            Share::None => None,
+            Share::Each(interval) => Some(self.last + interval),
+            Share::Unconfirmed(wait) => Some(self.last.max(self.confirmed) + wait),
+        }
     }
 
     /// Whether a request may be sent now; if so, it counts as sent.
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -9,11 +9,14 @@
 use sparscale_catalog::Start;
 use sparscale_clock::Moment;
 
-use crate::rate_limit::{Members, Pacer, Rate};
+use crate::rate_limit::{Members, Pacer, Rate, Share};
 
 /// Longest rest that is granted. A target that asks for more is tried again after it.
 const MAX_REST: Duration = Duration::from_mins(10);
 
+/// Time between two tellings of a limit that goes on: well inside the time after which it may have ended.
+const CONFIRM_PAUSE: Duration = Duration::from_secs(3);
+
 /// What one target asks, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
@@ -24,6 +27,8 @@
     rate: Option<Rate>,
     /// When the target said so.
     as_of: Moment,
+    /// When the target had said what is told to others.
+    told: Moment,
     /// When this entry learnt of it, among all that it learnt.
     position: u64,
     pacer: Pacer,
@@ -66,8 +71,8 @@
     /// Divides shares among `members` from now on.
     pub fn set_members(&mut self, members: Members, now: Moment) {
         for (start, state) in &mut self.targets {
-            let interval = state.rate.and_then(|rate| members.interval(rate, *start));
-            state.pacer.set_interval(interval, now);
+            let share = state.rate.map_or(Share::None, |rate| members.share(rate, *start));
+            state.pacer.set_share(share, now);
         }
         self.members = Some(members);
     }
@@ -90,17 +95,35 @@
         if limits {
             state.rate = notice.rate;
             let members = self.members.as_ref();
-            let interval = notice.rate.and_then(|rate| members?.interval(rate, start));
-            state.pacer.set_interval(interval, now);
+            let share = notice.rate.and_then(|rate| Some(members?.share(rate, start)));
+            state.pacer.set_share(share.unwrap_or(Share::None), now);
+        }
+        if is_later && notice.rate.is_some() {
+            state.pacer.confirm(as_of);
         }
         state.leaving |= leaves;
         if limits || leaves {
             self.learnt += 1;
             state.position = self.learnt;
+            state.told = as_of;
         }
         limits || leaves
     }
 
+    /// Whether a limit that a target has just confirmed is to be told again; if so, it counts as news.
+    pub fn confirm(&mut self, start: Start) -> bool {
+        let Some(state) = self.targets.get_mut(&start) else {
+            return false;
+        };
+        if state.rate.is_none() || state.as_of.since(state.told) < CONFIRM_PAUSE {
+            return false;
+        }
+        state.told = state.as_of;
+        self.learnt += 1;
+        state.position = self.learnt;
+        true
+    }
+
     /// Notes that a target wants nothing from this entry for `rest`. Whatever it asked for before holds as well. Tells until
     /// when it rests, if that is later than known.
     pub fn rest(&mut self, start: Start, rest: Duration, now: Moment) -> Option<Moment> {
@@ -177,6 +200,7 @@
             rests_until: None,
             rate: None,
             as_of,
+            told: as_of,
             position: 0,
             pacer: Pacer::new(now),
         }
--- a/crates/sparscale_policy/tests/limited_target.rs
+++ b/crates/sparscale_policy/tests/limited_target.rs
@@ -8,13 +8,15 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sparscale_catalog::Start;
 use sparscale_clock::{Clock as _, Machine, Moment};
-use sparscale_policy::rate_limit::{BURST, FACTOR, Members, Pacer, Peer, Rate, WINDOW};
+use sparscale_policy::rate_limit::{BURST, FACTOR, Members, Pacer, Peer, Rate, Share, WINDOW};
 
 const HISTORIES: u64 = 100;
 /// Time between two sends that an entry would like to make.
 const STEP_MS: u64 = 50;
 /// Steps between two looks of an entry at who is live.
 const LOOK_STEPS: u64 = 4;
+/// Time between two tellings of a limit that goes on.
+const TELL_MS: u64 = 3_000;
 const START: &str = "target-1";
 
 /// What happens next.
@@ -78,6 +80,10 @@
     pacer: Pacer,
     frozen: bool,
     ended: bool,
+    /// Whether it has nothing to send.
+    idle: bool,
+    /// When it told the others that the target limits its rate, in ms.
+    told: u64,
     /// When it heard each other entry last, in ms; none if it never did in this life.
     heard: Vec<Option<u64>>,
 }
@@ -100,6 +106,8 @@
             pacer: Pacer::new(began),
             frozen: false,
             ended: false,
+            idle: false,
+            told: 0,
             heard: vec![Some(0); entries],
         };
         Self {
@@ -157,11 +165,28 @@
             if step % LOOK_STEPS == 0 {
                 self.look();
             }
-            let now = self.began + Duration::from_millis(self.now);
-            for entry in self.entries.iter_mut().filter(|entry| !entry.frozen && !entry.ended) {
-                if entry.pacer.take(now) {
-                    self.sends.push(self.now);
-                }
+            for index in 0..self.entries.len() {
+                self.send(index);
+            }
+        }
+    }
+
+    /// Sends if the entry may; the target confirms its limit, and the entry tells the others now and then.
+    fn send(&mut self, index: usize) {
+        let now = self.began + Duration::from_millis(self.now);
+        let entry = &mut self.entries[index];
+        if entry.frozen || entry.ended || entry.idle || !entry.pacer.take(now) {
+            return;
+        }
+        self.sends.push(self.now);
+        entry.pacer.confirm(now);
+        if self.now < entry.told + TELL_MS {
+            return;
+        }
+        entry.told = self.now;
+        for other in 0..self.entries.len() {
+            if other != index && self.is_linked(index, other) {
+                self.entries[other].pacer.confirm(now);
             }
         }
     }
@@ -185,8 +210,8 @@
             };
             let peers: Vec<Peer> = others.iter().map(peer).collect();
             let members = Members::new(self.entries[index].address, &peers);
-            let interval = members.interval(self.rate, self.start);
-            self.entries[index].pacer.set_interval(interval, now);
+            let share = members.share(self.rate, self.start);
+            self.entries[index].pacer.set_share(share, now);
         }
     }
 
@@ -258,11 +283,35 @@
     let mut pacer = Pacer::new(began);
     for turn in 1..100 {
         let now = began + Duration::from_millis(100) * turn;
-        pacer.set_interval((turn % 2 == 0).then_some(Duration::from_secs(1)), now);
+        let share = if turn % 2 == 0 {
+            Share::Each(Duration::from_secs(1))
+        } else {
+            Share::None
+        };
+        pacer.set_share(share, now);
         assert!(!pacer.take(now + Duration::from_millis(99)), "turn {turn}");
     }
 }
 
+/// Entries that hold shares and have nothing to send: the others find out whether the limit has ended, a few at a time.
+#[test]
+fn idle_holders() {
+    for entries in [4, 53] {
+        let mut world = World::new(entries, 1.0);
+        world.look();
+        let now = world.began;
+        for entry in &mut world.entries {
+            entry.idle = entry
+                .pacer
+                .next()
+                .is_none_or(|next| next < now + Duration::from_secs(9));
+        }
+        world.pass(60_000);
+        assert_within(&world);
+        assert!(!world.sends.is_empty(), "{entries} entries never ask again");
+    }
+}
+
 /// In calm the target gets most of what it takes.
 #[test]
 fn rate_wasted() {
@@ -300,9 +349,8 @@
         let members = Members::new(peers[index].address, &others);
         let held = (0..129)
             .filter(|target| {
-                members
-                    .interval(rate, Start::of(&format!("target-{target}"), None))
-                    .is_some()
+                let start = Start::of(&format!("target-{target}"), None);
+                matches!(members.share(rate, start), Share::Each(_))
             })
             .count();
         assert!((1..=16).contains(&held), "entry {index} has shares of {held} targets");
