Backpressure: one reader of answers' heads for both paths

The entries of the users' platform and the agents of the own path each had a reader of their own for the same three headers. It is a crate now, with tests of what is asked, what is not and what cannot be read. Retry-After is read of refusals only, so a date in any other answer is no warning. No other change.

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -6,6 +6,7 @@
 
 use sparscale_admit::ledger::{self, Keyed, Ledger};
 use sparscale_admit::queue::{self, Queue};
+use sparscale_backpressure::Signal;
 use sparscale_policy::rate_limit::Rate;
 use sparscale_telemetry::{DECISION, Metrics};
 use sparscale_wire::{Attempt, AttemptId, Chunk, Failure, Head, Load, Part, Refusal, RefusalReason, Settlement};
@@ -14,7 +15,7 @@
 
 use crate::answer::Answer;
 use crate::engine::{CallError, Engine, EngineLoad};
-use crate::intake::{Intake, Signal};
+use crate::intake::Intake;
 
 /// Time after its deadline for which an attempt stays in the ledger.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_mins(1);
@@ -360,7 +361,7 @@
         log::info!(
             target: DECISION,
             decision = "target_asks",
-            per_second = signal.rate.map(Rate::per_second),
+            per_second = signal.rate.value().map(Rate::per_second),
             rest_ms = signal.rest.map(whole_ms),
             leaving = signal.leaving;
             "the target limits its rate, ceases to, wants rest, or leaves"
--- a/crates/sparscale_agent/src/engine.rs
+++ b/crates/sparscale_agent/src/engine.rs
@@ -3,12 +3,11 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use snafu::Snafu;
+use sparscale_backpressure::Signal;
 use sparscale_place::Map;
 use sparscale_place::switch::{Order, Report};
 use sparscale_wire::Attempt;
 
-use crate::intake::Signal;
-
 /// Why a call of the target did not end well.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum CallError {
--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -13,12 +13,12 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use sparscale_backpressure::{Names, Signal};
 use sparscale_place::switch::{Order, Report};
 use sparscale_wire::{Attempt, Call};
 use tokio::net::TcpStream;
 
 use crate::engine::{CallError, Chunks, Engine, EngineLoad, Numbered, Started};
-use crate::intake::Signal;
 use crate::settings::Kind;
 
 /// Time that a look at whether the target still listens may take; it is on the same box.
@@ -41,6 +41,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     base: String,
     kind: Kind,
+    names: Names,
 }
 
 #[derive(Deserialize)]
@@ -79,6 +80,7 @@
             client: Client::builder(TokioExecutor::new()).build(connector),
             base: base.trim_end_matches('/').to_owned(),
             kind,
+            names: Names::own(),
         }
     }
 
@@ -129,7 +131,7 @@
 impl Engine for HttpEngine {
     async fn call(&self, attempt: &Attempt) -> Result<Started, CallError> {
         let response = self.exchange(self.request(attempt)?).await?;
-        let signal = Signal::read(response.status(), response.headers());
+        let signal = Signal::read(response.status(), response.headers(), &self.names);
         let status = response.status().as_u16();
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type
--- a/crates/sparscale_agent/src/intake.rs
+++ b/crates/sparscale_agent/src/intake.rs
@@ -4,53 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
-use http::header::{HeaderMap, HeaderName, RETRY_AFTER};
+use sparscale_backpressure::Signal;
 use sparscale_catalog::Start;
 use sparscale_clock::{Clock, machine};
-use sparscale_policy::rate_limit::{Members, Rate};
+use sparscale_policy::rate_limit::Members;
 use sparscale_policy::throttle::{Notice, Opening, Register};
-use sparscale_telemetry::DECISION;
-
-/// Header with the requests a second that the target takes.
-const RATE_LIMIT: HeaderName = HeaderName::from_static("sparscale-rate-limit");
-/// Header that says that the target leaves.
-const DRAINING: HeaderName = HeaderName::from_static("sparscale-draining");
-
-/// What an answer of the target asks.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Signal {
-    /// Requests a second that it takes, if it limits them.
-    pub rate: Option<Rate>,
-    /// Time for which it wants nothing.
-    pub rest: Option<Duration>,
-    /// Whether it leaves.
-    pub leaving: bool,
-}
-
-impl Signal {
-    /// Reads the head of an answer; what cannot be read is logged and asks nothing.
-    pub(crate) fn read(status: StatusCode, headers: &HeaderMap) -> Self {
-        let turns_away = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
-        let rest = read(headers, &RETRY_AFTER, |text| {
-            Duration::try_from_secs_f64(text.parse().ok()?).ok()
-        });
-        Self {
-            rate: read(headers, &RATE_LIMIT, |text| Rate::try_from(text).ok()),
-            rest: rest.filter(|_| turns_away),
-            leaving: read(headers, &DRAINING, |text| (text == "1").then_some(())).is_some(),
-        }
-    }
-}
-
-fn read<T>(headers: &HeaderMap, name: &HeaderName, parse: impl Fn(&str) -> Option<T>) -> Option<T> {
-    let text = headers.get(name)?.to_str().unwrap_or_default().trim();
-    let parsed = parse(text);
-    if parsed.is_none() {
-        log::warn!(target: DECISION, decision = "unreadable", header = name.as_str(), text; "the target asks something that cannot be read");
-    }
-    parsed
-}
 
 /// What the present start of the target asks.
 #[derive(Debug)]
@@ -89,7 +47,7 @@
         let (start, now) = (self.start(), self.clock.now());
         let notice = Notice {
             start,
-            rate: signal.rate,
+            rate: signal.rate.value(),
             leaving: signal.leaving,
             as_of: now,
         };
--- a/crates/sparscale_agent/src/lib.rs
+++ b/crates/sparscale_agent/src/lib.rs
@@ -14,6 +14,5 @@
 mod settings;
 
 pub use engine::{CallError, Chunks, Engine, EngineLoad, Started};
-pub use intake::Signal;
 pub use program::{Error, command, run};
 pub use settings::{Raw, Settings};
--- /dev/null
+++ b/crates/sparscale_backpressure/tests/answer_heads.rs
@@ -0,0 +1,66 @@
+//! Heads of answers: what is asked, what is not, and what cannot be read.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use sparscale_backpressure::{Asked, Names, Signal};
+use sparscale_policy::rate_limit::Rate;
+
+fn signal(status: StatusCode, headers: &[(&'static str, &'static str)]) -> Signal {
+    let headers = headers
+        .iter()
+        .map(|(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value)));
+    Signal::read(status, &headers.collect::<HeaderMap>(), &Names::own())
+}
+
+#[test]
+fn asks_nothing() {
+    let signal = signal(StatusCode::OK, &[("content-type", "text/plain")]);
+    assert_eq!(
+        (signal.rate, signal.rest, signal.leaving),
+        (Asked::Nothing, None, false)
+    );
+}
+
+/// Each answer may ask, also a failure.
+#[test]
+fn asks_all() {
+    for status in [
+        StatusCode::OK,
+        StatusCode::INTERNAL_SERVER_ERROR,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ] {
+        let signal = signal(status, &[("sparscale-rate-limit", "2.5"), ("sparscale-draining", "1")]);
+        assert_eq!(signal.rate.value().map(Rate::per_second), Some(2.5), "{status}");
+        assert!(signal.leaving, "{status}");
+    }
+}
+
+/// Only a refusal asks for rest.
+#[test]
+fn rests_refusals() {
+    let rest = |status| signal(status, &[("retry-after", "0.5")]).rest;
+    assert_eq!(rest(StatusCode::SERVICE_UNAVAILABLE), Some(Duration::from_millis(500)));
+    assert_eq!(rest(StatusCode::TOO_MANY_REQUESTS), Some(Duration::from_millis(500)));
+    assert_eq!(rest(StatusCode::OK), None);
+}
+
+#[test]
+fn unreadable() {
+    for text in ["-1", "NaN", "inf", "1e300", "soon", ""] {
+        let signal = signal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &[
+                ("sparscale-rate-limit", "many"),
+                ("retry-after", text),
+                ("sparscale-draining", "maybe"),
+            ],
+        );
+        assert_eq!(
+            (signal.rate, signal.rest, signal.leaving),
+            (Asked::Unreadable, None, false),
+            "{text}"
+        );
+    }
+}
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -9,13 +9,13 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
+use sparscale_backpressure::{Asked, Signal};
 use sparscale_belief::Board;
 use sparscale_catalog::{Incarnation, Seat, Target};
 use sparscale_clock::{Clock, Moment};
 use sparscale_quarantine::Fingerprint;
 use tokio::time::Instant;
 
-use crate::backpressure::{Asked, Signal};
 use crate::dialect::Dialect;
 use crate::head::{Head, without_hop_by_hop};
 use crate::pool::{Connection, Pool, connect};
@@ -234,18 +234,17 @@
     /// Notes what the target asks of those that send to it. An answer to another request, or by another target at the same
     /// address, says nothing of it.
     fn note_signal(&self, chosen: &Seat, parts: &Parts, outbound: &Outbound) -> Signal {
-        let signal = Signal::read(parts, &self.dialect);
+        let signal = Signal::read(parts.status, &parts.headers, &self.dialect.backpressure);
         let own = parts.headers.get(&self.dialect.request_id) == outbound.head.id.as_ref();
         if !own || parts.status == StatusCode::MISDIRECTED_REQUEST {
             return signal;
         }
-        let leaving = signal.leaving == Asked::For(());
         match signal.rate {
-            Asked::Nothing => self.board.throttle.note(chosen, None, leaving),
-            Asked::For(rate) => self.board.throttle.note(chosen, Some(rate), leaving),
+            Asked::Nothing => self.board.throttle.note(chosen, None, signal.leaving),
+            Asked::For(rate) => self.board.throttle.note(chosen, Some(rate), signal.leaving),
             Asked::Unreadable => {}
         }
-        if let Asked::For(rest) = signal.rest {
+        if let Some(rest) = signal.rest {
             self.board.throttle.rest(chosen, rest);
         }
         signal
@@ -277,14 +276,10 @@
 
     fn rejection(&self, parts: &Parts, signal: Signal) -> Rejection {
         let text = |name: &header::HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
-        let retry_after = match signal.rest {
-            Asked::For(rest) => Some(rest),
-            Asked::Nothing | Asked::Unreadable => None,
-        };
         Rejection {
             status: parts.status,
             at_fault: text(&self.dialect.at_fault).map(str::to_owned),
-            retry_after,
+            retry_after: signal.rest,
         }
     }
 
--- a/crates/sparscale_gateway/src/dialect.rs
+++ b/crates/sparscale_gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Names of the headers that callers, entry and targets speak with.
 
 use http::header::{HeaderName, InvalidHeaderName};
+use sparscale_backpressure::Names;
 
 /// The header names of one installation.
 #[derive(Debug, Clone)]
@@ -27,10 +28,8 @@
     pub answer_guess: HeaderName,
     /// Id of the target at fault, in an answer that was refused because of another target.
     pub at_fault: HeaderName,
-    /// Requests a second that the answering target takes from all entries together, as a decimal number.
-    pub rate_limit: HeaderName,
-    /// Says that the answering target leaves.
-    pub draining: HeaderName,
+    /// What targets ask by.
+    pub backpressure: Names,
 }
 
 impl Dialect {
@@ -48,8 +47,7 @@
             sizes: HeaderName::from_bytes(b"sparscale-sizes")?,
             answer_guess: HeaderName::from_bytes(b"sparscale-answer-guess")?,
             at_fault: HeaderName::from_bytes(b"sparscale-at-fault")?,
-            rate_limit: HeaderName::from_bytes(b"sparscale-rate-limit")?,
-            draining: HeaderName::from_bytes(b"sparscale-draining")?,
+            backpressure: Names::own(),
         })
     }
 }
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -6,7 +6,6 @@
 mod admission;
 mod answer;
 mod attempt;
-mod backpressure;
 mod body;
 mod dialect;
 mod entry;
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -161,8 +161,8 @@
         let mut answer = self.head(status, &id, content);
         insert(&mut answer, &self.dialect.digest, &state.incarnation);
         match state.mood {
-            Mood::Limited => insert(&mut answer, &self.dialect.rate_limit, &RATE.to_string()),
-            Mood::Leaving => insert(&mut answer, &self.dialect.draining, "1"),
+            Mood::Limited => insert(&mut answer, &self.dialect.backpressure.rate_limit, &RATE.to_string()),
+            Mood::Leaving => insert(&mut answer, &self.dialect.backpressure.draining, "1"),
             _ => {}
         }
         if streams {
