Quarantine: the end of a start is named by the start's own digest

Two digests of a target's id and birth were worked out alike in two crates. Strikes keep the names that they have in the store. No other change.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -371,8 +371,9 @@
     pub(crate) async fn look_after(&self, job: &Job, seat: &Seat, loss: Loss) {
         let ended = loss == Loss::Broken && self.caller.pool.has_ended(seat).await;
         if ended {
-            let end = End::of(&seat.target.id, seat.target.born_ms);
-            self.board.quarantine.note_end(job.outbound.fingerprint, end);
+            self.board
+                .quarantine
+                .note_end(job.outbound.fingerprint, End::from(seat.start));
         }
         log::info!(
             target: DECISION,
--- a/crates/sparscale_quarantine/src/strike.rs
+++ b/crates/sparscale_quarantine/src/strike.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
+use sparscale_catalog::Start;
 
 use crate::fingerprint::{Fingerprint, Unreadable};
 
@@ -15,13 +15,13 @@
 impl End {
     /// The end of the start of `target` that began at `born_ms`, if targets tell that.
     pub fn of(target: &str, born_ms: Option<u64>) -> Self {
-        let mut hasher = Sha256::new();
-        hasher.update(born_ms.unwrap_or_default().to_be_bytes());
-        hasher.update(target);
-        let digest = hasher.finalize();
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&digest[..8]);
-        Self(u64::from_be_bytes(bytes))
+        Self::from(Start::of(target, born_ms))
+    }
+}
+
+impl From<Start> for End {
+    fn from(start: Start) -> Self {
+        Self(start.digest())
     }
 }
 
