Try: who cannot wait for a group that stands still is told when it runs again

Cause: callers refused while a group forms anew are told to come back after half a second, and are refused again for good.

Change tried: a gate learns how long lasting closures take; a request that cannot wait for so long is refused at once, with the time that is left, one caller after the other; one that can waits also after two seconds.

Those who return at the opening make streams late, theirs and others'.

Before it can help, those who return have to be let in at the pace of the group, not at a fixed gap.

--- a/crates/sparscale_policy/tests/closed_gate.rs
+++ b/crates/sparscale_policy/tests/closed_gate.rs
@@ -71,3 +71,42 @@
     assert_eq!(gate.taken(began + PATIENCE), Some(PATIENCE));
     assert_eq!(gate.taken(began + PATIENCE), None);
 }
+
+/// A group that was closed for three seconds before: who cannot wait for that is told so at once, who can waits for it, also
+/// after two seconds.
+#[test]
+fn learned_closure() {
+    let began = Instant::now();
+    let mut gate = closed(began);
+    let closure = Duration::from_secs(3);
+    assert_eq!(gate.opens_in(began + closure / 2), None, "nothing is known yet");
+    gate.answered(began + closure);
+    let again = began + 10 * closure;
+    gate.turned_away(again);
+    gate.turned_away(again);
+    let patience = Duration::from_millis(1_200);
+    let settled = again + Duration::from_millis(150);
+    assert_eq!(gate.opens_in(settled), Some(Duration::from_millis(2_850)));
+    assert!(gate.outlasts(settled + patience, settled));
+    assert_eq!(gate.pass(settled + patience, settled), Pass::Go, "one tries");
+    assert_eq!(gate.pass(settled + patience, settled), Pass::Closed);
+    let late = again + Duration::from_millis(2_300);
+    assert_eq!(gate.pass(late + patience, late), Pass::Go, "one tries");
+    assert!(
+        matches!(gate.pass(late + patience, late), Pass::Wait(_)),
+        "it opens soon"
+    );
+}
+
+/// A group that opened again within two tries was not closed: who comes in the next closure is not sent away for it.
+#[test]
+fn short_closure() {
+    let began = Instant::now();
+    let mut gate = closed(began);
+    gate.answered(began + Duration::from_millis(140));
+    let again = began + Duration::from_secs(5);
+    gate.turned_away(again);
+    gate.turned_away(again);
+    let settled = again + Duration::from_millis(160);
+    assert_eq!(gate.opens_in(settled), None);
+}
