--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -147,12 +147,6 @@
         }
     }
 
-    /// How long it waits for its group to run.
-    fn waits_until(&self) -> Instant {
-        let longest = patience::longest_wait(self.route().objective, pause_of(self));
-        (self.began + longest).min(self.outbound.until)
-    }
-
     /// Silence after which its caller gives up.
     pub(crate) fn given_up_after(&self) -> Duration {
         match self.route().kind {
@@ -205,9 +199,6 @@
         let Some(arrival) = self.queues.choose(&arrivals, |group| !self.gates.is_closed(group)) else {
             return Ok(None);
         };
-        if self.gates.outlasts(arrival.group, job.waits_until()) {
-            return Err(self.group_closed(arrival.group));
-        }
         tries.group = Some(arrival.group.to_owned());
         self.queues.enter(arrival).await.map(Some)
     }
@@ -229,8 +220,7 @@
             }
             self.leave_closed_group(job, tries);
             if self.closed(job, tries).await {
-                let group = tries.group.as_deref().unwrap_or_default();
-                return tries.give_up(self.group_closed(group));
+                return tries.give_up(Refusal::retry(Reason::GroupClosed, NO_TARGET_RETRY));
             }
             // Looked at before each send: targets may have ended under it elsewhere since it came, or under it here.
             if let Some(refusal) = self.held(job.outbound.fingerprint) {
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -1,24 +1,18 @@
 //! Which group and target take the next send of a request.
 
-use std::sync::PoisonError;
-use std::time::Duration;
-
 use http::StatusCode;
 use sparscale_catalog::{Directory, Seat};
+use sparscale_policy::patience;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::RankLoad;
 
-use super::{Gateway, Job, NO_TARGET_RETRY};
+use super::{Gateway, Job, pause_of};
 use crate::attempt::{Rejection, is_named};
 use crate::gate::Pass;
 use crate::loads::Search;
-use crate::refusal::{Reason, Refusal};
 use crate::tried::Tried;
 use crate::tries::Tries;
 
-/// Time between two callers that come back to a group that runs again.
-const RETURN_GAP: Duration = Duration::from_millis(20);
-
 impl Gateway {
     /// Turns to another group of the service if the request's own does not run.
     pub(super) fn leave_closed_group(&self, job: &Job, tries: &mut Tries) {
@@ -48,19 +42,8 @@
     /// Whether the request's group stays closed for longer than it can wait.
     pub(super) async fn closed(&self, job: &Job, tries: &Tries) -> bool {
         let Some(group) = &tries.group else { return false };
-        self.gates.pass(group, job.waits_until()).await == Pass::Closed
-    }
-
-    /// The refusal of a request whose group stays closed for longer than it can wait: with the time at which the group runs
-    /// again, as far as it is known, one caller after the other.
-    pub(super) fn group_closed(&self, group: &str) -> Refusal {
-        let Some(opens_in) = self.gates.opens_in(group) else {
-            return Refusal::retry(Reason::GroupClosed, NO_TARGET_RETRY);
-        };
-        let now = self.board.now();
-        let mut returns = self.returns.lock().unwrap_or_else(PoisonError::into_inner);
-        let returns = returns.entry(group.to_owned()).or_default();
-        Refusal::retry(Reason::GroupClosed, returns.promise(now + opens_in, RETURN_GAP, now))
+        let until = job.began + patience::longest_wait(job.route().objective, pause_of(job));
+        self.gates.pass(group, until.min(job.outbound.until)).await == Pass::Closed
     }
 
     /// The target for the next send: one of the request's group that was not tried, or else any.
--- a/crates/sparscale_gateway/src/gate.rs
+++ b/crates/sparscale_gateway/src/gate.rs
@@ -66,19 +66,6 @@
         self.lock().get(group).is_some_and(|held| held.gate.is_closed(now()))
     }
 
-    /// Time until `group` runs again, if it does not run now and that is known.
-    pub(crate) fn opens_in(&self, group: &str) -> Option<Duration> {
-        self.lock().get(group)?.gate.opens_in(now())
-    }
-
-    /// Whether a request that can wait until `until` would wait in vain for `group`.
-    pub(crate) fn outlasts(&self, group: &str, until: Instant) -> bool {
-        let gates = self.lock();
-        gates
-            .get(group)
-            .is_some_and(|held| held.gate.outlasts(until.into_std(), now()))
-    }
-
     /// Notes that a target of `group` has turned a request away.
     pub(crate) fn turned_away(&self, group: &str) {
         let mut gates = self.lock();
--- a/crates/sparscale_policy/src/gate.rs
+++ b/crates/sparscale_policy/src/gate.rs
@@ -16,13 +16,6 @@
 /// any more.
 const CLOSED_LIMIT: Duration = Duration::from_secs(2);
 
-/// Time after which a closure is no mistake: by then a request has tried again, and was turned away.
-const SETTLED: Duration = Duration::from_millis(150);
-/// Shortest closure that tells how long the next one lasts: in a shorter one no rank was lost.
-const LASTING: Duration = Duration::from_millis(500);
-/// Weight of the newest such closure in their running mean.
-const NEWEST_WEIGHT: f64 = 0.5;
-
 /// What one request may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pass {
@@ -46,8 +39,6 @@
 pub struct Gate {
     turned_away: u32,
     closure: Option<Closure>,
-    /// How long closures last, once a lasting one was seen.
-    usual: Option<Duration>,
 }
 
 impl Gate {
@@ -60,31 +51,10 @@
             closure.next_try = now + PROBE_PAUSE;
             return Pass::Go;
         }
-        let next_try = closure.next_try;
-        let is_long = self.age(now) > CLOSED_LIMIT;
-        if now >= until || self.outlasts(until, now) || (is_long && self.opens_in(now).is_none()) {
+        if now >= until || now.saturating_duration_since(closure.since) > CLOSED_LIMIT {
             return Pass::Closed;
         }
-        Pass::Wait(next_try.min(until))
-    }
-
-    /// Time until the group runs again, if it is closed for as long as it was before; none if that is not known, or is over.
-    pub fn opens_in(&self, now: Instant) -> Option<Duration> {
-        self.closure?;
-        let age = self.age(now);
-        let left = self.usual?.checked_sub(age)?;
-        (age >= SETTLED).then_some(left)
-    }
-
-    /// Whether a request that can wait until `until` would wait in vain, as far as is known.
-    pub fn outlasts(&self, until: Instant, now: Instant) -> bool {
-        self.opens_in(now).is_some_and(|opens_in| now + opens_in > until)
-    }
-
-    /// Time since the gate closed.
-    fn age(&self, now: Instant) -> Duration {
-        let since = self.closure.map_or(now, |closure| closure.since);
-        now.saturating_duration_since(since)
+        Pass::Wait(closure.next_try.min(until))
     }
 
     /// Whether the group does not run as far as is known, and it is not yet time to try again.
@@ -116,11 +86,6 @@
     pub fn answered(&mut self, now: Instant) -> Option<Duration> {
         self.turned_away = 0;
         let closure = self.closure.take()?;
-        let closed = now.saturating_duration_since(closure.since);
-        if closed >= LASTING {
-            let before = self.usual.unwrap_or(closed);
-            self.usual = Some(before.mul_f64(1.0 - NEWEST_WEIGHT) + closed.mul_f64(NEWEST_WEIGHT));
-        }
-        Some(closed)
+        Some(now.saturating_duration_since(closure.since))
     }
 }
