Own path: a target that limits its rate is not reported as closed

Found by reading: an agent whose target takes two requests a second reported itself closed between any two, and entries that had seen that chose others until its next report; and what waited before a request was left out of the time after which it is refused.

Change: closed means that the target rests or leaves; the wait counts those ahead at the target's pace. target_pauses::rate_exceeded asks for half of the rate at least now (one call before).

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -533,7 +533,7 @@
             prefill_tokens: state.engine_load.prefill_tokens,
             step_micros: state.engine_load.step_micros,
             map: state.engine_load.map,
-            closed: state.draining || !state.listening || state.intake.opens_in() != Some(Duration::ZERO),
+            closed: state.draining || !state.listening || state.intake.is_closed(),
         }
     }
 
@@ -563,7 +563,7 @@
     let bound = attempt
         .key
         .is_some_and(|key| state.ledger.bound(key.as_bytes()).is_some());
-    let opens_in = state.intake.opens_in().unwrap_or(LEAVING_RETRY);
+    let opens_in = state.intake.takes_in(state.queue.waiting()).unwrap_or(LEAVING_RETRY);
     let deadline = Duration::from_millis(attempt.deadline_ms);
     (!bound && opens_in >= deadline).then_some(opens_in)
 }
--- a/crates/sparscale_agent/src/intake.rs
+++ b/crates/sparscale_agent/src/intake.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Whether the target wants nothing at all now: it rests or leaves. One that limits its rate takes what waits in turn.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.register.rate(self.start()).is_none() && self.opens_in() != Some(Duration::ZERO)
+    }
+
+    /// Time until the target takes a request that `ahead` others go before; none if it leaves.
+    pub(crate) fn takes_in(&self, ahead: usize) -> Option<Duration> {
+        let rate = self.register.rate(self.start());
+        let pace = rate.map_or(0.0, |rate| 1.0 / rate.per_second());
+        Some(self.opens_in()? + Duration::from_secs_f64(pace * ahead as f64))
+    }
+
     /// Time after which to look again, unless somebody waits for that already.
     pub(crate) fn wake_in(&mut self) -> Option<Duration> {
         let opens_in = self.opens_in().filter(|_| !self.waking)?;
--- a/crates/sparscale_fleet/tests/process/target_pauses.rs
+++ b/crates/sparscale_fleet/tests/process/target_pauses.rs
@@ -64,6 +64,7 @@
     let arrivals = fleet.arrivals(0).await? - before;
     let allowed = f64::from(RATE) * began.elapsed().as_secs_f64() * 1.5 + 5.0;
     assert!(arrivals as f64 <= allowed, "{arrivals} calls, {allowed} allowed");
-    assert!(arrivals > 0, "a target in need that gets nothing is wasted");
+    let least = f64::from(RATE) * began.elapsed().as_secs_f64() / 2.0;
+    assert!(arrivals as f64 >= least, "{arrivals} calls are far below its rate");
     Ok(())
 }
