--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -1,10 +1,12 @@
 //! The agent's state and what happens to each request: ledger, queue, buffered answers.
 
+mod state;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sparscale_admit::ledger::{self, Keyed, Ledger};
+use sparscale_admit::ledger::{self, Ledger};
 use sparscale_admit::queue::{self, Queue};
 use sparscale_backpressure::Signal;
 use sparscale_policy::rate_limit::Rate;
@@ -16,21 +18,14 @@
 use crate::answer::Answer;
 use crate::engine::{CallError, Engine, EngineLoad};
 use crate::intake::Intake;
+use state::{Earlier, Held, State, bind, closed_for, is_abandoned, is_over, ledger_id, note_seen};
 
 /// Time after its deadline for which an attempt stays in the ledger.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_mins(1);
-/// Time for which an answer that nobody reads stays buffered.
-const LINGER: Duration = Duration::from_secs(10);
-/// Time after which a request that may be repeated is cancelled because nobody reads its answer.
-const ABANDONED: Duration = Duration::from_secs(5);
 /// When to come back to an agent that is going away: at once, another one takes the request.
 const DRAIN_RETRY_MS: u64 = 100;
 /// When to come back to a target that cannot be reached.
 const DOWN_RETRY_MS: u64 = 1_000;
-/// When to come back to a target that leaves: others take its place by then.
-const LEAVING_RETRY: Duration = Duration::from_mins(1);
-/// Entries whose highest counter is remembered.
-const MAX_ENTRIES: usize = 4_096;
 
 /// How one attempt begins.
 pub(crate) enum Begun {
@@ -42,27 +37,6 @@
     Unknown(String),
 }
 
-struct State {
-    ledger: Ledger,
-    queue: Queue<AttemptId>,
-    attempts: HashMap<AttemptId, Held>,
-    seen: HashMap<u64, u64>,
-    /// Requests that wait or run, by the incarnation of the entry that sent them.
-    in_progress: HashMap<u64, u32>,
-    draining: bool,
-    /// Whether the target listened when it was last looked at.
-    listening: bool,
-    ready: bool,
-    engine_load: EngineLoad,
-    intake: Intake,
-}
-
-struct Held {
-    attempt: Arc<Attempt>,
-    answer: Arc<Answer>,
-    keep_until: Instant,
-}
-
 /// Pauses before each look at whether a target has ended under a request: a process that ends closes its connections first,
 /// its socket a moment later. Only answers that broke off wait for this.
 const END_PAUSES: [Duration; 3] = [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(150)];
@@ -546,34 +520,6 @@
     }
 }
 
-impl State {
-    /// Counts a request no longer as in progress.
-    fn leave(&mut self, id: AttemptId) {
-        if let Some(count) = self.in_progress.get_mut(&id.entry) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                self.in_progress.remove(&id.entry);
-            }
-        }
-    }
-}
-
-/// Time until the target takes requests again, if the attempt cannot wait for that.
-fn closed_for(state: &State, attempt: &Attempt) -> Option<Duration> {
-    let bound = attempt
-        .key
-        .is_some_and(|key| state.ledger.bound(key.as_bytes()).is_some());
-    let opens_in = state.intake.takes_in(state.queue.waiting()).unwrap_or(LEAVING_RETRY);
-    let deadline = Duration::from_millis(attempt.deadline_ms);
-    (!bound && opens_in >= deadline).then_some(opens_in)
-}
-
-/// What a re-send under a key meets.
-enum Earlier {
-    Attempt(AttemptId),
-    OtherBody,
-}
-
 fn kept_answer(state: &State, id: AttemptId) -> Begun {
     match state.attempts.get(&id) {
         Some(held) => Begun::Answer(Arc::clone(&held.answer)),
@@ -581,48 +527,6 @@
     }
 }
 
-fn bind(state: &mut State, attempt: &Attempt) -> Option<Earlier> {
-    let key = attempt.key?;
-    match state
-        .ledger
-        .bind(*key.as_bytes(), attempt.call.digest(), ledger_id(attempt.id))
-    {
-        Keyed::New => None,
-        Keyed::Earlier(earlier) => Some(Earlier::Attempt(AttemptId {
-            entry: earlier.sender,
-            counter: earlier.counter,
-        })),
-        Keyed::OtherBody => Some(Earlier::OtherBody),
-    }
-}
-
-fn ledger_id(id: AttemptId) -> ledger::Attempt {
-    ledger::Attempt {
-        sender: id.entry,
-        counter: id.counter,
-    }
-}
-
-fn note_seen(seen: &mut HashMap<u64, u64>, id: AttemptId) {
-    if seen.len() >= MAX_ENTRIES && !seen.contains_key(&id.entry) {
-        // An entry that is gone is not missed; one that is not only sees a lower counter once.
-        seen.clear();
-    }
-    let highest = seen.entry(id.entry).or_default();
-    *highest = (*highest).max(id.counter);
-}
-
-fn is_over(held: &Held, now: Instant) -> bool {
-    let unread = held.answer.unread_since().is_some_and(|since| now >= since + LINGER);
-    let kept = held.attempt.key.is_some() && now < held.keep_until;
-    held.answer.has_ended() && unread && !kept
-}
-
-fn is_abandoned(held: &Held, now: Instant) -> bool {
-    let unread = held.answer.unread_since().is_some_and(|since| now >= since + ABANDONED);
-    held.attempt.repeatable && held.attempt.key.is_none() && !held.answer.has_ended() && unread
-}
-
 fn whole_ms(time: Duration) -> u64 {
     (time.as_millis() as u64).max(1)
 }
