Entries tell each other of a rate that changes once a second at most

Found by reading: a target may name another rate in every answer, and each change went from each entry to each: at 53 entries and 20 answers a second some 56,000 messages a second (worked out).

Change: a rate that differs is told, and logged, a second after the last telling; a fall by a fifth, a first limit and its end at once. What an entry goes by itself is always the latest word.

Test, red before: throttle_register::news_seldom (500 tellings in 5 s of 100 answers a second, six now).

--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -17,6 +17,11 @@
 /// Time between two tellings of a limit that goes on: well inside the time after which it may have ended.
 const CONFIRM_PAUSE: Duration = Duration::from_secs(3);
 
+/// Time between two tellings of rates that differ.
+const CHANGE_PAUSE: Duration = Duration::from_secs(1);
+/// Part of the rate that was told below which a lower one is told at once.
+const TOLD_FALL: f64 = 0.8;
+
 /// What one target asks, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
@@ -27,8 +32,9 @@
     rate: Option<Rate>,
     /// When the target said so.
     as_of: Moment,
-    /// When the target had said what is told to others.
-    told: Moment,
+    /// The rate that others were told, and when the target had named it.
+    told_rate: Option<Rate>,
+    told_as_of: Moment,
     /// When this entry learnt of it, among all that it learnt.
     position: u64,
     pacer: Pacer,
@@ -102,12 +108,12 @@
             state.pacer.confirm(as_of);
         }
         state.leaving |= leaves;
-        if limits || leaves {
+        let news = leaves || (limits && state.is_worth_telling());
+        if news {
             self.learnt += 1;
-            state.position = self.learnt;
-            state.told = as_of;
+            state.tell(self.learnt);
         }
-        limits || leaves
+        news
     }
 
     /// Whether a limit that a target has just confirmed is to be told again; if so, it counts as news.
@@ -115,12 +121,11 @@
         let Some(state) = self.targets.get_mut(&start) else {
             return false;
         };
-        if state.rate.is_none() || state.as_of.since(state.told) < CONFIRM_PAUSE {
+        if state.rate.is_none() || state.as_of.since(state.told_as_of) < CONFIRM_PAUSE {
             return false;
         }
-        state.told = state.as_of;
         self.learnt += 1;
-        state.position = self.learnt;
+        state.tell(self.learnt);
         true
     }
 
@@ -194,13 +199,31 @@
 }
 
 impl State {
+    /// Whether others are to hear of the rate: each change goes from each entry to each, and a target may name another
+    /// rate in every answer.
+    fn is_worth_telling(&self) -> bool {
+        let (Some(rate), Some(told)) = (self.rate, self.told_rate) else {
+            return true;
+        };
+        let falls = rate.per_second() < told.per_second() * TOLD_FALL;
+        falls || self.as_of.since(self.told_as_of) >= CHANGE_PAUSE
+    }
+
+    /// Counts what is known as told, as news number `position`.
+    fn tell(&mut self, position: u64) {
+        self.position = position;
+        self.told_rate = self.rate;
+        self.told_as_of = self.as_of;
+    }
+
     fn new(as_of: Moment, now: Moment) -> Self {
         Self {
             leaving: false,
             rests_until: None,
             rate: None,
             as_of,
-            told: as_of,
+            told_rate: None,
+            told_as_of: as_of,
             position: 0,
             pacer: Pacer::new(now),
         }
--- a/crates/sparscale_policy/tests/throttle_register.rs
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -112,3 +112,19 @@
     assert!(!register.take(leaving.start, now + 4 * SECOND));
     assert!(is_open(&register, Start::of("target-1", Some(2)), now));
 }
+
+/// A target that names another rate in every answer does not keep all entries busy with it; a fall is told at once.
+#[test]
+fn news_seldom() {
+    let (mut register, began) = register();
+    let mut news = 0;
+    for hundredth in 0_u32..500 {
+        let now = began + SECOND / 100 * hundredth;
+        let rate = 10.0 + f64::from(hundredth % 7) / 10.0;
+        news += u32::from(register.note(limit(1, Some(rate), now), now));
+    }
+    assert!(news <= 6, "{news} tellings in 5 s");
+    let now = began + 5 * SECOND;
+    assert!(register.note(limit(1, Some(2.0), now), now), "a fall is told at once");
+    assert!(register.note(limit(1, None, now), now), "an end is told at once");
+}
