Rate limits: order a reporter's notices by number, not by their computed times

Cause: a receiver dates a notice by the echo in its message, which is a lower bound of when it was sent. Two messages carry different echoes, so the end of a limit could be dated before its beginning; it was taken for an older notice and dropped, and the reporter does not announce an end twice. Change: a notice carries its origin, the random id of the entry that received it from the target and its number there. Notices of one origin are ordered by number, those of different origins by time as before. The recorded time never moves back. Ruled out: a lost message (the stream is reliable), coalescing (the test waits for each notice at both receivers).

--- a/crates/sparscale_agent/src/throttle.rs
+++ b/crates/sparscale_agent/src/throttle.rs
@@ -9,7 +9,7 @@
 use sparscale_catalog::StartId;
 use sparscale_clock::{Clock, system_clock};
 use sparscale_policy::rate_limit::Members;
-use sparscale_policy::throttle::{Availability, Notice, Tracker};
+use sparscale_policy::throttle::{Availability, Notice, Origin, Tracker};
 
 /// Limits stated by the current start of the target.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     clock: Arc<dyn Clock>,
     /// Number of starts of the target seen so far; identifies the current one.
     start_count: u64,
+    /// Number of responses with limits, or without, that the target has sent.
+    statements: u64,
     /// Whether a task already waits for the target to accept requests again.
     has_pending_wakeup: bool,
 }
@@ -33,6 +35,7 @@
             tracker,
             clock,
             start_count: 0,
+            statements: 0,
             has_pending_wakeup: false,
         }
     }
@@ -46,11 +49,16 @@
     /// Records the limits stated by a response; returns whether they differ from the known ones.
     pub(crate) fn record_signal(&mut self, signal: BackpressureSignal) -> bool {
         let (start, now) = (self.start(), self.clock.now());
+        self.statements += 1;
         let notice = Notice {
             start,
             rate: signal.rate.value(),
             is_draining: signal.is_draining,
             as_of: now,
+            origin: Origin {
+                reporter: 0,
+                sequence: self.statements,
+            },
         };
         let has_changed_limits = self.tracker.merge(notice, now);
         let has_new_backoff = signal
--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -1,12 +1,13 @@
 //! Rate limits, backoffs and departures that targets announce, as this process knows them.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use sparscale_catalog::{Directory, Instance, StartId};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_policy::rate_limit::{Members, Rate};
-use sparscale_policy::throttle::{Availability, Notice, Tracker};
+use sparscale_policy::throttle::{Availability, Notice, Origin, Tracker};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
 
@@ -17,11 +18,17 @@
     /// Notifies subscribers of changes.
     changed: watch::Sender<()>,
     clock: Arc<dyn Clock>,
+    /// Identifies this process as the reporter of what targets state to it.
+    reporter: u64,
+    /// Number of statements that this process received from targets.
+    statements: AtomicU64,
 }
 
 impl Throttle {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
+            reporter: rand::random(),
+            statements: AtomicU64::new(0),
             tracker: Mutex::default(),
             changed: watch::Sender::new(()),
             clock,
@@ -36,6 +43,10 @@
             rate,
             is_draining,
             as_of: self.clock.now(),
+            origin: Origin {
+                reporter: self.reporter,
+                sequence: self.statements.fetch_add(1, Ordering::Relaxed),
+            },
         };
         let is_new = self.record(notice, "answer", Some(&instance.target.id));
         // Only a process that received the notice from the target itself confirms it; otherwise peers would confirm
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -240,6 +240,8 @@
             per_second: notice.rate.map(Rate::per_second),
             is_draining: notice.is_draining,
             age_ms: millis(now.since(notice.as_of)),
+            reporter: notice.origin.reporter,
+            sequence: notice.origin.sequence,
         };
         for chunk in changes.chunks(MAX_NOTICES) {
             let notices = chunk.iter().map(encode).collect();
@@ -346,6 +348,10 @@
                 rate,
                 is_draining: notice.is_draining,
                 as_of: self.clock.as_of(received.echo, notice.age_ms)?,
+                origin: throttle::Origin {
+                    reporter: notice.reporter,
+                    sequence: notice.sequence,
+                },
             })
         };
         let notices: Vec<throttle::Notice> = received.notices.iter().filter_map(decode).collect();
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -24,6 +24,26 @@
 /// Fraction of the announced rate below which a lower rate is announced at once.
 const URGENT_RATE_FRACTION: f64 = 0.8;
 
+/// Where a notice comes from, which orders the notices of one reporter.
+///
+/// A receiver only has a lower bound of the time at which a target stated its limits, and the bounds of two notices
+/// need not be in the order of the notices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// Random id of the entry that received the limits from the target, new with each start of the entry.
+    pub reporter: u64,
+    /// Number of the notice among those of the reporter.
+    pub sequence: u64,
+}
+
+impl Origin {
+    /// No notice: the target has stated nothing yet.
+    const NONE: Self = Self {
+        reporter: 0,
+        sequence: 0,
+    };
+}
+
 /// The limits of one target, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
@@ -32,8 +52,9 @@
     /// End of the backoff that the target requested from this entry.
     backoff_until: Option<Timestamp>,
     rate: Option<Rate>,
-    /// When the target stated this rate.
+    /// When the target stated this rate, at the earliest.
     as_of: Timestamp,
+    origin: Origin,
     /// The rate last announced to the other entries, and when the target had stated it.
     announced_rate: Option<Rate>,
     announced_as_of: Timestamp,
@@ -51,8 +72,10 @@
     pub rate: Option<Rate>,
     /// Whether the target is draining.
     pub is_draining: bool,
-    /// When the target stated this.
+    /// When the target stated this, at the earliest.
     pub as_of: Timestamp,
+    /// The reporter of the notice, and its number there.
+    pub origin: Origin,
 }
 
 /// When a target accepts the next request.
@@ -94,12 +117,16 @@
         if !has_limits && !self.targets.contains_key(&start) {
             return false;
         }
-        let state = self.targets.entry(start).or_insert_with(|| State::new(as_of, now));
-        let is_latest = as_of >= state.as_of;
+        let state = self
+            .targets
+            .entry(start)
+            .or_insert_with(|| State::new(as_of, notice.origin, now));
+        let is_latest = state.is_superseded_by(&notice);
         let rate_changes = is_latest && state.rate != notice.rate;
         let starts_draining = notice.is_draining && !state.is_draining;
         if is_latest {
-            state.as_of = as_of;
+            state.as_of = state.as_of.max(as_of);
+            state.origin = notice.origin;
         }
         if rate_changes {
             state.rate = notice.rate;
@@ -137,7 +164,10 @@
     /// the backoff if it is later than the known one.
     pub fn record_backoff(&mut self, start: StartId, backoff: Duration, now: Timestamp) -> Option<Timestamp> {
         let until = now + backoff.min(MAX_BACKOFF);
-        let state = self.targets.entry(start).or_insert_with(|| State::new(now, now));
+        let state = self
+            .targets
+            .entry(start)
+            .or_insert_with(|| State::new(now, Origin::NONE, now));
         if state.backoff_until.is_some_and(|known| known >= until) {
             return None;
         }
@@ -192,6 +222,7 @@
             rate: state.rate,
             is_draining: state.is_draining,
             as_of: state.as_of,
+            origin: state.origin,
         });
         (notices.collect(), self.position)
     }
@@ -213,6 +244,15 @@
         is_urgent || self.as_of.since(self.announced_as_of) >= CHANGE_INTERVAL
     }
 
+    /// Whether a notice is at least as recent as this state. Notices of one reporter are ordered by their numbers, those
+    /// of different reporters by their times.
+    fn is_superseded_by(&self, notice: &Notice) -> bool {
+        if notice.origin.reporter == self.origin.reporter {
+            return notice.origin.sequence >= self.origin.sequence;
+        }
+        notice.as_of >= self.as_of
+    }
+
     /// Marks the current rate as announced, as the change at `position`.
     fn mark_announced(&mut self, position: u64) {
         self.position = position;
@@ -220,12 +260,13 @@
         self.announced_as_of = self.as_of;
     }
 
-    fn new(as_of: Timestamp, now: Timestamp) -> Self {
+    fn new(as_of: Timestamp, origin: Origin, now: Timestamp) -> Self {
         Self {
             is_draining: false,
             backoff_until: None,
             rate: None,
             as_of,
+            origin,
             announced_rate: None,
             announced_as_of: as_of,
             position: 0,
--- a/crates/sparscale_policy/tests/throttle_register.rs
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -6,7 +6,7 @@
 use sparscale_catalog::StartId;
 use sparscale_clock::{Clock as _, SystemClock, Timestamp};
 use sparscale_policy::rate_limit::{Members, Rate};
-use sparscale_policy::throttle::{Availability, Notice, Tracker};
+use sparscale_policy::throttle::{Availability, Notice, Origin, Tracker};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -23,6 +23,10 @@
         rate: rate.map(|rate| Rate::try_from(rate).expect("a rate")),
         is_draining: false,
         as_of,
+        origin: Origin {
+            reporter: 1,
+            sequence: 1,
+        },
     }
 }
 
@@ -30,6 +34,18 @@
     tracker.availability(start, now) == Availability::Now
 }
 
+/// A notice of another reporter, which is ordered by its time.
+fn notice_elsewhere(born_ms: u64, rate: Option<f64>, as_of: Timestamp) -> Notice {
+    let origin = Origin {
+        reporter: 2,
+        sequence: 1,
+    };
+    Notice {
+        origin,
+        ..notice(born_ms, rate, as_of)
+    }
+}
+
 /// A notice that is older than the known state and arrives late changes nothing.
 #[test]
 fn late_notice_ignored() {
@@ -37,7 +53,7 @@
     let later = now + SECOND;
     assert!(tracker.merge(notice(1, Some(1.0), later), later));
     assert!(
-        !tracker.merge(notice(1, None, now), later),
+        !tracker.merge(notice_elsewhere(1, None, now), later),
         "an older notice ended the limit"
     );
     assert!(!is_open(&tracker, notice(1, None, now).start, later));
@@ -111,7 +127,7 @@
     let (mut tracker, now) = tracker();
     let draining = Notice {
         is_draining: true,
-        ..notice(1, None, now)
+        ..notice_elsewhere(1, None, now)
     };
     tracker.merge(notice(1, Some(1.0), now + SECOND), now + SECOND);
     assert!(tracker.merge(draining, now + 2 * SECOND));
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -66,6 +66,10 @@
     pub is_draining: bool,
     /// Time between the target's statement and this message, in milliseconds.
     pub age_ms: u64,
+    /// Random id of the entry that received the statement from the target.
+    pub reporter: u64,
+    /// Number of the statement among those that this entry received.
+    pub sequence: u64,
 }
 
 /// Version of an observation.
