Quarantine: after a loss of strikes one crash holds a request

Cause of the known red bounded_sends: all processes restart while the store is unavailable, so their strikes are lost. Later two processes that cannot reach each other receive the same request within one read interval of the store; each sends it twice before it learns of the other's strikes: four sends by processes in touch, two are allowed here, three by the rule. No process can know the other's first send in that time, so the bound needs the retries to stop. Ruled out: confirming each retry through the store (three sends remain, four with a third process that knows one strike); waiting a read interval before each retry (callers would lose every retry after a crash). Change: a process whose first read of the store fails, and to which no peer sends strikes known since before its start, records the loss as a strike under a reserved fingerprint. It spreads and is stored as any strike does, so a process that starts later knows it, too. For ten minutes after it one crash holds a request. Skipped at the first start of the system, when nothing can be lost. The readers of the board now share a trait, as the failed read needs a hook.

--- a/crates/sparscale_belief/src/quarantine.rs
+++ b/crates/sparscale_belief/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! Requests that crash targets, as known from this process's own attempts, from its peers and from the store.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 /// First delay after the store rejected strikes, doubled up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Time after the start of a process during which requests are rejected while it has not learned the earlier strikes.
+/// After that they are served: an unavailable store must not stop all traffic.
+pub const MAX_HISTORY_WAIT: Duration = Duration::from_secs(2);
 /// Interval at which expired strikes are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_mins(10);
 
@@ -41,12 +45,20 @@
     as_of: Mutex<Option<Timestamp>>,
     /// Era of the store at the last read.
     era: Mutex<Option<u64>>,
+    started_at: Timestamp,
+    /// Whether a read of the store failed before the first one that succeeded.
+    was_store_unavailable: AtomicBool,
+    /// Whether a peer sent strikes that it has known since before this process started.
+    has_earlier_strikes: AtomicBool,
     clock: Arc<dyn Clock>,
 }
 
 impl Quarantine {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
+            started_at: clock.now(),
+            was_store_unavailable: AtomicBool::new(false),
+            has_earlier_strikes: AtomicBool::new(false),
             tracker: Mutex::default(),
             changed: watch::Sender::new(()),
             as_of: Mutex::default(),
@@ -129,8 +141,36 @@
         self.notify_if(has_changed);
     }
 
+    /// Records that the store could not be read. If this process hasn't read it before, strikes that earlier processes
+    /// could not write to it may be lost.
+    pub(crate) fn record_failed_read(&self) {
+        if self.age().is_none() {
+            self.was_store_unavailable.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits for [`MAX_HISTORY_WAIT`]; then records that strikes may be lost if the store was unavailable at the start
+    /// and no peer knew them.
+    pub async fn watch_history(&self) {
+        tokio::time::sleep(MAX_HISTORY_WAIT).await;
+        if !self.was_store_unavailable.load(Ordering::Relaxed) || self.has_earlier_strikes.load(Ordering::Relaxed) {
+            return;
+        }
+        self.tracker().record_history_loss(unix_ms());
+        log::warn!(target: DECISION, decision = "strikes_lost"; "neither the store nor a peer sent the earlier strikes; requests are held back after a single one for a while");
+        self.notify_if(true);
+    }
+
+    /// Records that a peer has sent everything that the store had accepted by `as_of`.
+    pub fn confirm_from_peer(&self, as_of: Timestamp) {
+        if as_of < self.started_at {
+            self.has_earlier_strikes.store(true, Ordering::Relaxed);
+        }
+        self.confirm(as_of);
+    }
+
     /// Records that everything that the store had accepted by `as_of` is known to this process.
-    pub fn confirm(&self, as_of: Timestamp) {
+    fn confirm(&self, as_of: Timestamp) {
         let mut latest = self.as_of.lock().unwrap_or_else(PoisonError::into_inner);
         *latest = Some(latest.map_or(as_of, |latest| latest.max(as_of)));
     }
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -122,17 +122,8 @@
     schedule: Arc<ReadSchedule>,
     metrics: ReadMetrics,
 ) {
-    let now = {
-        let board = Arc::clone(&board);
-        move || board.now()
-    };
-    let age = {
-        let board = Arc::clone(&board);
-        move || board.catalog_age()
-    };
     let source = Box::new(PeerFirstSource::new(source, Arc::clone(&board)));
-    let merge = move |reading: Versioned<Catalog>, queried_at| board.merge_catalog(reading.value, queried_at, "store");
-    keep_recent("catalog", source, &schedule, &metrics, age, merge, now).await;
+    keep_recent("catalog", source, &schedule, &metrics, &CatalogView(board)).await;
 }
 
 /// Keeps the roster on `board` recent; never returns.
@@ -142,18 +133,7 @@
     schedule: Arc<ReadSchedule>,
     metrics: ReadMetrics,
 ) {
-    let now = {
-        let board = Arc::clone(&board);
-        move || board.now()
-    };
-    let age = {
-        let board = Arc::clone(&board);
-        move || board.roster_age()
-    };
-    let merge = move |reading: Versioned<Roster>, queried_at| {
-        board.merge_roster(reading.value, reading.position, queried_at, "store")
-    };
-    keep_recent("roster", source, &schedule, &metrics, age, merge, now).await;
+    keep_recent("roster", source, &schedule, &metrics, &RosterView(board)).await;
 }
 
 /// Keeps the known requests that crash targets recent; never returns.
@@ -163,21 +143,77 @@
     schedule: Arc<ReadSchedule>,
     metrics: ReadMetrics,
 ) {
-    let now = {
-        let board = Arc::clone(&board);
-        move || board.now()
-    };
-    let age = {
-        let board = Arc::clone(&board);
-        move || board.quarantine.age()
-    };
-    let merge = move |reading: Versioned<Vec<Strike>>, queried_at| {
-        board
+    keep_recent("strikes", source, &schedule, &metrics, &StrikesView(board)).await;
+}
+
+/// The part of a [`Board`] that is read from one source.
+trait View<T>: Send + Sync {
+    fn board(&self) -> &Board;
+
+    /// Age of the observation; `None` before the first one.
+    fn age(&self) -> Option<Duration>;
+
+    /// Merges what the store returned to a query at `queried_at`.
+    fn merge(&self, reading: Versioned<T>, queried_at: Timestamp) -> MergeOutcome;
+
+    /// Records that the store could not be read.
+    fn record_failure(&self) {}
+}
+
+struct CatalogView(Arc<Board>);
+
+impl View<Catalog> for CatalogView {
+    fn board(&self) -> &Board {
+        &self.0
+    }
+
+    fn age(&self) -> Option<Duration> {
+        self.0.catalog_age()
+    }
+
+    fn merge(&self, reading: Versioned<Catalog>, queried_at: Timestamp) -> MergeOutcome {
+        self.0.merge_catalog(reading.value, queried_at, "store")
+    }
+}
+
+struct RosterView(Arc<Board>);
+
+impl View<Roster> for RosterView {
+    fn board(&self) -> &Board {
+        &self.0
+    }
+
+    fn age(&self) -> Option<Duration> {
+        self.0.roster_age()
+    }
+
+    fn merge(&self, reading: Versioned<Roster>, queried_at: Timestamp) -> MergeOutcome {
+        self.0
+            .merge_roster(reading.value, reading.position, queried_at, "store")
+    }
+}
+
+struct StrikesView(Arc<Board>);
+
+impl View<Vec<Strike>> for StrikesView {
+    fn board(&self) -> &Board {
+        &self.0
+    }
+
+    fn age(&self) -> Option<Duration> {
+        self.0.quarantine.age()
+    }
+
+    fn merge(&self, reading: Versioned<Vec<Strike>>, queried_at: Timestamp) -> MergeOutcome {
+        self.0
             .quarantine
             .merge_from_store(&reading.value, reading.position.era, queried_at);
         MergeOutcome::Confirmed
-    };
-    keep_recent("strikes", source, &schedule, &metrics, age, merge, now).await;
+    }
+
+    fn record_failure(&self) {
+        self.0.quarantine.record_failed_read();
+    }
 }
 
 async fn keep_recent<T: Send + Sync + 'static>(
@@ -185,18 +221,18 @@
     mut source: Box<dyn Source<T>>,
     schedule: &ReadSchedule,
     metrics: &ReadMetrics,
-    age: impl Fn() -> Option<Duration>,
-    merge: impl Fn(Versioned<T>, Timestamp) -> MergeOutcome,
-    now: impl Fn() -> Timestamp,
+    view: &dyn View<T>,
 ) {
     let mut reachable = true;
     let mut failures = 0;
-    let started_at = now();
+    let started_at = view.board().now();
     loop {
+        let now = view.board().now();
         // Without an observation, the time since the start counts as its age, so that the first read is due after the
         // initial wait.
-        let current_age = age()
-            .unwrap_or_else(|| now().since(started_at) + schedule.read_age().saturating_sub(schedule.initial_wait));
+        let current_age = view
+            .age()
+            .unwrap_or_else(|| now.since(started_at) + schedule.read_age().saturating_sub(schedule.initial_wait));
         let wait = schedule.read_age().checked_sub(current_age);
         if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
             // A peer has sent a recent state.
@@ -204,15 +240,18 @@
             tokio::time::sleep(wait).await;
             continue;
         }
-        let queried_at = now();
+        let queried_at = view.board().now();
         let answer = tokio::time::timeout(READ_TIMEOUT, source.read()).await;
         let answer = answer.unwrap_or_else(|_elapsed| {
             let message = format!("no answer within {} ms", READ_TIMEOUT.as_millis());
             Err(Error::Unavailable { message })
         });
-        metrics.record(source_name, &answer, now().since(queried_at));
+        metrics.record(source_name, &answer, view.board().now().since(queried_at));
         log_reachability(source_name, &mut reachable, &answer);
-        let outcome = answer.map(|reading| merge(reading, queried_at));
+        if answer.is_err() {
+            view.record_failure();
+        }
+        let outcome = answer.map(|reading| view.merge(reading, queried_at));
         // A stale answer does not make the observation more recent; retrying at once would only load the store.
         if matches!(outcome, Err(_) | Ok(MergeOutcome::Stale)) {
             failures += 1;
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -7,7 +7,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use sparscale_belief::Board;
+use sparscale_belief::{Board, MAX_HISTORY_WAIT};
 use sparscale_catalog::{Access, Catalog, Limits};
 use sparscale_clock::Timestamp;
 use sparscale_quarantine::Fingerprint;
@@ -23,10 +23,6 @@
 
 /// `Retry-After` of a rejection for missing or outdated state of this entry.
 const INCOMPLETE_STATE_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time after the start of the process during which requests are rejected while the list of requests that crash targets
-/// has not been read. After that they are served: an unavailable store must not stop all traffic, and this entry also
-/// counts the targets that terminate under a request.
-const MAX_STRIKES_WAIT: Duration = Duration::from_secs(2);
 
 /// Maximum age of the catalog for decisions that depend on it.
 #[derive(Debug, Clone, Copy)]
@@ -112,7 +108,7 @@
             Access::Workspace(workspace) => (Some(workspace.name.clone()), workspace.tier),
         };
         if self.gateway.board.quarantine.age().is_none()
-            && self.gateway.board.now().since(self.gateway.started_at) < MAX_STRIKES_WAIT
+            && self.gateway.board.now().since(self.gateway.started_at) < MAX_HISTORY_WAIT
         {
             return Err(retry_later(Reason::Starting));
         }
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use snafu::ResultExt as _;
-use sparscale_belief::{Archive, Board, ReadMetrics, ReadSchedule, read_catalog, read_roster, read_strikes};
+use sparscale_belief::{Archive, Board, ReadMetrics, ReadSchedule, Source, read_catalog, read_roster, read_strikes};
 use sparscale_catalog::Group;
 use sparscale_mesh::{Mesh, MeshStatus};
+use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, Identity, MAX_LONG_LIVED_STREAMS, Role};
 use tokio::net::TcpListener;
@@ -87,22 +88,7 @@
             Arc::clone(&read_schedule),
             read_metrics(),
         ));
-        let strikes_schedule = Arc::new(ReadSchedule::new(
-            settings.max_observation_age * CATALOG_READS_PER_STRIKES_READ,
-            settings.read_delay_per_entry * CATALOG_READS_PER_STRIKES_READ,
-            Duration::ZERO,
-        ));
-        tokio::spawn(read_strikes(
-            Arc::clone(&board),
-            parts.strikes,
-            Arc::clone(&strikes_schedule),
-            read_metrics(),
-        ));
-        tokio::spawn(archive_strikes(
-            Arc::clone(&board),
-            parts.archive,
-            Arc::clone(&strikes_schedule),
-        ));
+        let strikes_schedule = spawn_quarantine(&settings, &board, parts.strikes, parts.archive, read_metrics());
         let entry_count = Arc::new(AtomicUsize::new(ASSUMED_ENTRY_COUNT));
         let gateway = Arc::new(Gateway {
             board: Arc::clone(&board),
@@ -204,6 +190,28 @@
     Ok(mesh)
 }
 
+/// Starts the tasks that exchange strikes with the store; returns their schedule of reads.
+fn spawn_quarantine(
+    settings: &Settings,
+    board: &Arc<Board>,
+    strikes: Box<dyn Source<Vec<Strike>>>,
+    archive: Box<dyn Archive>,
+    metrics: ReadMetrics,
+) -> Arc<ReadSchedule> {
+    let schedule = Arc::new(ReadSchedule::new(
+        settings.max_observation_age * CATALOG_READS_PER_STRIKES_READ,
+        settings.read_delay_per_entry * CATALOG_READS_PER_STRIKES_READ,
+        Duration::ZERO,
+    ));
+    tokio::spawn(read_strikes(Arc::clone(board), strikes, Arc::clone(&schedule), metrics));
+    if !settings.is_first_start {
+        let board = Arc::clone(board);
+        tokio::spawn(async move { board.quarantine.watch_history().await });
+    }
+    tokio::spawn(archive_strikes(Arc::clone(board), archive, Arc::clone(&schedule)));
+    schedule
+}
+
 /// Writes the strikes to the archive, as long as this entry is the first reader of the store.
 async fn archive_strikes(board: Arc<Board>, archive: Box<dyn Archive>, read_schedule: Arc<ReadSchedule>) {
     board
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -31,6 +31,8 @@
     pub peer_address: SocketAddr,
     /// Addresses of other entries to connect to at startup.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the system starts for the first time, so that nothing was observed before.
+    pub is_first_start: bool,
     /// Time between two messages on a link without updates.
     pub keepalive_interval: Duration,
     /// Maximum age of the catalog for decisions about requests.
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -106,6 +106,7 @@
         ready_address: any_port,
         peer_address: any_port,
         seeds: Vec::new(),
+        is_first_start: false,
         keepalive_interval: Duration::from_millis(100),
         freshness: Freshness {
             max_age_with_key: Duration::from_secs(3),
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -405,7 +405,7 @@
         if let Some(age_ms) = exchange.strikes_age_ms
             && let Some(as_of) = self.clock.as_of(echo, age_ms)
         {
-            self.mesh.board.quarantine.confirm(as_of);
+            self.mesh.board.quarantine.confirm_from_peer(as_of);
         }
         if let Some(known) = exchange.roster
             && let Some(as_of) = self.clock.as_of(echo, known.version.age_ms)
--- a/crates/sparscale_quarantine/src/fingerprint.rs
+++ b/crates/sparscale_quarantine/src/fingerprint.rs
@@ -24,6 +24,9 @@
 pub struct Fingerprint([u8; LENGTH_BYTES]);
 
 impl Fingerprint {
+    /// Stands for no request: strikes under it record that strikes may have been lost.
+    pub(crate) const HISTORY_LOSS: Self = Self([0; LENGTH_BYTES]);
+
     /// Computes the fingerprint of a request; `path` includes the query, `workspace` is `None` for a request without
     /// one.
     pub fn of(method: &str, path: &str, workspace: Option<&str>, body: &[u8]) -> Self {
--- a/crates/sparscale_quarantine/src/strike.rs
+++ b/crates/sparscale_quarantine/src/strike.rs
@@ -21,6 +21,13 @@
     }
 }
 
+impl EndedStart {
+    /// Identifies a number of a kind of record that is no termination.
+    pub(crate) fn numbered(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 impl From<StartId> for EndedStart {
     fn from(start: StartId) -> Self {
         Self(start.digest())
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -27,6 +27,9 @@
 const RESPONSES_TO_CLEAR: u32 = 8;
 /// Time for which strikes of a request below [`SUSPECT_ENDS`] terminations are kept.
 const UNHELD_RETENTION: Duration = Duration::from_hours(1);
+/// Time after a loss of strikes in which one termination is enough to hold a request: the request that caused the lost
+/// ones may arrive again anywhere, also where the next strike is not known yet.
+const HISTORY_LOSS_CAUTION: Duration = Duration::from_mins(10);
 /// Most requests that are tracked, at about 200 bytes each.
 const MAX_REQUESTS: usize = 4_096;
 /// Most strikes that are kept for one request.
@@ -82,10 +85,11 @@
         self.ends.values().map(|record| record.at_ms).max().unwrap_or(0)
     }
 
-    fn hold_deadline_ms(&self) -> u64 {
+    /// `suspect_ends` is the number of terminations after which a request is held.
+    fn hold_deadline_ms(&self, suspect_ends: usize) -> u64 {
         let hold = match self.counted_ends() {
-            0..SUSPECT_ENDS => return 0,
-            SUSPECT_ENDS => SUSPECT_HOLD,
+            ends if ends < suspect_ends => return 0,
+            ..=SUSPECT_ENDS => SUSPECT_HOLD,
             CONFIRMED_ENDS => CONFIRMED_HOLD,
             _ => REPEATED_HOLD,
         };
@@ -149,8 +153,9 @@
     /// Returns the hold of `request` that is active at `now_ms`.
     pub fn active_hold(&self, request: &Fingerprint, now_ms: u64) -> Option<Hold> {
         let history = self.requests.get(request)?;
+        let suspect_ends = if self.may_lack_strikes(now_ms) { 1 } else { SUSPECT_ENDS };
         let remaining_ms = history
-            .hold_deadline_ms()
+            .hold_deadline_ms(suspect_ends)
             .checked_sub(now_ms)
             .filter(|remaining_ms| *remaining_ms > 0)?;
         Some(Hold {
@@ -159,6 +164,25 @@
         })
     }
 
+    /// Records that this process started at a time when neither the store nor a peer could tell it the earlier strikes,
+    /// so that those which were not stored yet are lost. Other processes learn of it as of any strike.
+    pub fn record_history_loss(&mut self, now_ms: u64) {
+        let loss = Strike {
+            request: Fingerprint::HISTORY_LOSS,
+            // All processes that start in the same outage make the same record.
+            ended_start: EndedStart::numbered(now_ms / millis(HISTORY_LOSS_CAUTION)),
+            at_ms: now_ms,
+            status: StrikeStatus::Counted,
+        };
+        self.merge(loss, StrikeSource::Local, now_ms);
+    }
+
+    /// Whether strikes were lost so recently that the request which caused them may arrive again.
+    fn may_lack_strikes(&self, now_ms: u64) -> bool {
+        let losses = self.requests.get(&Fingerprint::HISTORY_LOSS);
+        losses.is_some_and(|losses| losses.last_end_ms() + millis(HISTORY_LOSS_CAUTION) > now_ms)
+    }
+
     /// Number of targets that terminated under `request` and count against it.
     pub fn end_count(&self, request: &Fingerprint) -> usize {
         self.requests.get(request).map_or(0, RequestHistory::counted_ends)
@@ -227,12 +251,20 @@
 
     /// Removes strikes of requests whose retention time is over, and returns them.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Strike> {
-        let is_expired = |history: &RequestHistory| history.retention_deadline_ms() <= now_ms;
-        let dropped = self
-            .strikes()
-            .filter(|(strike, _)| self.requests.get(&strike.request).is_some_and(is_expired));
+        let is_expired = |request: &Fingerprint, history: &RequestHistory| {
+            let deadline_ms = if *request == Fingerprint::HISTORY_LOSS {
+                history.last_end_ms() + millis(HISTORY_LOSS_CAUTION)
+            } else {
+                history.retention_deadline_ms()
+            };
+            deadline_ms <= now_ms
+        };
+        let dropped = self.strikes().filter(|(strike, _)| {
+            let history = self.requests.get(&strike.request);
+            history.is_some_and(|history| is_expired(&strike.request, history))
+        });
         let dropped = dropped.map(|(strike, _)| strike).collect();
-        self.requests.retain(|_, history| !is_expired(history));
+        self.requests.retain(|request, history| !is_expired(request, history));
         dropped
     }
 
--- a/crates/sparscale_quarantine/tests/spread_of_strikes.rs
+++ b/crates/sparscale_quarantine/tests/spread_of_strikes.rs
@@ -57,6 +57,8 @@
     processes: Vec<Tracker>,
     /// Steps for which each process has been in contact with the store.
     contact_steps: Vec<usize>,
+    /// Whether each process has read the store since its start, or received strikes from a process that has.
+    is_informed: Vec<bool>,
     store: Vec<Strike>,
     store_unavailable: bool,
     /// Processes below this index are partitioned from the others.
@@ -75,6 +77,7 @@
         Self {
             processes: (0..PROCESSES).map(|_| Tracker::default()).collect(),
             contact_steps: vec![0; PROCESSES],
+            is_informed: vec![false; PROCESSES],
             store: Vec::new(),
             store_unavailable: false,
             partition: 0,
@@ -123,6 +126,7 @@
     fn restart(&mut self, process: usize) {
         self.processes[process] = Tracker::default();
         self.contact_steps[process] = 0;
+        self.is_informed[process] = false;
     }
 
     fn is_below_partition(&self, process: usize) -> bool {
@@ -142,16 +146,32 @@
             if *contact_steps == 1 || (self.step + process).is_multiple_of(READ_STEPS) {
                 let stored = self.store.clone();
                 self.processes[process].merge_snapshot(&stored, now_ms, Duration::from_secs(2), now_ms);
+                self.is_informed[process] = true;
             }
             for strike in self.processes[process].unsaved() {
                 self.store.push(strike);
                 self.processes[process].merge(strike, StrikeSource::Store, now_ms);
             }
         }
-        for from in 0..PROCESSES {
+        self.exchange_strikes();
+        for process in 0..PROCESSES {
+            // A process waits no longer for strikes before it serves requests.
+            if !self.is_informed[process] {
+                self.processes[process].record_history_loss(now_ms);
+                self.is_informed[process] = true;
+            }
+        }
+    }
+
+    /// Exchanges strikes between all processes of a partition.
+    fn exchange_strikes(&mut self) {
+        let now_ms = self.now_ms();
+        let was_informed = self.is_informed.clone();
+        for (from, is_source_informed) in was_informed.into_iter().enumerate() {
             let (strikes, _) = self.processes[from].changes_since(0);
             for to in 0..PROCESSES {
                 if self.is_below_partition(from) == self.is_below_partition(to) {
+                    self.is_informed[to] |= is_source_informed;
                     for strike in &strikes {
                         self.processes[to].merge(*strike, StrikeSource::Peer, now_ms);
                     }
@@ -179,23 +199,64 @@
 /// targets again.
 const MAX_LATE_SENDS: usize = 2;
 
+/// Plays a history; fails if there are too many late sends in it.
+fn play(events: Vec<Event>) -> Result<(), String> {
+    let mut simulation = Simulation::new();
+    for event in events {
+        simulation.handle(event);
+    }
+    if simulation.late_sends <= MAX_LATE_SENDS {
+        return Ok(());
+    }
+    Err(format!(
+        "{} late sends, {} targets terminated",
+        simulation.late_sends, simulation.end_count
+    ))
+}
+
 /// Strikes are written as soon as the store is available, so they can be lost in this way only once.
 #[test]
 fn bounded_sends() {
-    fn property(events: Vec<Event>) -> Result<(), String> {
-        let mut simulation = Simulation::new();
-        for event in events {
-            simulation.handle(event);
-        }
-        if simulation.late_sends <= MAX_LATE_SENDS {
-            return Ok(());
-        }
-        Err(format!(
-            "{} late sends, {} targets terminated",
-            simulation.late_sends, simulation.end_count
-        ))
-    }
     QuickCheck::new()
-        .tests(500)
-        .quickcheck(property as fn(Vec<Event>) -> Result<(), String>);
+        .tests(1_500)
+        .quickcheck(play as fn(Vec<Event>) -> Result<(), String>);
+}
+
+/// All processes lose their strikes, and two that cannot reach each other receive the request before either reads the
+/// other's strikes.
+#[test]
+fn partition_after_loss() {
+    let history = vec![
+        Event::ToggleStore,
+        Event::RequestArrives(2),
+        Event::RestartAll,
+        Event::RequestArrives(2),
+        Event::RestartAll,
+        Event::ToggleStore,
+        Event::Wait(13),
+        Event::Partition(2),
+        Event::RequestArrives(4),
+        Event::RequestArrives(1),
+    ];
+    assert_eq!(play(history), Ok(()));
+}
+
+/// A process that starts after the loss learns of it from the store.
+#[test]
+fn start_after_loss() {
+    let history = vec![
+        Event::ToggleStore,
+        Event::RequestArrives(2),
+        Event::RestartAll,
+        Event::RequestArrives(2),
+        Event::RestartAll,
+        Event::ToggleStore,
+        Event::Wait(2),
+        Event::Restart(4),
+        Event::Wait(13),
+        Event::Partition(2),
+        Event::RequestArrives(4),
+        Event::RequestArrives(1),
+    ];
+    assert_eq!(play(history), Ok(()));
 }
