Evacuation: targets in halls that the operators evacuate get no new requests

Change: the store's source of the catalog now returns the configuration, catalog and evacuated halls, from the one read. sparscale_policy::evacuation keeps the latest order by position, and after a restore of the store the earlier ones for five seconds. The board marks the targets of these halls in its directory, so that each path that chooses a target (first attempt, retry, resumption, move) skips them. Groups whose ranks are all evacuated are not chosen, and their waiting requests are displaced to other groups at once; room counts open ranks only. A service with nothing left is refused at once as not run. Entries state the order in each summary and at each change. Red without it: all of evacuations::* (gateway path); waiting_requests_move also without the displacement (1.0 s).

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sparscale_catalog::{Catalog, Directory, Incarnations, Roster};
+use sparscale_catalog::{Catalog, Directory, Evacuations, Incarnations, Roster};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_history::Position;
+use sparscale_policy::evacuation::{Merge, Register};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
 
@@ -22,6 +23,9 @@
     targets: watch::Sender<Option<Observation<Directory>>>,
     /// The roster as the store returned it; `targets` is the corrected list that this process uses.
     store_roster: Mutex<StoreRoster>,
+    evacuations: Mutex<Register>,
+    /// Notifies subscribers of changed evacuations.
+    evacuations_changed: watch::Sender<()>,
     directory_builder: Mutex<DirectoryBuilder>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
@@ -34,20 +38,37 @@
 #[derive(Debug, Default)]
 struct DirectoryBuilder {
     incarnations: Incarnations,
-    /// Digest and directory of the last roster: a roster is confirmed far more often than it changes.
-    latest: Option<(u64, Arc<Directory>)>,
+    /// The last directory, and what it was built from: a roster is confirmed far more often than it changes.
+    latest: Option<Built>,
+}
+
+/// A directory, and what it was built from.
+#[derive(Debug)]
+struct Built {
+    roster_digest: u64,
+    evacuations: Evacuations,
+    directory: Arc<Directory>,
 }
 
 impl DirectoryBuilder {
-    fn build(&mut self, roster: &Roster) -> Arc<Directory> {
-        let digest = roster.digest();
-        if let Some((latest_digest, directory)) = &self.latest
-            && *latest_digest == digest
+    fn build(&mut self, roster: &Roster, evacuations: Evacuations) -> Arc<Directory> {
+        let roster_digest = roster.digest();
+        if let Some(latest) = &self.latest
+            && latest.roster_digest == roster_digest
+            && latest.evacuations == evacuations
         {
-            return Arc::clone(directory);
+            return Arc::clone(&latest.directory);
         }
-        let directory = Arc::new(Directory::new(roster, &mut self.incarnations));
-        self.latest = Some((digest, Arc::clone(&directory)));
+        let directory = Arc::new(if evacuations.is_empty() {
+            Directory::new(roster, &mut self.incarnations)
+        } else {
+            Directory::new(&roster.with_evacuated(&evacuations), &mut self.incarnations)
+        });
+        self.latest = Some(Built {
+            roster_digest,
+            evacuations,
+            directory: Arc::clone(&directory),
+        });
         directory
     }
 }
@@ -65,6 +86,8 @@
             catalog: watch::Sender::new(None),
             targets: watch::Sender::new(None),
             store_roster: Mutex::default(),
+            evacuations: Mutex::default(),
+            evacuations_changed: watch::Sender::new(()),
             directory_builder: Mutex::default(),
             quarantine: Quarantine::new(Arc::clone(&clock)),
             throttle: Throttle::new(Arc::clone(&clock)),
@@ -151,16 +174,54 @@
         outcome
     }
 
+    /// Merges the evacuations that `source` observed at `position` in the store's history.
+    pub fn merge_evacuations(&self, evacuations: &Evacuations, position: Position, source: &str) -> MergeOutcome {
+        // Locked before the register, as in `merge_roster`.
+        let store_roster = self.lock_store_roster();
+        match self.lock_evacuations().merge(evacuations, position, self.now()) {
+            Merge::Stale => return MergeOutcome::Stale,
+            Merge::Unchanged => return MergeOutcome::Confirmed,
+            Merge::Changed => {}
+        }
+        let halls: Vec<&str> = evacuations.halls().collect();
+        let unknown = evacuations.halls().filter(|hall| !store_roster.has_hall(hall)).count();
+        log::info!(target: DECISION, decision = "evacuations", halls = halls.join(" ").as_str(), unknown, position = position.to_string().as_str(), source; "the evacuated halls changed; their targets get no new requests");
+        if let Some(observed) = store_roster.corrected() {
+            publish(&self.targets, self.build_directory(&observed));
+        }
+        drop(store_roster);
+        self.evacuations_changed.send_replace(());
+        MergeOutcome::Replaced
+    }
+
+    /// The latest evacuations as the store returned them, and their position; none before the first read.
+    pub fn evacuations(&self) -> Option<(Evacuations, Position)> {
+        let register = self.lock_evacuations();
+        register
+            .latest()
+            .map(|(evacuations, position)| (evacuations.clone(), position))
+    }
+
+    /// Wakes whenever the evacuations change.
+    pub fn subscribe_evacuations(&self) -> watch::Receiver<()> {
+        self.evacuations_changed.subscribe()
+    }
+
     /// The directory of an observed roster.
     fn build_directory(&self, observed: &Observation<Roster>) -> Observation<Directory> {
+        let evacuations = self.lock_evacuations().in_force(self.now());
         let mut builder = self.directory_builder.lock().unwrap_or_else(PoisonError::into_inner);
         Observation {
-            value: builder.build(&observed.value),
+            value: builder.build(&observed.value, evacuations),
             position: observed.position,
             as_of: observed.as_of,
         }
     }
 
+    fn lock_evacuations(&self) -> MutexGuard<'_, Register> {
+        self.evacuations.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_store_roster(&self) -> MutexGuard<'_, StoreRoster> {
         // A panic cannot leave a partial value, because each is replaced in one step; so a poisoned lock is usable.
         self.store_roster.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -17,6 +17,6 @@
 pub use board::Board;
 pub use observation::{MergeOutcome, Observation};
 pub use quarantine::{Archive, MAX_HISTORY_WAIT, Quarantine};
-pub use reader::{ReadMetrics, ReadSchedule, read_catalog, read_roster, read_strikes};
+pub use reader::{ReadMetrics, ReadSchedule, read_configuration, read_roster, read_strikes};
 pub use source::{Error, Source, Versioned};
 pub use throttle::Throttle;
--- a/crates/sparscale_belief/src/peer_first.rs
+++ b/crates/sparscale_belief/src/peer_first.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sparscale_catalog::Catalog;
+use sparscale_catalog::Configuration;
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
@@ -20,13 +20,13 @@
 
 /// Delays the first catalog that is read from a restored store until peers had time to send a newer one.
 pub(crate) struct PeerFirstSource {
-    source: Box<dyn Source<Catalog>>,
+    source: Box<dyn Source<Configuration>>,
     board: Arc<Board>,
     deadline: Option<Instant>,
 }
 
 impl PeerFirstSource {
-    pub(crate) fn new(source: Box<dyn Source<Catalog>>, board: Arc<Board>) -> Self {
+    pub(crate) fn new(source: Box<dyn Source<Configuration>>, board: Arc<Board>) -> Self {
         Self {
             source,
             board,
@@ -36,8 +36,8 @@
 }
 
 #[async_trait]
-impl Source<Catalog> for PeerFirstSource {
-    async fn read(&mut self) -> Result<Versioned<Catalog>, Error> {
+impl Source<Configuration> for PeerFirstSource {
+    async fn read(&mut self) -> Result<Versioned<Configuration>, Error> {
         let reading = self.source.read().await?;
         if reading.position.era == 0 || self.board.catalog().is_some() {
             return Ok(reading);
@@ -46,7 +46,7 @@
         let mut catalogs = self.board.subscribe_catalogs();
         let received = tokio::time::timeout_at(deadline, catalogs.wait_for(Option::is_some)).await;
         let received = matches!(received, Ok(Ok(_)));
-        log::info!(target: DECISION, decision = "doubt_catalog", era = reading.position.era, version = reading.position.offset, told = received; "delayed the catalog of a restored store so that peers could send a newer one");
+        log::info!(target: DECISION, decision = "doubt_catalog", era = reading.position.era, version = reading.value.catalog.version(), told = received; "delayed the catalog of a restored store so that peers could send a newer one");
         Ok(reading)
     }
 }
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -15,7 +15,7 @@
 use crate::observation::MergeOutcome;
 use crate::peer_first::PeerFirstSource;
 use crate::source::{Error, Source, Versioned};
-use sparscale_catalog::{Catalog, Roster};
+use sparscale_catalog::{Configuration, Roster};
 use sparscale_clock::Timestamp;
 use sparscale_quarantine::Strike;
 
@@ -115,15 +115,15 @@
     }
 }
 
-/// Keeps the catalog on `board` recent; never returns.
-pub async fn read_catalog(
+/// Keeps the catalog and the evacuations on `board` recent; never returns.
+pub async fn read_configuration(
     board: Arc<Board>,
-    source: Box<dyn Source<Catalog>>,
+    source: Box<dyn Source<Configuration>>,
     schedule: Arc<ReadSchedule>,
     metrics: ReadMetrics,
 ) {
     let source = Box::new(PeerFirstSource::new(source, Arc::clone(&board)));
-    keep_recent("catalog", source, &schedule, &metrics, &CatalogView(board)).await;
+    keep_recent("catalog", source, &schedule, &metrics, &ConfigurationView(board)).await;
 }
 
 /// Keeps the roster on `board` recent; never returns.
@@ -160,9 +160,9 @@
     fn record_failure(&self) {}
 }
 
-struct CatalogView(Arc<Board>);
+struct ConfigurationView(Arc<Board>);
 
-impl View<Catalog> for CatalogView {
+impl View<Configuration> for ConfigurationView {
     fn board(&self) -> &Board {
         &self.0
     }
@@ -171,8 +171,10 @@
         self.0.catalog_age()
     }
 
-    fn merge(&self, reading: Versioned<Catalog>, queried_at: Timestamp) -> MergeOutcome {
-        self.0.merge_catalog(reading.value, queried_at, "store")
+    fn merge(&self, reading: Versioned<Configuration>, queried_at: Timestamp) -> MergeOutcome {
+        let Configuration { catalog, evacuations } = reading.value.as_ref();
+        self.0.merge_evacuations(evacuations, reading.position, "store");
+        self.0.merge_catalog(Arc::clone(catalog), queried_at, "store")
     }
 }
 
--- a/crates/sparscale_belief/src/store_roster.rs
+++ b/crates/sparscale_belief/src/store_roster.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreRoster {
     latest: Option<Observation<Roster>>,
+    /// The corrected roster of the last merge.
+    corrected: Option<Observation<Roster>>,
     missing: Option<MissingTargets>,
     departed: DepartedTargets,
     /// Whether the store was restored from an older snapshot, so that the roster may list targets that have left.
@@ -30,6 +32,17 @@
         self.latest.clone()
     }
 
+    /// The corrected roster of the last merge.
+    pub(crate) fn corrected(&self) -> Option<Observation<Roster>> {
+        self.corrected.clone()
+    }
+
+    /// Whether a target of the roster is in `hall`.
+    pub(crate) fn has_hall(&self, hall: &str) -> bool {
+        let targets = self.latest.iter().flat_map(|observed| &observed.value.targets);
+        targets.into_iter().any(|target| target.hall == hall)
+    }
+
     /// Merges the roster that the store returned to a query sent at `as_of`. Returns the corrected roster to use, or
     /// `None` if the answer is older than the known roster.
     pub(crate) fn merge(
@@ -38,6 +51,12 @@
         position: Position,
         as_of: Timestamp,
     ) -> Option<Observation<Roster>> {
+        let corrected = self.correct(roster, position, as_of)?;
+        self.corrected = Some(corrected.clone());
+        Some(corrected)
+    }
+
+    fn correct(&mut self, roster: Arc<Roster>, position: Position, as_of: Timestamp) -> Option<Observation<Roster>> {
         let Some(latest) = &mut self.latest else {
             let first = Observation {
                 value: roster,
--- a/crates/sparscale_belief/tests/early_start.rs
+++ b/crates/sparscale_belief/tests/early_start.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sparscale_belief::{Board, Error, ReadMetrics, ReadSchedule, Source, Versioned, read_catalog};
-use sparscale_catalog::Catalog;
+use sparscale_belief::{Board, Error, ReadMetrics, ReadSchedule, Source, Versioned, read_configuration};
+use sparscale_catalog::{Catalog, Configuration, Evacuations};
 use sparscale_history::Position;
 use sparscale_samples as samples;
 use sparscale_telemetry::Registry;
@@ -26,10 +26,13 @@
 struct Store(u64);
 
 #[async_trait]
-impl Source<Catalog> for Store {
-    async fn read(&mut self) -> Result<Versioned<Catalog>, Error> {
+impl Source<Configuration> for Store {
+    async fn read(&mut self) -> Result<Versioned<Configuration>, Error> {
         Ok(Versioned {
-            value: catalog(RESTORED),
+            value: Arc::new(Configuration {
+                catalog: catalog(RESTORED),
+                evacuations: Evacuations::default(),
+            }),
             position: Position::new(self.0, RESTORED),
         })
     }
@@ -44,7 +47,7 @@
     let board = Arc::new(Board::default());
     let schedule = ReadSchedule::new(Duration::from_millis(500), Duration::from_millis(100), Duration::ZERO);
     let metrics = ReadMetrics::new(&Arc::new(Registry::default()));
-    tokio::spawn(read_catalog(
+    tokio::spawn(read_configuration(
         Arc::clone(&board),
         Box::new(Store(era)),
         Arc::new(schedule),
--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -37,6 +37,16 @@
     groups_by_service: HashMap<String, Vec<(String, usize)>>,
     /// Service of each group, and the size of the group.
     services_by_group: HashMap<String, (String, usize)>,
+    /// Evacuated ranks of each group that has any.
+    evacuated_ranks: HashMap<String, EvacuatedRanks>,
+}
+
+/// The ranks of a group that are in evacuated halls.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct EvacuatedRanks {
+    count: usize,
+    /// Whether these are all its ranks.
+    is_all: bool,
 }
 
 impl Directory {
@@ -58,6 +68,7 @@
         Self {
             groups_by_service: groups_by_service(&instances),
             services_by_group: services_by_group(&instances),
+            evacuated_ranks: evacuated_ranks(&instances),
             instances,
             index_by_key,
         }
@@ -88,6 +99,22 @@
             .filter(move |instance| instance.target.service == service)
     }
 
+    /// Whether `service` has a target outside the evacuated halls.
+    pub fn has_unevacuated(&self, service: &str) -> bool {
+        self.instances_of(service)
+            .any(|instance| instance.target.status != TargetStatus::Evacuated)
+    }
+
+    /// Whether all ranks of `group` are in evacuated halls.
+    pub fn is_evacuated_group(&self, group: &str) -> bool {
+        self.evacuated_ranks.get(group).is_some_and(|ranks| ranks.is_all)
+    }
+
+    /// Number of ranks of `group` in evacuated halls.
+    pub fn evacuated_ranks(&self, group: &str) -> usize {
+        self.evacuated_ranks.get(group).map_or(0, |ranks| ranks.count)
+    }
+
     /// Finds the instance that supersedes `of` at its address.
     pub fn successor(&self, of: &Target) -> Option<&Instance> {
         let is_successor = |instance: &&Instance| {
@@ -146,6 +173,25 @@
     }
 }
 
+/// Counts the evacuated ranks of each group.
+fn evacuated_ranks(instances: &[Instance]) -> HashMap<String, EvacuatedRanks> {
+    let mut ranks: HashMap<String, EvacuatedRanks> = HashMap::new();
+    let is_evacuated = |instance: &&Instance| instance.target.status == TargetStatus::Evacuated;
+    for instance in instances.iter().filter(is_evacuated) {
+        if let Some(membership) = &instance.target.membership {
+            ranks.entry(membership.group.clone()).or_default().count += 1;
+        }
+    }
+    for (group, ranks) in &mut ranks {
+        let is_rank = |instance: &&Instance| {
+            let membership = instance.target.membership.as_ref();
+            membership.is_some_and(|membership| membership.group == *group)
+        };
+        ranks.is_all = instances.iter().filter(is_rank).all(|instance| is_evacuated(&instance));
+    }
+    ranks
+}
+
 /// Determines the groups of each service from the memberships that its targets report.
 fn groups_by_service(instances: &[Instance]) -> HashMap<String, Vec<(String, usize)>> {
     let mut votes: HashMap<&str, BTreeMap<Group<'_>, usize>> = HashMap::new();
--- a/crates/sparscale_catalog/src/roster.rs
+++ b/crates/sparscale_catalog/src/roster.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::Evacuations;
+
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum TargetStatus {
@@ -14,6 +16,8 @@
     /// It drains: it completes its requests in flight and then terminates.
     #[serde(rename = "Leaving")]
     Draining,
+    /// It accepts no new requests while the operators evacuate its hall.
+    Evacuated,
 }
 
 /// The membership of a target in a group of ranks.
@@ -131,6 +135,23 @@
         Self::new(listed.into_iter().map(mark).collect())
     }
 
+    /// The roster with the targets in evacuated halls marked, so that they get no new requests.
+    #[must_use]
+    pub fn with_evacuated(&self, evacuations: &Evacuations) -> Self {
+        let mark = |target: &Target| {
+            let is_evacuated = target.status == TargetStatus::Ready && evacuations.contains(&target.hall);
+            Target {
+                status: if is_evacuated {
+                    TargetStatus::Evacuated
+                } else {
+                    target.status
+                },
+                ..target.clone()
+            }
+        };
+        Self::new(self.targets.iter().map(mark).collect())
+    }
+
     /// A digest of the roster, by which processes detect whether they have the same one. Different builds may compute
     /// different digests of the same roster; they then exchange it more often than necessary.
     pub fn digest(&self) -> u64 {
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use snafu::{ResultExt as _, Snafu};
-use sparscale_belief::{Board, ReadMetrics, ReadSchedule, Source, read_catalog, read_roster};
-use sparscale_catalog::{Catalog, Roster};
+use sparscale_belief::{Board, ReadMetrics, ReadSchedule, Source, read_configuration, read_roster};
+use sparscale_catalog::{Configuration, Roster};
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{DECISION, Registry, Signals};
 use sparscale_wire::{Endpoint, EndpointError, Identity, MAX_LONG_LIVED_STREAMS, Role};
@@ -48,8 +48,8 @@
 
 /// External services that an agent uses.
 pub struct Dependencies {
-    /// Source of the catalog.
-    pub catalog: Box<dyn Source<Catalog>>,
+    /// Source of the operators' configuration.
+    pub configuration: Box<dyn Source<Configuration>>,
     /// Source of the roster.
     pub roster: Box<dyn Source<Roster>>,
     /// Connects to engines.
@@ -114,9 +114,9 @@
         Arc::new(ReadSchedule::new(interval, Duration::ZERO, head_start).with_max_retry_delay(MAX_RETRY_DELAY))
     };
     let read_metrics = || ReadMetrics::new(&parts.registry);
-    tokio::spawn(read_catalog(
+    tokio::spawn(read_configuration(
         Arc::clone(&board),
-        parts.catalog,
+        parts.configuration,
         new_schedule(),
         read_metrics(),
     ));
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use sparscale_belief::{Error as SourceError, Source, Versioned};
-use sparscale_catalog::{Catalog, ExpertLayout, Membership, Roster};
+use sparscale_catalog::{Catalog, Configuration, Evacuations, ExpertLayout, Membership, Roster};
 use sparscale_conduct::{
     Bandwidth, ClaimError, ClaimOutcome, Claims, Dependencies, Engine, EngineError, EngineState, Engines, HeldExperts,
     SelectionCounts, Settings, start,
@@ -150,7 +150,10 @@
             max_observation_age: Duration::from_millis(300),
         };
         let parts = Dependencies {
-            catalog: Box::new(FixedSource(catalog())),
+            configuration: Box::new(FixedSource(Arc::new(Configuration {
+                catalog: catalog(),
+                evacuations: Evacuations::default(),
+            }))),
             roster: Box::new(FixedSource(self.roster())),
             engines: Arc::new(SimulatedEngines {
                 world: self.clone(),
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use snafu::ResultExt as _;
-use sparscale_belief::{Archive, Board, ReadMetrics, ReadSchedule, Source, read_catalog, read_roster, read_strikes};
+use sparscale_belief::{
+    Archive, Board, ReadMetrics, ReadSchedule, Source, read_configuration, read_roster, read_strikes,
+};
 use sparscale_catalog::Group;
 use sparscale_mesh::{Mesh, MeshStatus};
 use sparscale_quarantine::Strike;
@@ -76,9 +78,9 @@
         ));
         let registry = parts.registry;
         let read_metrics = || ReadMetrics::new(&registry);
-        tokio::spawn(read_catalog(
+        tokio::spawn(read_configuration(
             Arc::clone(&board),
-            parts.catalog,
+            parts.configuration,
             Arc::clone(&read_schedule),
             read_metrics(),
         ));
@@ -296,13 +298,18 @@
     }
 }
 
-/// Drops the state of targets and routes that no longer exist.
+/// Drops the state of targets and routes that no longer exist, and the backlogs of evacuated groups.
 async fn drop_removed_state(gateway: Arc<Gateway>) {
     let mut targets = gateway.board.subscribe_targets();
     while targets.changed().await.is_ok() {
         let Some(observation) = targets.borrow_and_update().clone() else {
             continue;
         };
+        for group in gateway.queues.groups_with_backlog() {
+            if observation.value.is_evacuated_group(&group) {
+                gateway.queues.displace(&group);
+            }
+        }
         gateway.target_client.pool.retain(&observation.value);
         gateway.loads.retain(&observation.value);
         gateway.response_monitor.retain(&observation.value);
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -38,7 +38,7 @@
 use crate::gate::Gates;
 use crate::loads::{InFlightGuard, Loads};
 use crate::metrics::Metrics;
-use crate::queues::{Arrival, Permit, Queues};
+use crate::queues::{Arrival, NotAdmitted, Permit, Queues};
 use crate::refusal::{Reason, Refusal};
 use crate::response_monitor::ResponseMonitor;
 use crate::traffic_split::TrafficSplit;
@@ -166,21 +166,33 @@
 }
 
 impl Gateway {
-    /// Chooses a group for a streaming request and waits until it is admitted there. None if no group serves the
-    /// request.
+    /// Chooses a group for a streaming request and waits until it is admitted there, or to another group if that one is
+    /// evacuated meanwhile. None if no group serves the request.
     pub(crate) async fn acquire_permit(
         &self,
         job: &Job,
         history: &mut AttemptHistory,
     ) -> Result<Option<Permit>, Refusal> {
+        loop {
+            match self.acquire_in_group(job, history).await {
+                Ok(permit) => return Ok(permit),
+                Err(NotAdmitted::Rejected(refusal)) => return Err(refusal),
+                Err(NotAdmitted::Displaced) => {}
+            }
+        }
+    }
+
+    async fn acquire_in_group(&self, job: &Job, history: &mut AttemptHistory) -> Result<Option<Permit>, NotAdmitted> {
         let Some(observation) = self.board.targets() else {
             return Ok(None);
         };
         history.service = self.choose_service(job, &observation.value);
-        if let Some(service) = history.service.as_deref()
-            && let Some(refusal) = self.throttle_refusal(job, service, &observation.value)
-        {
-            return Err(refusal);
+        if let Some(service) = history.service.as_deref() {
+            let refusal = Self::evacuation_refusal(service, &observation.value)
+                .or_else(|| self.throttle_refusal(job, service, &observation.value));
+            if let Some(refusal) = refusal {
+                return Err(NotAdmitted::Rejected(refusal));
+            }
         }
         let RequestKind::Stream {
             max_pause: longest_pause,
@@ -199,6 +211,7 @@
         };
         let retry_age = self.retry_age(job);
         let groups = observation.value.groups_of(service);
+        let groups = groups.filter(|group| !observation.value.is_evacuated_group(group.name));
         let sampled = groups.choose_multiple(&mut rand::rng(), MAX_SAMPLED_GROUPS).into_iter();
         let arrivals = sampled.map(|group| Arrival {
             request_id: job.outbound.head.id_text(),
@@ -253,8 +266,8 @@
                 return history.final_result(refusal);
             }
             let Some(instance) = self.next_target(job, history) else {
-                let throttle_refusal = self.current_throttle_refusal(job, history);
-                history.not_run_refusal = throttle_refusal.or(history.not_run_refusal);
+                let closed_refusal = self.current_closed_refusal(job, history);
+                history.not_run_refusal = closed_refusal.or(history.not_run_refusal);
                 return history.final_result(Refusal::with_retry_after(Reason::NoTarget, NO_TARGET_RETRY_DELAY));
             };
             let outcome = self.attempt(job, &instance, history).await;
@@ -265,9 +278,11 @@
     }
 
     /// The refusal to return if no target of the service accepts requests from this entry now.
-    fn current_throttle_refusal(&self, job: &Job, history: &AttemptHistory) -> Option<Refusal> {
+    fn current_closed_refusal(&self, job: &Job, history: &AttemptHistory) -> Option<Refusal> {
         let targets = self.board.targets()?;
-        self.throttle_refusal(job, history.service.as_deref()?, &targets.value)
+        let service = history.service.as_deref()?;
+        Self::evacuation_refusal(service, &targets.value)
+            .or_else(|| self.throttle_refusal(job, service, &targets.value))
     }
 
     /// Handles the outcome of an attempt: returns a response, none for another attempt, or a refusal.
@@ -325,7 +340,7 @@
             return Ok(None);
         }
         if history.not_run_refusal.is_some() {
-            history.not_run_refusal = self.current_throttle_refusal(job, history).or(history.not_run_refusal);
+            history.not_run_refusal = self.current_closed_refusal(job, history).or(history.not_run_refusal);
         }
         history.final_result(Refusal::new(Reason::NoAnswer)).map(Some)
     }
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -14,9 +14,13 @@
 use crate::loads::TargetFilter;
 
 impl Gateway {
-    /// Switches to another group of the service if the chosen one is closed.
+    /// Switches to another group of the service if the chosen one is closed or all its ranks are evacuated.
     pub(super) fn switch_from_closed_group(&self, job: &Job, history: &mut AttemptHistory) {
-        if history.group.as_ref().is_some_and(|group| self.gates.is_closed(group)) {
+        let is_closed = history.group.as_ref().is_some_and(|group| {
+            let targets = self.board.targets();
+            self.gates.is_closed(group) || targets.is_some_and(|targets| targets.value.is_evacuated_group(group))
+        });
+        if is_closed {
             self.switch_group(job, history);
         }
     }
@@ -29,8 +33,12 @@
         };
         let Some(targets) = self.board.targets() else { return };
         let groups = targets.value.groups_of(service);
-        let is_serving =
-            |name: &str| name != group && !self.gates.is_closed(name) && self.mesh.group_load(name).is_some();
+        let is_serving = |name: &str| {
+            name != group
+                && !self.gates.is_closed(name)
+                && self.mesh.group_load(name).is_some()
+                && !targets.value.is_evacuated_group(name)
+        };
         let others: Vec<&str> = groups.map(|other| other.name).filter(|name| is_serving(name)).collect();
         if others.is_empty() {
             return;
@@ -101,10 +109,18 @@
         }))
     }
 
-    /// The next service of the route by weight, skipping services without targets.
+    /// The next service of the route by weight, skipping services without targets, and evacuated ones while another has
+    /// targets.
     pub(super) fn choose_service(&self, job: &Job, targets: &Directory) -> Option<String> {
         let shares = &job.route().shares;
-        let has_targets = |service: &str| targets.instances_of(service).next().is_some();
+        let any_in_use = shares.iter().any(|share| targets.has_unevacuated(&share.service));
+        let has_targets = |service: &str| {
+            if any_in_use {
+                targets.has_unevacuated(service)
+            } else {
+                targets.instances_of(service).next().is_some()
+            }
+        };
         self.traffic_split.next_service(&job.route().name, shares, has_targets)
     }
 
--- a/crates/sparscale_gateway/src/exchange/throttling.rs
+++ b/crates/sparscale_gateway/src/exchange/throttling.rs
@@ -1,4 +1,5 @@
-//! Rejects requests while all targets of a service limit their request rate or have requested a backoff.
+//! Rejects requests while all targets of a service limit their request rate, have requested a backoff, or are in
+//! evacuated halls.
 
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -11,7 +12,17 @@
 use super::{Gateway, Job};
 use crate::refusal::{Reason, Refusal};
 
+/// `Retry-After` while all targets of a service are in evacuated halls: nobody knows when the operators will take a
+/// hall back, and other entries get the order within a second.
+const EVACUATED_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 impl Gateway {
+    /// The refusal of a request if `service` has targets, and all of them are in evacuated halls.
+    pub(super) fn evacuation_refusal(service: &str, targets: &Directory) -> Option<Refusal> {
+        let is_evacuated = targets.instances_of(service).next().is_some() && !targets.has_unevacuated(service);
+        is_evacuated.then(|| Refusal::with_retry_after(Reason::Evacuated, EVACUATED_RETRY_DELAY))
+    }
+
     /// The refusal of a request if no target of `service` accepts any from this entry now, with the time until the
     /// first one does.
     pub(super) fn throttle_refusal(&self, job: &Job, service: &str, targets: &Directory) -> Option<Refusal> {
@@ -53,15 +64,23 @@
 
     /// Fraction of the ranks of `group` that accept requests from this entry now, 0 to 1.
     pub(crate) fn open_fraction(&self, targets: &Directory, group: Group<'_>) -> f64 {
+        let evacuated = targets.evacuated_ranks(group.name);
         if self.board.throttle.is_unrestricted() {
-            return 1.0;
+            return open_share(evacuated, group);
         }
         let in_group = |instance: &&Instance| {
             let membership = instance.target.membership.as_ref();
             membership.is_some_and(|membership| membership.group == group.name)
         };
         let ranks = targets.instances().iter().filter(in_group);
-        let closed = ranks.filter(|instance| !self.board.throttle.is_open(instance)).count();
-        1.0 - closed.min(group.size) as f64 / group.size.max(1) as f64
+        let is_closed = |instance: &&Instance| {
+            instance.target.status == TargetStatus::Evacuated || !self.board.throttle.is_open(instance)
+        };
+        open_share(ranks.filter(is_closed).count(), group)
     }
 }
+
+/// The fraction of the ranks of `group` that are open if `closed` are not.
+fn open_share(closed: usize, group: Group<'_>) -> f64 {
+    1.0 - closed.min(group.size) as f64 / group.size.max(1) as f64
+}
--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -44,6 +44,15 @@
     pub(crate) remaining: Option<Duration>,
 }
 
+/// Why a request was not admitted to a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotAdmitted {
+    /// It is rejected.
+    Rejected(Refusal),
+    /// The group gets no new requests any more; another one may serve the request.
+    Displaced,
+}
+
 /// Reference count of the admitted requests: each of them holds a clone, and so does the queue.
 type Token = Arc<()>;
 
@@ -110,7 +119,7 @@
     }
 
     /// Admits a request, immediately or when headroom becomes free, or rejects it with a time to retry after.
-    pub(crate) async fn acquire(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Refusal> {
+    pub(crate) async fn acquire(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, NotAdmitted> {
         let ticket = (arrival.tier, self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (admission, deadline) = {
             let mut queues = self.lock();
@@ -125,7 +134,8 @@
                     retry_after: retry,
                 } => {
                     group_queue.log_refusal(&arrival, expected, retry);
-                    return Err(Refusal::with_retry_after(Reason::Busy, retry));
+                    let refusal = Refusal::with_retry_after(Reason::Busy, retry);
+                    return Err(NotAdmitted::Rejected(refusal));
                 }
                 Decision::Wait {
                     timely_until,
@@ -144,8 +154,10 @@
         };
         let admitted = tokio::time::timeout_at(Instant::from_std(deadline), admission).await;
         drop(guard);
-        if let Ok(Ok(token)) = admitted {
-            return Ok(self.permit(arrival.group, token));
+        match admitted {
+            Ok(Ok(token)) => return Ok(self.permit(arrival.group, token)),
+            Ok(Err(_displaced)) => return Err(NotAdmitted::Displaced),
+            Err(_elapsed) => {}
         }
         // The remaining time is short and a rejection would come too late: admit the request, which is late at worst.
         let mut queues = self.lock();
@@ -153,6 +165,16 @@
         Ok(self.permit(arrival.group, token))
     }
 
+    /// Removes all waiting requests of a group that gets no new requests any more, so that other groups serve them.
+    pub(crate) fn displace(&self, group: &str) {
+        let Some(displaced) = self.lock().get_mut(group).map(|queue| queue.queue.displace()) else {
+            return;
+        };
+        if !displaced.is_empty() {
+            log::info!(target: DECISION, decision = "displaced", group, waiting = displaced.len(); "all ranks of the group are in evacuated halls; its waiting requests go to other groups");
+        }
+    }
+
     /// Admits waiting requests after the load report of a group has changed.
     pub(crate) fn refresh(&self, group: Group<'_>, open_fraction: f64, engine: &EngineProfile, max_pause: Duration) {
         let mut queues = self.lock();
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     BodyUnreadable,
     /// No target of the service accepts requests.
     NoTarget,
+    /// The operators evacuate the halls of all targets of the service.
+    Evacuated,
     /// All targets already have as many requests as they can serve on time.
     Busy,
     /// The group of targets does not serve now.
@@ -65,6 +67,7 @@
             Self::BodyTimeout => "body_late",
             Self::BodyUnreadable => "body_broken",
             Self::NoTarget => "no_target",
+            Self::Evacuated => "evacuated",
             Self::Busy => "busy",
             Self::GroupClosed => "group_closed",
             Self::Throttled => "throttled",
@@ -91,6 +94,7 @@
             Self::NoCatalog
             | Self::StaleCatalog
             | Self::NoTarget
+            | Self::Evacuated
             | Self::GroupClosed
             | Self::Throttled
             | Self::Rejected
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -6,7 +6,7 @@
 
 use snafu::Snafu;
 use sparscale_belief::{Archive, Source};
-use sparscale_catalog::{Catalog, Roster};
+use sparscale_catalog::{Configuration, Roster};
 use sparscale_clock::Clock;
 use sparscale_policy::budget::Allowance;
 use sparscale_quarantine::Strike;
@@ -51,8 +51,8 @@
 
 /// Dependencies of a gateway.
 pub struct Dependencies {
-    /// Source of the catalog.
-    pub catalog: Box<dyn Source<Catalog>>,
+    /// Source of the operators' configuration.
+    pub configuration: Box<dyn Source<Configuration>>,
     /// Source of the roster.
     pub roster: Box<dyn Source<Roster>>,
     /// Source of the stored strikes: records of requests during which a target terminated.
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use sparscale_belief::{Archive, Error, Source, Versioned};
-use sparscale_catalog::{Catalog, Document, Roster, Target as RosterTarget, TargetStatus};
+use sparscale_catalog::{Catalog, Configuration, Document, Roster, Target as RosterTarget, TargetStatus};
 use sparscale_clock::Clock;
 use sparscale_gateway::{Allowance, Dependencies, Entry, Freshness, HeaderNames, Settings};
 use sparscale_quarantine::Strike;
@@ -89,7 +89,7 @@
 /// An entry with its fake store, its clock, and the runtime that it runs on.
 pub struct Fixture {
     pub entry: Arc<Entry>,
-    pub catalogs: FakeStore<Catalog>,
+    pub catalogs: FakeStore<Configuration>,
     pub rosters: FakeStore<Roster>,
     pub strikes: FakeStrikeStore,
     pub clock: Arc<samples::SuspendableClock>,
@@ -143,7 +143,7 @@
 
     fn with_store(
         settings: Settings,
-        catalogs: FakeStore<Catalog>,
+        catalogs: FakeStore<Configuration>,
         rosters: FakeStore<Roster>,
         strikes: FakeStrikeStore,
     ) -> Self {
@@ -154,7 +154,7 @@
             .expect("a runtime");
         let clock = Arc::new(samples::SuspendableClock::default());
         let parts = Dependencies {
-            catalog: Box::new(catalogs.clone()),
+            configuration: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
             strikes: Box::new(strikes.clone()),
             archive: Box::new(strikes.clone()),
@@ -228,8 +228,17 @@
     }
 }
 
-pub fn catalog(document: Document) -> Catalog {
-    Catalog::try_from(document).expect("a valid catalog")
+/// A configuration without evacuations.
+pub fn catalog(document: Document) -> Configuration {
+    evacuating(document, &[])
+}
+
+/// A configuration in which `halls` are evacuated.
+pub fn evacuating(document: Document, halls: &[&str]) -> Configuration {
+    Configuration {
+        catalog: Arc::new(Catalog::try_from(document).expect("a valid catalog")),
+        evacuations: halls.iter().map(|hall| (*hall).to_owned()).collect(),
+    }
 }
 
 /// The roster of these targets, named `c-0`, `c-1` and `m-0`, `m-1`, in order.
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod draining_targets;
 mod entry;
+mod evacuations;
 mod groups;
 mod observations;
 mod rate_limits;
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -15,8 +15,8 @@
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{
-    Channel, Frame, GroupLoad, Notice, Notices, ObservationSummary, ObservedRosterVersion, ObservedVersion, Receiver,
-    Role, Sender,
+    Channel, EvacuationOrder, Frame, GroupLoad, Notice, Notices, ObservationSummary, ObservedRosterVersion,
+    ObservedVersion, Receiver, Role, Sender,
 };
 use tokio::time::Instant;
 
@@ -123,6 +123,7 @@
         let mut catalogs = mesh.board.subscribe_catalogs();
         let mut rosters = mesh.board.subscribe_targets();
         let mut groups = mesh.groups.subscribe();
+        let mut evacuations = mesh.board.subscribe_evacuations();
         let mut strikes = mesh.board.quarantine.subscribe();
         strikes.mark_changed();
         let mut notices = mesh.board.throttle.subscribe();
@@ -142,6 +143,7 @@
                 }
                 Ok(()) = catalogs.changed() => self.send_exchange(sender).await,
                 Ok(()) = rosters.changed() => self.send_exchange(sender).await,
+                Ok(()) = evacuations.changed() => self.send_exchange(sender).await,
                 Ok(()) = strikes.changed() => self.send_strikes(sender).await,
                 Ok(()) = notices.changed() => self.send_notices(sender).await,
                 Ok(()) = groups.changed(), if !loads_delayed => {
@@ -201,6 +203,7 @@
                 version: to_known(roster, now),
                 digest: roster.value.digest(),
             }),
+            evacuations: self.evacuation_order(),
             requests_roster: std::mem::take(&mut self.own_request.roster),
             // Rounded up, because an age must not look smaller than it is.
             strikes_age_ms: strikes_age.map(|age| millis(age) + 1),
@@ -209,6 +212,15 @@
         send(sender, &Frame::ObservationSummary(exchange)).await
     }
 
+    /// The evacuated halls, for an entry. They are few, so each summary states them.
+    fn evacuation_order(&self) -> Option<EvacuationOrder> {
+        if self.role != Role::Entry || self.mesh.settings.role != Role::Entry {
+            return None;
+        }
+        let (halls, position) = self.mesh.board.evacuations()?;
+        Some(EvacuationOrder { position, halls })
+    }
+
     /// Sends all strikes that changed since the last time, whatever their source: an entry that has no link to the peer
     /// reaches it through this one.
     async fn send_strikes(&mut self, sender: &mut Sender) -> Option<()> {
@@ -395,8 +407,11 @@
         if let Some(roster) = exchange.roster {
             self.peer_roster_position = self.peer_roster_position.max(roster.version.position);
         }
-        let Some(echo) = exchange.echo else { return };
         let source = exchange.sender.to_string();
+        if let Some(order) = &exchange.evacuations {
+            self.mesh.board.merge_evacuations(&order.halls, order.position, &source);
+        }
+        let Some(echo) = exchange.echo else { return };
         if let Some(known) = exchange.catalog
             && let Some(as_of) = self.clock.as_of(echo, known.age_ms)
         {
--- a/crates/sparscale_policy/src/backlog.rs
+++ b/crates/sparscale_policy/src/backlog.rs
@@ -47,6 +47,12 @@
         self.waiting.remove(&ticket);
     }
 
+    /// Removes all requests and returns their handles.
+    pub fn clear(&mut self) -> Vec<T> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_values().map(|waiting| waiting.waiter).collect()
+    }
+
     /// Number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod caller_timeout;
 pub mod deadlines;
+pub mod evacuation;
 pub mod gate;
 pub mod group;
 pub mod headroom;
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -220,6 +220,11 @@
         self.backlog.remove(ticket);
     }
 
+    /// Removes all requests from the backlog, for another group to serve them.
+    pub fn displace(&mut self) -> Vec<T> {
+        self.backlog.clear()
+    }
+
     /// Removes the next request that the headroom allows from the backlog. [`Queue::admit`] counts it as admitted.
     pub fn next(&mut self, now: Instant) -> Option<T> {
         self.backlog.next(self.headroom, now)
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -13,8 +13,8 @@
     ResponseEvent, ResponseFrame, Settlement, StreamRequest, TargetLoad,
 };
 pub use peer::{
-    Echo, GroupLoad, MapUpdate, Notice, Notices, ObservationSummary, ObservedRosterVersion, ObservedVersion, PatchBase,
-    RankExperts, RankLoad, RankOrder, RankUpdate,
+    Echo, EvacuationOrder, GroupLoad, MapUpdate, Notice, Notices, ObservationSummary, ObservedRosterVersion,
+    ObservedVersion, PatchBase, RankExperts, RankLoad, RankOrder, RankUpdate,
 };
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
 pub use tls::{CertificateFiles, Error as TlsError, Identity, Role};
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use sparscale_catalog::StartId;
+use sparscale_catalog::{Evacuations, StartId};
 use sparscale_history::Position;
 use sparscale_place::barrier::{Answer, Order, Report};
 use sparscale_place::{Map, Patch, Shape};
@@ -29,6 +29,8 @@
     pub requests_catalog: bool,
     /// Version of the sender's roster.
     pub roster: Option<ObservedRosterVersion>,
+    /// Evacuated halls.
+    pub evacuations: Option<EvacuationOrder>,
     /// Whether the receiver must send its roster, because it announced one that the sender doesn't have.
     pub requests_roster: bool,
     /// Age in milliseconds of the sender's copy of the strikes in the store; all of it has been sent on this stream.
@@ -37,6 +39,15 @@
     pub entries: Vec<SocketAddr>,
 }
 
+/// Halls that the operators evacuate.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// Position in the history of the store.
+    pub position: Position,
+    /// The evacuated halls.
+    pub halls: Evacuations,
+}
+
 /// Clock time of the receiver, sent back to it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
