Cold targets: all entries together send a cold target the rate that it handles

Cause: nothing read cold_left_ms, cold_s and cold_per_s. Change: sparscale_policy::cold decides which targets are cold: those that the roster lists, new starts, and the targets of a hall that the operators took back, as the roster states it only after a heartbeat. The limit is that of sparscale_policy::rate_limit with a window of one second (Limit): the same holders, shares and takeover, in the register that each path consults. It ends by itself, so nobody probes for its end. The board sets it before it publishes the directory, so that waiting requests cannot be first. A cold target still counts as room in its group. Red without it: evacuations::hall_returns_cold (104 requests in a second where 8 are tolerated, over real sockets). limited_target::cold_rate_exceeded searches histories (100) of 1 to 53 entries that end, restart, freeze and are cut. Left: an entry that has not seen the target's new state yet is not limited; the factor and the addend are constants, not read from the settings; X-Cold-Ms of health responses is not read, as no health checks are sent.

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -1,12 +1,13 @@
 //! The blackboard that holds the latest observations of a process: readers and peers write to it, all other parts read
 //! it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use sparscale_catalog::{Catalog, Directory, Evacuations, Incarnations, Roster};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_history::Position;
+use sparscale_policy::cold;
 use sparscale_policy::evacuation::{Merge, Register};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
@@ -27,6 +28,7 @@
     /// Notifies subscribers of changed evacuations.
     evacuations_changed: watch::Sender<()>,
     directory_builder: Mutex<DirectoryBuilder>,
+    cold_targets: Mutex<ColdTargets>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
     /// Restrictions that targets announce to their senders.
@@ -34,6 +36,17 @@
     clock: Arc<dyn Clock>,
 }
 
+/// Interval at which the cold targets of an unchanged directory are determined again.
+const COLD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The targets that are cold, and the directory that they were determined from.
+#[derive(Debug, Default)]
+struct ColdTargets {
+    register: cold::Register,
+    directory: Weak<Directory>,
+    checked_at: Option<Timestamp>,
+}
+
 /// Builds directories of targets, in which each target has the key of its current start.
 #[derive(Debug, Default)]
 struct DirectoryBuilder {
@@ -89,6 +102,7 @@
             evacuations: Mutex::default(),
             evacuations_changed: watch::Sender::new(()),
             directory_builder: Mutex::default(),
+            cold_targets: Mutex::default(),
             quarantine: Quarantine::new(Arc::clone(&clock)),
             throttle: Throttle::new(Arc::clone(&clock)),
             clock,
@@ -210,14 +224,46 @@
     /// The directory of an observed roster.
     fn build_directory(&self, observed: &Observation<Roster>) -> Observation<Directory> {
         let evacuations = self.lock_evacuations().in_force(self.now());
-        let mut builder = self.directory_builder.lock().unwrap_or_else(PoisonError::into_inner);
+        let directory = {
+            let mut builder = self.directory_builder.lock().unwrap_or_else(PoisonError::into_inner);
+            builder.build(&observed.value, evacuations)
+        };
+        self.limit_cold(&directory);
         Observation {
-            value: builder.build(&observed.value, evacuations),
+            value: directory,
             position: observed.position,
             as_of: observed.as_of,
         }
     }
 
+    /// Limits the cold targets of a directory before it is published, or else waiting requests would all go to them.
+    fn limit_cold(&self, directory: &Arc<Directory>) {
+        let Some(catalog) = self.catalog() else { return };
+        let services = &catalog.value.document().services;
+        if services.iter().all(|service| service.cold_start.is_none()) {
+            return;
+        }
+        let now = self.now();
+        let mut cold = self.cold_targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = cold
+            .checked_at
+            .is_some_and(|checked_at| now.since(checked_at) < COLD_CHECK_INTERVAL);
+        if is_recent && std::ptr::eq(cold.directory.as_ptr(), Arc::as_ptr(directory)) {
+            return;
+        }
+        cold.checked_at = Some(now);
+        cold.directory = Arc::downgrade(directory);
+        let cold_start = |service: &str| {
+            let key = catalog.value.find_service(service)?;
+            catalog.value.service(key).cold_start.as_ref()
+        };
+        let limits = cold.register.update(directory, cold_start, now);
+        self.throttle.record_cold(&limits);
+        if !limits.is_empty() {
+            log::debug!(targets = limits.len(); "targets are cold and get requests at a limited rate");
+        }
+    }
+
     fn lock_evacuations(&self) -> MutexGuard<'_, Register> {
         self.evacuations.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -6,6 +6,7 @@
 
 use sparscale_catalog::{Directory, Instance, StartId};
 use sparscale_clock::{Clock, Timestamp};
+use sparscale_policy::cold;
 use sparscale_policy::rate_limit::{Members, Rate};
 use sparscale_policy::throttle::{Availability, Notice, Origin, Tracker};
 use sparscale_telemetry::DECISION;
@@ -72,6 +73,22 @@
         );
     }
 
+    /// Limits targets that are cold, and drops the limits of those that no longer are.
+    pub fn record_cold(&self, limits: &[cold::Limit]) {
+        let now = self.clock.now();
+        let mut tracker = self.tracker();
+        tracker.expire_cold(now);
+        for limit in limits {
+            tracker.record_cold(limit.start, limit.rate, limit.until, now);
+        }
+    }
+
+    /// Whether a target has a limit other than that it is cold.
+    pub fn is_restricted(&self, instance: &Instance) -> bool {
+        let now = self.clock.now();
+        self.tracker().is_restricted(instance.start, now)
+    }
+
     /// Merges notices that the peer `source` sent.
     pub fn merge_from_peer(&self, notices: &[Notice], source: &str) {
         let results = notices.iter().map(|notice| self.record(*notice, source, None));
--- a/crates/sparscale_catalog/src/document.rs
+++ b/crates/sparscale_catalog/src/document.rs
@@ -103,6 +103,17 @@
     pub max_connections: u32,
     /// Performance model of its targets; none if they are not model engines.
     pub engine: Option<EngineProfile>,
+    /// How its targets start; none if they handle their full load at once.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a target handles after its start, or after its hall was empty.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which it is cold.
+    pub duration: Duration,
+    /// Requests a second that it handles from all entries together while it is cold.
+    pub requests_per_second: f64,
 }
 
 /// A customer.
--- a/crates/sparscale_catalog/src/lib.rs
+++ b/crates/sparscale_catalog/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use catalog::{Access, Catalog};
 pub use directory::{Directory, Group, Instance};
-pub use document::{Document, Limits, RequestKind, Route, Service, Share, Workspace};
+pub use document::{ColdStart, Document, Limits, RequestKind, Route, Service, Share, Workspace};
 pub use engine::{EngineProfile, ExpertLayout};
 pub use error::Error;
 pub use evacuation::{Configuration, Evacuations};
--- a/crates/sparscale_catalog/src/roster.rs
+++ b/crates/sparscale_catalog/src/roster.rs
@@ -54,6 +54,8 @@
     /// Whether it accepts new requests.
     #[serde(rename = "standing")]
     pub status: TargetStatus,
+    /// Whether it says that it is still cold after its start or after its hall was empty.
+    pub is_cold: bool,
     /// Membership in a group of ranks, if it has one.
     pub membership: Option<Membership>,
     /// Whether a later registration of the same service has the same address. Either this target lost power and its
--- a/crates/sparscale_gateway/src/exchange/throttling.rs
+++ b/crates/sparscale_gateway/src/exchange/throttling.rs
@@ -74,7 +74,7 @@
         };
         let ranks = targets.instances().iter().filter(in_group);
         let is_closed = |instance: &&Instance| {
-            instance.target.status == TargetStatus::Evacuated || !self.board.throttle.is_open(instance)
+            instance.target.status == TargetStatus::Evacuated || self.board.throttle.is_restricted(instance)
         };
         open_share(ranks.filter(is_closed).count(), group)
     }
--- a/crates/sparscale_gateway/tests/path/evacuations.rs
+++ b/crates/sparscale_gateway/tests/path/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sparscale_catalog::{Membership, Roster, TargetStatus};
+use sparscale_catalog::{ColdStart, Document, Membership, Roster, TargetStatus};
 use sparscale_samples as samples;
 use sparscale_wire::{GroupLoad, RankLoad};
 
@@ -203,3 +203,55 @@
     let sends = targets.iter().step_by(2).map(|target| target.arrivals().len());
     assert_eq!(sends.sum::<usize>(), 0, "sends to the evacuated group");
 }
+
+/// Requests a second that a cold target handles, and what it tolerates in one second.
+const COLD_RATE: f64 = 2.0;
+const TOLERATED_COLD: usize = 8;
+const COLD_TIME: Duration = Duration::from_secs(2);
+
+fn cold_document() -> Document {
+    let mut document = samples::document(2);
+    for service in &mut document.services {
+        service.cold_start = Some(ColdStart {
+            duration: COLD_TIME,
+            requests_per_second: COLD_RATE,
+        });
+    }
+    document
+}
+
+/// A hall returns into a burst. Its targets are cold and would be the first choice, since they are idle and near.
+#[test]
+fn hall_returns_cold() {
+    let (evacuated, kept) = (Target::start(serve), Target::start(serve));
+    let fixture = plain_fixture(&[&evacuated, &kept]);
+    fixture.catalogs.put(evacuating(cold_document(), &[HALL]), 2);
+    wait_for("the evacuation", || is_evacuated(&fixture));
+    let second = fixture.start_another(linked_settings(&fixture));
+    wait_for("a link", || {
+        let sharers = |fixture: &Fixture| fixture.entry.mesh.status().borrow().sharers;
+        sharers(&second) == Some(2) && sharers(&fixture) == Some(2) && is_evacuated(&second)
+    });
+    let returned_at = Instant::now();
+    fixture.catalogs.put(evacuating(cold_document(), &[]), 3);
+    let unserved: usize = std::thread::scope(|scope| {
+        let send = |entry| scope.spawn(move || send_requests(entry, "/any/x", Duration::from_secs(4)));
+        let callers = [send(&fixture), send(&second), send(&fixture), send(&second)];
+        callers.map(|caller| caller.join().expect("no panic")).into_iter().sum()
+    });
+    assert_eq!(unserved, 0, "the other hall serves");
+    let times = evacuated.arrival_times();
+    let cold: Vec<&Instant> = times.iter().filter(|at| **at < returned_at + COLD_TIME).collect();
+    assert!(!cold.is_empty(), "a cold target gets what it handles");
+    let in_second = |from: &&Instant| {
+        let second = **from..**from + Duration::from_secs(1);
+        cold.iter().filter(|at| second.contains(**at)).count()
+    };
+    let most = cold.iter().map(in_second).max().unwrap_or(0);
+    assert!(most <= TOLERATED_COLD, "{most} requests in a second");
+    assert!(
+        times.len() > 100,
+        "the hall takes its share once it is warm: {}",
+        times.len()
+    );
+}
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
+pub mod cold;
 pub mod deadlines;
 pub mod evacuation;
 pub mod gate;
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -12,11 +12,14 @@
 //! The holders may have nothing to send, and only a response shows that the limit has ended. So an entry without a
 //! share sends a probe if no process has confirmed the limit for [`UNCONFIRMED_TIMEOUT`], one entry after the other.
 //!
-//! Bound: while every entry receives reports from all others, `n` is at most [`holder_count`] and the interval is that
-//! many over the rate, so there are at most `rate * t + holder_count` sends. While some entries are unresponsive, the
+//! Bound: while every entry receives reports from all others, `n` is at most [`Limit::holder_count`] and the interval is
+//! that many over the rate, so there are at most `rate * t + holder_count` sends. While some entries are unresponsive, the
 //! others use [`PARTITION_FRACTION`] of the rate, and only entries that are linked to most of the others replace an
-//! unresponsive holder, so `n` is at most twice `holder_count`. With [`FACTOR`], [`BURST`] and [`WINDOW`], both cases
-//! stay within what the target tolerates: `FACTOR * rate * WINDOW + BURST`.
+//! unresponsive holder, so `n` is at most twice `holder_count`. With [`FACTOR`], [`BURST`] and the window, both cases
+//! stay within what the target tolerates: [`Limit::tolerated`].
+//!
+//! A cold target is limited in the same way, by the rate that the operators state for its service: when a hall returns,
+//! its targets are the emptiest of all, and every entry would choose them at once.
 
 use std::cmp::Ordering;
 use std::net::{IpAddr, SocketAddr};
@@ -25,8 +28,10 @@
 use sparscale_catalog::StartId;
 use sparscale_clock::Timestamp;
 
-/// Window in which a target counts its requests.
+/// Window in which a target counts its requests under the rate that it announces.
 pub const WINDOW: Duration = Duration::from_secs(4);
+/// Window in which a cold target counts its requests.
+pub const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Multiple of its rate that a target tolerates in a window.
 pub const FACTOR: f64 = 1.5;
 /// Number of requests that it tolerates in addition.
@@ -46,6 +51,41 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct Rate(f64);
 
+/// A rate, and the window in which the target counts its requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Requests a second.
+    pub rate: Rate,
+    /// The window: [`WINDOW`] or [`COLD_WINDOW`].
+    pub window: Duration,
+}
+
+impl Limit {
+    /// The limit of a target that announces `rate`.
+    pub fn announced(rate: Rate) -> Self {
+        Self { rate, window: WINDOW }
+    }
+
+    /// The limit of a target that handles `rate` while it is cold.
+    pub fn cold(rate: Rate) -> Self {
+        Self {
+            rate,
+            window: COLD_WINDOW,
+        }
+    }
+
+    /// Most requests that the target tolerates in one window.
+    pub fn tolerated(self) -> f64 {
+        self.rate.0 * self.window.as_secs_f64() * FACTOR + BURST
+    }
+
+    /// Number of entries that hold a share, if there are that many entries.
+    pub fn holder_count(self) -> usize {
+        let spare = self.rate.0 * self.window.as_secs_f64() * (FACTOR - 2.0 * PARTITION_FRACTION) + BURST;
+        (spare / 2.0) as usize
+    }
+}
+
 /// A text or number that is not a valid rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InvalidRate;
@@ -124,8 +164,8 @@
         }
     }
 
-    /// Returns what this entry may send to a target that limits its rate, for its start `start`.
-    pub fn share(&self, rate: Rate, start: StartId) -> Share {
+    /// Returns what this entry may send to a target with `limit`, for its start `start`.
+    pub fn share(&self, limit: Limit, start: StartId) -> Share {
         if self.live.is_empty() {
             return Share::None;
         }
@@ -134,10 +174,10 @@
             (weight(**other, start), **other).cmp(&(own_weight, self.own_address)) == Ordering::Less
         };
         let position = self.live.iter().filter(is_before).count();
-        let holders = holder_count(rate).min(self.live.len());
+        let holders = limit.holder_count().min(self.live.len());
         let fraction = if self.is_complete { 1.0 } else { PARTITION_FRACTION };
         if position < holders {
-            return Share::Interval(Duration::from_secs_f64(holders as f64 / (rate.0 * fraction)));
+            return Share::Interval(Duration::from_secs_f64(holders as f64 / (limit.rate.0 * fraction)));
         }
         Share::ProbeAfter(UNCONFIRMED_TIMEOUT + PROBE_STEP * u32::try_from(position).unwrap_or(u32::MAX))
     }
@@ -154,12 +194,6 @@
     ProbeAfter(Duration),
 }
 
-/// Number of entries that hold a share of `rate`, if there are that many entries.
-pub fn holder_count(rate: Rate) -> usize {
-    let spare = rate.0 * WINDOW.as_secs_f64() * (FACTOR - 2.0 * PARTITION_FRACTION) + BURST;
-    (spare / 2.0) as usize
-}
-
 /// Weight by which entries are ordered for a start of a target; the same in all processes and builds.
 fn weight(entry: SocketAddr, start: StartId) -> u64 {
     let address = match entry.ip() {
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -10,7 +10,7 @@
 use sparscale_catalog::StartId;
 use sparscale_clock::Timestamp;
 
-use crate::rate_limit::{Members, Pacer, Rate, Share};
+use crate::rate_limit::{Limit, Members, Pacer, Rate, Share};
 
 /// Longest backoff that a target is granted. A target that requests a longer one is tried again after it.
 const MAX_BACKOFF: Duration = Duration::from_mins(10);
@@ -61,6 +61,33 @@
     /// Position of the latest change of this target among all changes.
     position: u64,
     pacer: Pacer,
+    /// The limit while the target is cold.
+    cold: Option<Cold>,
+}
+
+/// The limit of a target that has just started, or whose hall has just returned.
+#[derive(Debug)]
+struct Cold {
+    rate: Rate,
+    until: Timestamp,
+    pacer: Pacer,
+}
+
+impl Cold {
+    /// When this entry may send the next request. While another entry holds the share, that is the end of the limit.
+    fn next_send(&self) -> Timestamp {
+        self.pacer.next_send().map_or(self.until, |next| next.min(self.until))
+    }
+
+    fn set_share(&mut self, members: Option<&Members>, start: StartId, now: Timestamp) {
+        let share = members.map_or(Share::None, |members| members.share(Limit::cold(self.rate), start));
+        // The limit ends by itself, so nobody has to probe for its end.
+        let share = match share {
+            Share::ProbeAfter(_) => Share::None,
+            Share::None | Share::Interval(_) => share,
+        };
+        self.pacer.set_share(share, now);
+    }
 }
 
 /// The limits of a target, as entries send them to each other.
@@ -103,8 +130,13 @@
     /// Divides the rates among `members` from now on.
     pub fn set_members(&mut self, members: Members, now: Timestamp) {
         for (start, state) in &mut self.targets {
-            let share = state.rate.map_or(Share::None, |rate| members.share(rate, *start));
+            let share = state
+                .rate
+                .map_or(Share::None, |rate| members.share(Limit::announced(rate), *start));
             state.pacer.set_share(share, now);
+            if let Some(cold) = &mut state.cold {
+                cold.set_share(Some(&members), *start, now);
+            }
         }
         self.members = Some(members);
     }
@@ -131,7 +163,9 @@
         if rate_changes {
             state.rate = notice.rate;
             let members = self.members.as_ref();
-            let share = notice.rate.and_then(|rate| Some(members?.share(rate, start)));
+            let share = notice
+                .rate
+                .and_then(|rate| Some(members?.share(Limit::announced(rate), start)));
             state.pacer.set_share(share.unwrap_or(Share::None), now);
         }
         if is_latest && notice.rate.is_some() {
@@ -175,15 +209,46 @@
         Some(until)
     }
 
+    /// Records that a target is cold until `until`, and then handles `rate` from all entries together. A later end
+    /// replaces an earlier one; the shares stay.
+    pub fn record_cold(&mut self, start: StartId, rate: Rate, until: Timestamp, now: Timestamp) {
+        let state = self
+            .targets
+            .entry(start)
+            .or_insert_with(|| State::new(now, Origin::NONE, now));
+        if let Some(cold) = state.cold.as_mut().filter(|cold| now < cold.until) {
+            cold.until = cold.until.max(until);
+            return;
+        }
+        let mut cold = Cold {
+            rate,
+            until,
+            pacer: Pacer::new(now),
+        };
+        cold.set_share(self.members.as_ref(), start, now);
+        state.cold = Some(cold);
+    }
+
+    /// Drops the limits of targets that are no longer cold.
+    pub fn expire_cold(&mut self, now: Timestamp) {
+        for state in self.targets.values_mut() {
+            state.cold.take_if(|cold| cold.until <= now);
+        }
+        self.targets.retain(|_, state| state.is_needed(now));
+    }
+
     /// Returns whether this entry may send to a target now, and counts a request as sent if so.
     pub fn try_acquire(&mut self, start: StartId, now: Timestamp) -> bool {
         if self.availability(start, now) != Availability::Now {
             return false;
         }
-        match self.targets.get_mut(&start) {
-            Some(state) if state.rate.is_some() => state.pacer.try_acquire(now),
-            _ => true,
+        let Some(state) = self.targets.get_mut(&start) else {
+            return true;
+        };
+        if let Some(cold) = state.cold.as_mut().filter(|cold| now < cold.until) {
+            cold.pacer.try_acquire(now);
         }
+        state.rate.is_none() || state.pacer.try_acquire(now)
     }
 
     /// Returns when a target accepts the next request.
@@ -198,12 +263,27 @@
         let next_by_rate = state
             .rate
             .map(|rate| state.pacer.next_send().unwrap_or_else(|| next_by_others(rate)));
-        match next_by_rate.max(state.backoff_until) {
+        let cold = state.cold.as_ref().filter(|cold| now < cold.until);
+        let next_by_cold = cold.map(Cold::next_send);
+        match next_by_rate.max(state.backoff_until).max(next_by_cold) {
             Some(opens_at) if opens_at > now => Availability::At(opens_at),
             _ => Availability::Now,
         }
     }
 
+    /// Whether a target accepts requests from all entries together only at a limited rate, or none, leaving aside that it
+    /// may be cold: a cold target has room for requests that other entries send.
+    pub fn is_restricted(&self, start: StartId, now: Timestamp) -> bool {
+        let is_cold = |state: &State| state.cold.as_ref().is_some_and(|cold| now < cold.until);
+        let Some(state) = self.targets.get(&start) else {
+            return false;
+        };
+        if is_cold(state) && state.rate.is_none() && !state.is_draining {
+            return state.backoff_until.is_some_and(|until| until > now);
+        }
+        self.availability(start, now) != Availability::Now
+    }
+
     /// Requests a second that a target accepts from all entries, if it has a limit.
     pub fn rate(&self, start: StartId) -> Option<Rate> {
         self.targets.get(&start)?.rate
@@ -234,6 +314,13 @@
 }
 
 impl State {
+    /// Whether any limit may still matter.
+    fn is_needed(&self, now: Timestamp) -> bool {
+        let has_backoff = self.backoff_until.is_some_and(|until| until > now);
+        // The end of an announced limit is remembered, so that a late notice of its beginning is recognized.
+        self.position > 0 || self.rate.is_some() || self.is_draining || has_backoff || self.cold.is_some()
+    }
+
     /// Whether to announce the rate to the other entries. Each change is sent from every entry to every other one, and
     /// a target may state another rate in each response, so small changes are announced at intervals.
     fn should_announce(&self) -> bool {
@@ -271,6 +358,7 @@
             announced_as_of: as_of,
             position: 0,
             pacer: Pacer::new(now),
+            cold: None,
         }
     }
 }
--- /dev/null
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -0,0 +1,162 @@
+//! Targets that have just started, or whose hall has just returned, get requests only at the rate that they handle.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sparscale_catalog::{ColdStart, Directory, Evacuations, Incarnations, Roster, StartId, Target};
+use sparscale_clock::{Clock as _, SystemClock, Timestamp};
+use sparscale_policy::cold::Register;
+use sparscale_policy::rate_limit::{Limit, Members, Peer, Rate};
+use sparscale_policy::throttle::{Availability, Tracker};
+use sparscale_samples as samples;
+
+const COLD_START: ColdStart = ColdStart {
+    duration: Duration::from_secs(3),
+    requests_per_second: 26.0,
+};
+
+fn target(id: &str, is_cold: bool) -> Target {
+    Target {
+        is_cold,
+        ..samples::target(id, samples::MODEL_SERVICE, 9_000)
+    }
+}
+
+/// A process that looks at one roster after the other.
+struct Process {
+    register: Register,
+    starts: Incarnations,
+    now: Timestamp,
+}
+
+impl Process {
+    fn new() -> Self {
+        Self {
+            register: Register::default(),
+            starts: Incarnations::default(),
+            now: SystemClock::default().now(),
+        }
+    }
+
+    /// Looks at a roster; returns the targets that are cold, and for how long.
+    fn look(&mut self, targets: &[Target], evacuated: &[&str]) -> Vec<(StartId, Duration)> {
+        let evacuations: Evacuations = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
+        let roster = Roster::new(targets.to_vec()).with_evacuated(&evacuations);
+        let directory = Directory::new(&roster, &mut self.starts);
+        let limits = self.register.update(&directory, |_| Some(&COLD_START), self.now);
+        limits
+            .iter()
+            .map(|limit| (limit.start, limit.until.since(self.now)))
+            .collect()
+    }
+}
+
+fn start(id: &str) -> StartId {
+    StartId::of(id, None)
+}
+
+/// A target that starts while the process runs is cold before the roster says so; those found at its start are not.
+#[test]
+fn new_start() {
+    let mut process = Process::new();
+    assert!(process.look(&[target("a", false)], &[]).is_empty());
+    let targets = [target("a", false), target("b", false)];
+    assert_eq!(process.look(&targets, &[]), [(start("b"), COLD_START.duration)]);
+    assert!(process.look(&targets, &[]).is_empty(), "once for each start");
+}
+
+/// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started.
+#[test]
+fn listed_as_cold() {
+    let mut process = Process::new();
+    for _ in 0..3 {
+        let limits = process.look(&[target("a", true)], &[]);
+        assert_eq!(limits.len(), 1);
+        assert!(limits[0].1 < COLD_START.duration, "renewed while it is listed");
+    }
+    assert!(process.look(&[target("a", false)], &[]).is_empty());
+}
+
+/// The targets of a hall that the operators take back are cold; while it is evacuated they matter to nobody.
+#[test]
+fn returned_hall() {
+    let mut process = Process::new();
+    let targets = [target("a", false)];
+    process.look(&targets, &[]);
+    assert!(process.look(&targets, &["derby"]).is_empty());
+    assert_eq!(process.look(&targets, &[]), [(start("a"), COLD_START.duration)]);
+}
+
+fn members(entries: usize, own: usize) -> Members {
+    let address = |entry: usize| SocketAddr::from(([10, 0, 0, 1], 7_000 + entry as u16));
+    let peer = |entry: usize| Peer {
+        address: address(entry),
+        is_linked: true,
+        since_last_message: Some(Duration::ZERO),
+    };
+    let peers: Vec<Peer> = (0..entries).filter(|entry| *entry != own).map(peer).collect();
+    Members::new(address(own), &peers)
+}
+
+/// Replays a hall that returns into a burst: all entries choose its targets whenever they may. None gets more than it
+/// tolerates in any second, and all are free once they are warm.
+#[test]
+fn burst_onto_returned_hall() {
+    const STEP: Duration = Duration::from_millis(5);
+    let rate = Rate::try_from(COLD_START.requests_per_second).expect("a rate");
+    let tolerated = Limit::cold(rate).tolerated();
+    for entries in [1, 3, 16, 53] {
+        let begin = SystemClock::default().now();
+        let until = begin + COLD_START.duration;
+        let mut trackers: Vec<Tracker> = (0..entries)
+            .map(|own| {
+                let mut tracker = Tracker::default();
+                tracker.set_members(members(entries, own), begin);
+                tracker.record_cold(start("a"), rate, until, begin);
+                tracker
+            })
+            .collect();
+        let mut sends: Vec<Duration> = Vec::new();
+        let steps = COLD_START.duration.as_millis() / STEP.as_millis();
+        for step in 0..u32::try_from(steps).expect("few steps") {
+            let elapsed = STEP * step;
+            let free = trackers
+                .iter_mut()
+                .filter_map(|tracker| tracker.try_acquire(start("a"), begin + elapsed).then_some(elapsed));
+            sends.extend(free);
+        }
+        let in_second = |from: &Duration| {
+            let second = *from..*from + Duration::from_secs(1);
+            sends.iter().filter(|at| second.contains(*at)).count()
+        };
+        let most = sends.iter().map(in_second).max().unwrap_or(0);
+        assert!(most as f64 <= tolerated, "{entries} entries: {most} in a second");
+        assert!(sends.len() > 39, "{entries} entries: {} in three seconds", sends.len());
+        for tracker in &mut trackers {
+            assert_eq!(tracker.availability(start("a"), until), Availability::Now);
+            assert!(tracker.try_acquire(start("a"), until));
+            tracker.expire_cold(until);
+            assert!(tracker.is_empty());
+        }
+    }
+}
+
+/// A cold target with a limit of its own, or a backoff, keeps to the stricter one. It still counts as room in its group,
+/// which a restricted one does not.
+#[test]
+fn other_limits_hold() {
+    let now = SystemClock::default().now();
+    let rate = Rate::try_from(COLD_START.requests_per_second).expect("a rate");
+    let mut tracker = Tracker::default();
+    tracker.set_members(members(1, 0), now);
+    tracker.record_cold(start("a"), rate, now + COLD_START.duration, now);
+    assert!(!tracker.is_restricted(start("a"), now));
+    tracker.record_backoff(start("a"), Duration::from_secs(9), now);
+    assert!(tracker.is_restricted(start("a"), now));
+    let warm = now + COLD_START.duration;
+    tracker.expire_cold(warm);
+    assert_eq!(
+        tracker.availability(start("a"), warm),
+        Availability::At(now + Duration::from_secs(9))
+    );
+}
--- a/crates/sparscale_policy/tests/limited_target.rs
+++ b/crates/sparscale_policy/tests/limited_target.rs
@@ -8,7 +8,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sparscale_catalog::StartId;
 use sparscale_clock::{Clock as _, SystemClock, Timestamp};
-use sparscale_policy::rate_limit::{BURST, FACTOR, Members, Pacer, Peer, Rate, Share, WINDOW};
+use sparscale_policy::rate_limit::{Limit, Members, Pacer, Peer, Rate, Share};
 
 const HISTORIES: u64 = 100;
 /// Time between two attempts of an entry to send.
@@ -91,7 +91,7 @@
 struct World {
     start: Timestamp,
     now: u64,
-    rate: Rate,
+    limit: Limit,
     target_start: StartId,
     entries: Vec<Entry>,
     cut_links: HashSet<(usize, usize)>,
@@ -100,6 +100,10 @@
 
 impl World {
     fn new(entries: usize, rate: f64) -> Self {
+        Self::with_limit(entries, Limit::announced(Rate::try_from(rate).expect("a rate")))
+    }
+
+    fn with_limit(entries: usize, limit: Limit) -> Self {
         let start = SystemClock::default().now();
         let entry = |index: usize| Entry {
             address: SocketAddr::from(([10, 0, 0, 1], 7_000 + index as u16)),
@@ -113,7 +117,7 @@
         Self {
             start,
             now: 0,
-            rate: Rate::try_from(rate).expect("a rate"),
+            limit,
             target_start: StartId::of(START, None),
             entries: (0..entries).map(entry).collect(),
             cut_links: HashSet::new(),
@@ -211,14 +215,14 @@
             };
             let peers: Vec<Peer> = others.iter().map(peer).collect();
             let members = Members::new(self.entries[index].address, &peers);
-            let share = members.share(self.rate, self.target_start);
+            let share = members.share(self.limit, self.target_start);
             self.entries[index].pacer.set_share(share, now);
         }
     }
 
     /// Largest number of sends in a window, and the number that the target tolerates.
     fn max_sends(&self) -> (usize, f64) {
-        let window = WINDOW.as_millis() as u64;
+        let window = self.limit.window.as_millis() as u64;
         let in_window = |from: &u64| {
             self.sends
                 .iter()
@@ -226,13 +230,23 @@
                 .count()
         };
         let most = self.sends.iter().map(in_window).max().unwrap_or(0);
-        (most, self.rate.per_second() * WINDOW.as_secs_f64() * FACTOR + BURST)
+        (most, self.limit.tolerated())
     }
 }
 
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes histories by value")]
 fn stays_within(history: History) -> bool {
-    let mut world = World::new(history.entries, history.rate);
+    within_limit(&history, Limit::announced)
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes histories by value")]
+fn stays_within_cold(history: History) -> bool {
+    within_limit(&history, Limit::cold)
+}
+
+fn within_limit(history: &History, limit: fn(Rate) -> Limit) -> bool {
+    let limit = limit(Rate::try_from(history.rate).expect("a rate"));
+    let mut world = World::with_limit(history.entries, limit);
     world.elapse(5_000);
     world.play(&history.events);
     world.elapse(5_000);
@@ -248,6 +262,14 @@
         .quickcheck(stays_within as fn(History) -> bool);
 }
 
+/// The same for a cold target, which tolerates fewer requests in a shorter window.
+#[test]
+fn cold_rate_exceeded() {
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .quickcheck(stays_within_cold as fn(History) -> bool);
+}
+
 fn assert_within(world: &World) {
     let (most, tolerated) = world.max_sends();
     assert!(
@@ -345,7 +367,7 @@
             since_last_message: None,
         })
         .collect();
-    let rate = Rate::try_from(1.0).expect("a rate");
+    let limit = Limit::announced(Rate::try_from(1.0).expect("a rate"));
     for index in 0..53 {
         let others: Vec<Peer> = peers
             .iter()
@@ -357,7 +379,7 @@
         let share_count = (0..129)
             .filter(|target| {
                 let start = StartId::of(&format!("target-{target}"), None);
-                matches!(members.share(rate, start), Share::Interval(_))
+                matches!(members.share(limit, start), Share::Interval(_))
             })
             .count();
         assert!(
--- a/crates/sparscale_samples/src/lib.rs
+++ b/crates/sparscale_samples/src/lib.rs
@@ -47,11 +47,13 @@
                 name: PLAIN_SERVICE.to_owned(),
                 max_connections: 100,
                 engine: None,
+                cold_start: None,
             },
             Service {
                 name: MODEL_SERVICE.to_owned(),
                 max_connections: 300,
                 engine: Some(engine()),
+                cold_start: None,
             },
         ],
         workspaces: vec![Workspace {
@@ -120,6 +122,7 @@
         hall: "derby".to_owned(),
         slots: 6,
         status: TargetStatus::Ready,
+        is_cold: false,
         membership: None,
         is_superseded: false,
     }
