Stops: a stream that arrives late in the notice time is refused as not run

Cause: a stopping entry served new streams for 3.2 s after SIGTERM and exits at 7.68 s. Short requests and connections are accepted as before. Red without it: stopping::late_stream_rejected.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -12,17 +12,21 @@
 use sparscale_clock::Timestamp;
 use sparscale_quarantine::Fingerprint;
 use sparscale_telemetry::DECISION;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::attempt::Outbound;
 use crate::body::Body;
 use crate::exchange::{Gateway, Job, workspace_header};
 use crate::head::{Head, head_bytes};
+use crate::phase::Phase;
 use crate::refusal::{Reason, Refusal};
 use crate::request_body::read_body;
 
 /// `Retry-After` of a rejection for missing or outdated state of this entry.
 const INCOMPLETE_STATE_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// `Retry-After` of a stream that this process would not live to end: the load balancer sends its caller elsewhere.
+const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Maximum age of the catalog for decisions that depend on it.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +43,7 @@
 pub(crate) struct Admission {
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) freshness: Freshness,
+    pub(crate) phases: watch::Receiver<Phase>,
 }
 
 impl Admission {
@@ -113,6 +118,10 @@
             return Err(retry_later(Reason::Starting));
         }
         let route = catalog.route(route_key);
+        let is_stopping = matches!(*self.phases.borrow(), Phase::Refusing | Phase::Closing);
+        if is_stopping && route.kind.is_stream() {
+            return Err(Refusal::with_retry_after(Reason::Stopping, STOPPING_RETRY_DELAY));
+        }
         let timeout = head
             .remaining
             .map_or(route.timeout, |remaining| remaining.min(route.timeout));
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -141,7 +141,11 @@
         };
         tokio::spawn(readiness::serve(ready, board, phases.clone()));
         let freshness = entry.settings.freshness;
-        let admission = Arc::new(Admission { gateway, freshness });
+        let admission = Arc::new(Admission {
+            gateway,
+            freshness,
+            phases: phases.clone(),
+        });
         tokio::spawn(server::serve(
             callers,
             admission,
@@ -159,7 +163,10 @@
         let connections = || self.connection_counter.connections.load(Ordering::Relaxed);
         self.phase.send_replace(Phase::Draining);
         log::info!(target: DECISION, decision = "stop", connections = connections(); "stop requested; draining connections");
-        tokio::time::sleep(self.settings.drain_notice_time).await;
+        let stream_time = self.settings.drain_stream_time;
+        tokio::time::sleep(stream_time).await;
+        self.phase.send_replace(Phase::Refusing);
+        tokio::time::sleep(self.settings.drain_notice_time.saturating_sub(stream_time)).await;
         self.phase.send_replace(Phase::Closing);
         while connections() > 0 && stop_requested_at.elapsed() < self.settings.shutdown_timeout {
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
--- a/crates/sparscale_gateway/src/phase.rs
+++ b/crates/sparscale_gateway/src/phase.rs
@@ -9,6 +9,8 @@
     Serving,
     /// The load balancer is being notified; new requests are still served, and each response closes its connection.
     Draining,
+    /// The same, but new streams are rejected, because they may not end before the process exits.
+    Refusing,
     /// Idle connections are closed, and no new ones are accepted.
     Closing,
 }
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -44,6 +44,8 @@
     Unreachable,
     /// Targets terminated while running the request, so it is quarantined to protect the others.
     Quarantined,
+    /// This process stops, and a stream that begins now may not end before it exits.
+    Stopping,
     /// This process has not read the list of quarantined requests yet.
     Starting,
     /// The deadline passed before the request was sent.
@@ -74,6 +76,7 @@
             Self::Rejected => "turned_away",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
             Self::Starting => "starting",
             Self::TooLate => "too_late",
             Self::NoAnswer => "no_answer",
@@ -100,6 +103,7 @@
             | Self::Rejected
             | Self::Unreachable
             | Self::Quarantined
+            | Self::Stopping
             | Self::Starting
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswer => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -45,6 +45,8 @@
     pub read_delay_per_entry: Duration,
     /// Time after SIGTERM during which connections are still accepted, so that the load balancer can notice the stop.
     pub drain_notice_time: Duration,
+    /// Time after SIGTERM during which new streams are still served; shorter than `drain_notice_time`.
+    pub drain_stream_time: Duration,
     /// Time after SIGTERM after which the process exits even if requests are in flight.
     pub shutdown_timeout: Duration,
 }
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -122,6 +122,7 @@
         max_observation_age: Duration::from_millis(100),
         read_delay_per_entry: Duration::from_millis(50),
         drain_notice_time: Duration::from_millis(300),
+        drain_stream_time: Duration::from_millis(150),
         shutdown_timeout: Duration::from_secs(5),
     }
 }
--- a/crates/sparscale_gateway/tests/path/stopping.rs
+++ b/crates/sparscale_gateway/tests/path/stopping.rs
@@ -54,3 +54,33 @@
     assert_eq!(streaming_caller.chunk(), None);
     fixture.runtime.block_on(stopping).expect("no panic");
 }
+
+/// A stream that arrives shortly before the connections are closed could not end before the process exits: it is
+/// rejected as not run. Short requests are still served.
+#[test]
+fn late_stream_rejected() {
+    let target = Target::start(|arrival, connection| {
+        connection.stream_head(arrival, "d");
+        connection.event(1);
+        connection.end_chunks();
+    });
+    let plain = Target::start(|arrival, connection| connection.respond(arrival, "200 OK", "good"));
+    let mut settings = crate::entry::settings();
+    settings.drain_stream_time = Duration::from_millis(100);
+    settings.drain_notice_time = Duration::from_millis(1_500);
+    let document = sparscale_samples::document(1);
+    let fixture = Fixture::with(settings, document, &[&plain], &[&target]);
+    let mut callers = [Caller::open(&fixture), Caller::open(&fixture), Caller::open(&fixture)];
+    assert_eq!(callers[0].fetch(&Request::new("POST", "/stream/x", "r-1")).status, 200);
+    let stopping = {
+        let entry = Arc::clone(&fixture.entry);
+        fixture.runtime.spawn(async move { entry.stop().await })
+    };
+    std::thread::sleep(Duration::from_millis(300));
+    let late_stream = callers[1].fetch(&Request::new("POST", "/stream/x", "r-2"));
+    assert_eq!(late_stream.status, 503);
+    assert!(late_stream.header("retry-after").is_some());
+    assert_eq!(callers[2].fetch(&Request::new("GET", "/any/x", "r-3")).status, 200);
+    assert_eq!(target.arrivals().len(), 1);
+    fixture.runtime.block_on(stopping).expect("no panic");
+}
