--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -1,13 +1,12 @@
 //! The blackboard that holds the latest observations of a process: readers and peers write to it, all other parts read
 //! it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use sparscale_catalog::{Catalog, Directory, Evacuations, Incarnations, Roster};
+use sparscale_catalog::{Catalog, Directory, Evacuations, Roster};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_history::Position;
-use sparscale_policy::cold;
 use sparscale_policy::evacuation::{Merge, Register};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
@@ -16,6 +15,7 @@
 use crate::quarantine::Quarantine;
 use crate::store_roster::StoreRoster;
 use crate::throttle::Throttle;
+use crate::{cold, directory};
 
 /// The observations of one process.
 #[derive(Debug)]
@@ -27,8 +27,8 @@
     evacuations: Mutex<Register>,
     /// Notifies subscribers of changed evacuations.
     evacuations_changed: watch::Sender<()>,
-    directory_builder: Mutex<DirectoryBuilder>,
-    cold_targets: Mutex<ColdTargets>,
+    directory_builder: Mutex<directory::Builder>,
+    cold_targets: Mutex<cold::Targets>,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
     /// Restrictions that targets announce to their senders.
@@ -36,56 +36,6 @@
     clock: Arc<dyn Clock>,
 }
 
-/// Interval at which the cold targets of an unchanged directory are determined again.
-const COLD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
-/// The targets that are cold, and the directory that they were determined from.
-#[derive(Debug, Default)]
-struct ColdTargets {
-    register: cold::Register,
-    directory: Weak<Directory>,
-    checked_at: Option<Timestamp>,
-}
-
-/// Builds directories of targets, in which each target has the key of its current start.
-#[derive(Debug, Default)]
-struct DirectoryBuilder {
-    incarnations: Incarnations,
-    /// The last directory, and what it was built from: a roster is confirmed far more often than it changes.
-    latest: Option<Built>,
-}
-
-/// A directory, and what it was built from.
-#[derive(Debug)]
-struct Built {
-    roster_digest: u64,
-    evacuations: Evacuations,
-    directory: Arc<Directory>,
-}
-
-impl DirectoryBuilder {
-    fn build(&mut self, roster: &Roster, evacuations: Evacuations) -> Arc<Directory> {
-        let roster_digest = roster.digest();
-        if let Some(latest) = &self.latest
-            && latest.roster_digest == roster_digest
-            && latest.evacuations == evacuations
-        {
-            return Arc::clone(&latest.directory);
-        }
-        let directory = Arc::new(if evacuations.is_empty() {
-            Directory::new(roster, &mut self.incarnations)
-        } else {
-            Directory::new(&roster.with_evacuated(&evacuations), &mut self.incarnations)
-        });
-        self.latest = Some(Built {
-            roster_digest,
-            evacuations,
-            directory: Arc::clone(&directory),
-        });
-        directory
-    }
-}
-
 impl Default for Board {
     fn default() -> Self {
         Self::new(sparscale_clock::system_clock())
@@ -239,28 +189,10 @@
     /// Limits the cold targets of a directory before it is published, or else waiting requests would all go to them.
     fn limit_cold(&self, directory: &Arc<Directory>) {
         let Some(catalog) = self.catalog() else { return };
-        let services = &catalog.value.document().services;
-        if services.iter().all(|service| service.cold_start.is_none()) {
-            return;
-        }
         let now = self.now();
-        let mut cold = self.cold_targets.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_recent = cold
-            .checked_at
-            .is_some_and(|checked_at| now.since(checked_at) < COLD_CHECK_INTERVAL);
-        if is_recent && std::ptr::eq(cold.directory.as_ptr(), Arc::as_ptr(directory)) {
-            return;
-        }
-        cold.checked_at = Some(now);
-        cold.directory = Arc::downgrade(directory);
-        let cold_start = |service: &str| {
-            let key = catalog.value.find_service(service)?;
-            catalog.value.service(key).cold_start.as_ref()
-        };
-        let limits = cold.register.update(directory, cold_start, now);
-        self.throttle.record_cold(&limits);
-        if !limits.is_empty() {
-            log::debug!(targets = limits.len(); "targets are cold and get requests at a limited rate");
+        let mut cold_targets = self.cold_targets.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(limits) = cold_targets.check(directory, &catalog.value, now) {
+            self.throttle.record_cold(&limits);
         }
     }
 
--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -4,7 +4,9 @@
 //! acknowledged before that time. An observation never goes back to an older position, whatever its source.
 
 mod board;
+mod cold;
 mod departed;
+mod directory;
 mod missing;
 mod observation;
 mod peer_first;
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -102,12 +102,12 @@
 
     fn record<T>(&self, source: &str, answer: &Result<Versioned<T>, Error>, elapsed: Duration) {
         let result = if answer.is_ok() { "answered" } else { "failed" };
-        let help = "Readings of the store, by result.";
+        let help = "Reads of the store, by result.";
         let labels = [("source", source), ("result", result)];
         self.registry
             .counter("sparscale_store_reads_total", help, &labels)
             .increment();
-        let help = "Time that a reading of the store took.";
+        let help = "Duration of a read of the store.";
         let labels = [("source", source)];
         self.registry
             .histogram("sparscale_store_read_seconds", help, &labels)
--- a/crates/sparscale_catalog/src/directory.rs
+++ b/crates/sparscale_catalog/src/directory.rs
@@ -38,12 +38,12 @@
     /// Service of each group, and the size of the group.
     services_by_group: HashMap<String, (String, usize)>,
     /// Evacuated ranks of each group that has any.
-    evacuated_ranks: HashMap<String, EvacuatedRanks>,
+    evacuated_ranks: HashMap<String, Evacuation>,
 }
 
 /// The ranks of a group that are in evacuated halls.
 #[derive(Debug, Default, PartialEq, Eq)]
-struct EvacuatedRanks {
+struct Evacuation {
     count: usize,
     /// Whether these are all its ranks.
     is_all: bool,
@@ -174,8 +174,8 @@
 }
 
 /// Counts the evacuated ranks of each group.
-fn evacuated_ranks(instances: &[Instance]) -> HashMap<String, EvacuatedRanks> {
-    let mut ranks: HashMap<String, EvacuatedRanks> = HashMap::new();
+fn evacuated_ranks(instances: &[Instance]) -> HashMap<String, Evacuation> {
+    let mut ranks: HashMap<String, Evacuation> = HashMap::new();
     let is_evacuated = |instance: &&Instance| instance.target.status == TargetStatus::Evacuated;
     for instance in instances.iter().filter(is_evacuated) {
         if let Some(membership) = &instance.target.membership {
--- a/crates/sparscale_catalog/src/document.rs
+++ b/crates/sparscale_catalog/src/document.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sparscale_bundle::KeyHash;
 
+use crate::cold;
 use crate::engine::EngineProfile;
 
 /// A whole catalog.
@@ -104,16 +105,7 @@
     /// Performance model of its targets; none if they are not model engines.
     pub engine: Option<EngineProfile>,
     /// How its targets start; none if they handle their full load at once.
-    pub cold_start: Option<ColdStart>,
-}
-
-/// What a target handles after its start, or after its hall was empty.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct ColdStart {
-    /// Time for which it is cold.
-    pub duration: Duration,
-    /// Requests a second that it handles from all entries together while it is cold.
-    pub requests_per_second: f64,
+    pub cold_start: Option<cold::Start>,
 }
 
 /// A customer.
--- a/crates/sparscale_catalog/src/lib.rs
+++ b/crates/sparscale_catalog/src/lib.rs
@@ -4,6 +4,7 @@
 //! Both are supplied by the caller as complete snapshots; this crate performs no I/O and reads no clock.
 
 mod catalog;
+pub mod cold;
 mod directory;
 mod document;
 mod engine;
@@ -15,7 +16,7 @@
 
 pub use catalog::{Access, Catalog};
 pub use directory::{Directory, Group, Instance};
-pub use document::{ColdStart, Document, Limits, RequestKind, Route, Service, Share, Workspace};
+pub use document::{Document, Limits, RequestKind, Route, Service, Share, Workspace};
 pub use engine::{EngineProfile, ExpertLayout};
 pub use error::Error;
 pub use evacuation::{Configuration, Evacuations};
--- a/crates/sparscale_conduct/src/metrics.rs
+++ b/crates/sparscale_conduct/src/metrics.rs
@@ -62,7 +62,7 @@
             Answer::Fenced => "fenced",
             Answer::Silent => "silent",
         };
-        let help = "Orders to the own rank, by answer.";
+        let help = "Orders to the rank of this agent, by response.";
         let labels = [("act", act), ("answer", answer)];
         self.registry
             .counter("sparscale_orders_total", help, &labels)
@@ -81,7 +81,7 @@
 
     /// Counts a claim of the leadership by its result.
     pub(crate) fn record_claim(&self, result: &str) {
-        let help = "Claims of the duty to lead, by result.";
+        let help = "Claims to lead the group, by result.";
         let labels = [("result", result)];
         self.registry
             .counter("sparscale_claims_total", help, &labels)
--- a/crates/sparscale_entry/src/problem.rs
+++ b/crates/sparscale_entry/src/problem.rs
@@ -51,12 +51,12 @@
     }
 
     pub(crate) fn unknown(detail: impl Into<String>) -> Self {
-        let title = "Nobody can tell whether the request ran";
+        let title = "It is unknown whether the request ran";
         Self::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, title, detail.into())
     }
 
     pub(crate) fn failed(detail: impl Into<String>) -> Self {
-        let title = "The request ran and has no whole answer";
+        let title = "The request ran, but its response is incomplete";
         Self::new(StatusCode::BAD_GATEWAY, Outcome::Failed, title, detail.into())
     }
 
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -38,7 +38,7 @@
 use crate::gate::Gates;
 use crate::loads::{InFlightGuard, Loads};
 use crate::metrics::Metrics;
-use crate::queues::{Arrival, NotAdmitted, Permit, Queues};
+use crate::queues::{self, Arrival, Permit, Queues};
 use crate::refusal::{Reason, Refusal};
 use crate::response_monitor::ResponseMonitor;
 use crate::traffic_split::TrafficSplit;
@@ -176,13 +176,13 @@
         loop {
             match self.acquire_in_group(job, history).await {
                 Ok(permit) => return Ok(permit),
-                Err(NotAdmitted::Rejected(refusal)) => return Err(refusal),
-                Err(NotAdmitted::Displaced) => {}
+                Err(queues::Error::Rejected(refusal)) => return Err(refusal),
+                Err(queues::Error::Displaced) => {}
             }
         }
     }
 
-    async fn acquire_in_group(&self, job: &Job, history: &mut AttemptHistory) -> Result<Option<Permit>, NotAdmitted> {
+    async fn acquire_in_group(&self, job: &Job, history: &mut AttemptHistory) -> Result<Option<Permit>, queues::Error> {
         let Some(observation) = self.board.targets() else {
             return Ok(None);
         };
@@ -191,7 +191,7 @@
             let refusal = Self::evacuation_refusal(service, &observation.value)
                 .or_else(|| self.throttle_refusal(job, service, &observation.value));
             if let Some(refusal) = refusal {
-                return Err(NotAdmitted::Rejected(refusal));
+                return Err(queues::Error::Rejected(refusal));
             }
         }
         let RequestKind::Stream {
--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -38,12 +38,12 @@
             retries: registry.counter("sparscale_repeats_total", "Sends beyond the first of a request.", &[]),
             denied_retries: registry.counter(
                 "sparscale_repeats_refused_total",
-                "Sends beyond the first that the budget did not allow.",
+                "Retries that the budget did not allow.",
                 &[],
             ),
             resumed_streams: registry.counter(
                 "sparscale_resumed_total",
-                "Streams that went on at another target.",
+                "Streams that were resumed at another target.",
                 &[],
             ),
             registry,
@@ -59,7 +59,7 @@
     pub(crate) fn record_end(&self, kind: RequestKind, outcome: &str, elapsed: Duration) {
         self.request_times[kind_index(kind)].record(elapsed);
         let labels = [("kind", KIND_LABELS[kind_index(kind)]), ("outcome", outcome)];
-        let help = "Requests that are over, by outcome.";
+        let help = "Completed requests, by outcome.";
         self.registry
             .counter("sparscale_requests_total", help, &labels)
             .increment();
@@ -67,7 +67,7 @@
 
     /// Records a request that was rejected before it was sent to any target.
     pub(crate) fn record_refusal(&self, reason: Reason) {
-        let help = "Requests refused at admission, by reason.";
+        let help = "Requests rejected at admission, by reason.";
         let labels = [("reason", reason.name())];
         self.registry
             .counter("sparscale_refused_total", help, &labels)
@@ -102,14 +102,14 @@
         "sparscale_roster_age_seconds",
         "Age of the roster; -1 if there is none.",
     );
-    let version = gauge("sparscale_catalog_version", "Version of the catalog in force.");
+    let version = gauge("sparscale_catalog_version", "Version of the active catalog.");
     let reader_index = gauge(
         "sparscale_line_place",
-        "Place among the entries that read the store, 0 for the first.",
+        "Index among the entries that read the store; 0 is the first.",
     );
     let entries = gauge(
         "sparscale_entries",
-        "Entries that share the room of groups, this one included.",
+        "Entries that share the headroom of groups, including this one.",
     );
     let connections = gauge("sparscale_caller_connections", "Connections from callers.");
     let (board, mesh_status, connection_counter) = (Arc::clone(board), mesh.status(), Arc::clone(connection_counter));
--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -46,7 +46,7 @@
 
 /// Why a request was not admitted to a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NotAdmitted {
+pub(crate) enum Error {
     /// It is rejected.
     Rejected(Refusal),
     /// The group gets no new requests any more; another one may serve the request.
@@ -119,7 +119,7 @@
     }
 
     /// Admits a request, immediately or when headroom becomes free, or rejects it with a time to retry after.
-    pub(crate) async fn acquire(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, NotAdmitted> {
+    pub(crate) async fn acquire(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Error> {
         let ticket = (arrival.tier, self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (admission, deadline) = {
             let mut queues = self.lock();
@@ -135,7 +135,7 @@
                 } => {
                     group_queue.log_refusal(&arrival, expected, retry);
                     let refusal = Refusal::with_retry_after(Reason::Busy, retry);
-                    return Err(NotAdmitted::Rejected(refusal));
+                    return Err(Error::Rejected(refusal));
                 }
                 Decision::Wait {
                     timely_until,
@@ -156,7 +156,7 @@
         drop(guard);
         match admitted {
             Ok(Ok(token)) => return Ok(self.permit(arrival.group, token)),
-            Ok(Err(_displaced)) => return Err(NotAdmitted::Displaced),
+            Ok(Err(_displaced)) => return Err(Error::Displaced),
             Err(_elapsed) => {}
         }
         // The remaining time is short and a rejection would come too late: admit the request, which is late at worst.
--- a/crates/sparscale_gateway/tests/path/evacuations.rs
+++ b/crates/sparscale_gateway/tests/path/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sparscale_catalog::{ColdStart, Document, Membership, Roster, TargetStatus};
+use sparscale_catalog::{Document, Membership, Roster, TargetStatus, cold};
 use sparscale_samples as samples;
 use sparscale_wire::{GroupLoad, RankLoad};
 
@@ -212,7 +212,7 @@
 fn cold_document() -> Document {
     let mut document = samples::document(2);
     for service in &mut document.services {
-        service.cold_start = Some(ColdStart {
+        service.cold_start = Some(cold::Start {
             duration: COLD_TIME,
             requests_per_second: COLD_RATE,
         });
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -15,8 +15,7 @@
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{
-    Channel, EvacuationOrder, Frame, GroupLoad, Notice, Notices, ObservationSummary, ObservedRosterVersion,
-    ObservedVersion, Receiver, Role, Sender,
+    Channel, Frame, GroupLoad, Notice, Notices, Receiver, Role, Sender, evacuation, observation, roster,
 };
 use tokio::time::Instant;
 
@@ -193,13 +192,13 @@
             self.send_catalog(sender, catalog.as_ref()).await?;
             self.send_roster(sender, roster.as_ref()).await?;
         }
-        let exchange = ObservationSummary {
+        let exchange = observation::Summary {
             sender: self.mesh.settings.address,
             clock_ms: self.clock.stamp(now),
             echo: self.clock.echo(now),
             catalog: catalog.as_ref().map(|catalog| to_known(catalog, now)),
             requests_catalog: std::mem::take(&mut self.own_request.catalog),
-            roster: roster.as_ref().map(|roster| ObservedRosterVersion {
+            roster: roster.as_ref().map(|roster| roster::Version {
                 version: to_known(roster, now),
                 digest: roster.value.digest(),
             }),
@@ -213,12 +212,12 @@
     }
 
     /// The evacuated halls, for an entry. They are few, so each summary states them.
-    fn evacuation_order(&self) -> Option<EvacuationOrder> {
+    fn evacuation_order(&self) -> Option<evacuation::Order> {
         if self.role != Role::Entry || self.mesh.settings.role != Role::Entry {
             return None;
         }
         let (halls, position) = self.mesh.board.evacuations()?;
-        Some(EvacuationOrder { position, halls })
+        Some(evacuation::Order { position, halls })
     }
 
     /// Sends all strikes that changed since the last time, whatever their source: an entry that has no link to the peer
@@ -385,7 +384,7 @@
         }
     }
 
-    fn handle_exchange(&mut self, exchange: &ObservationSummary) {
+    fn handle_exchange(&mut self, exchange: &observation::Summary) {
         let now = self.mesh.board.now();
         self.clock.record_received(exchange.clock_ms, now);
         if self.role == Role::Entry {
@@ -430,7 +429,7 @@
     }
 
     /// Merges the pending catalog if the peer's observation is of that version; else only confirms the known catalog.
-    fn merge_catalog(&mut self, known: ObservedVersion, as_of: Timestamp, source: &str) {
+    fn merge_catalog(&mut self, known: observation::Version, as_of: Timestamp, source: &str) {
         let pending = self.pending_catalog.as_ref();
         match pending.filter(|catalog| Position::from(catalog.version()) == known.position) {
             Some(catalog) => self.mesh.board.merge_catalog(Arc::clone(catalog), as_of, source),
@@ -440,8 +439,8 @@
 
     /// Merges the peer's observation of the roster if this process has a roster with the same digest, which is usual
     /// also at a later position; else requests the roster.
-    fn merge_roster(&mut self, observed: ObservedRosterVersion, as_of: Timestamp, source: &str) {
-        let ObservedRosterVersion { version: known, digest } = observed;
+    fn merge_roster(&mut self, observed: roster::Version, as_of: Timestamp, source: &str) {
+        let roster::Version { version: known, digest } = observed;
         let own = self.mesh.board.store_roster().map(|roster| roster.value);
         let mut rosters = [self.pending_roster.clone(), own].into_iter().flatten();
         match rosters.find(|roster| roster.digest() == digest) {
@@ -452,8 +451,8 @@
 }
 
 /// The position and age of an observation, as an exchange carries them.
-fn to_known<T: PartialEq>(observed: &Observation<T>, now: Timestamp) -> ObservedVersion {
-    ObservedVersion {
+fn to_known<T: PartialEq>(observed: &Observation<T>, now: Timestamp) -> observation::Version {
+    observation::Version {
         position: observed.position,
         // Rounded up, because an age must not look smaller than it is.
         age_ms: millis(observed.age(now)) + 1,
--- a/crates/sparscale_mesh/src/link_clock.rs
+++ b/crates/sparscale_mesh/src/link_clock.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sparscale_clock::Timestamp;
-use sparscale_wire::Echo;
+use sparscale_wire::observation::Echo;
 
 /// Stamps that one side of a link has sent and received.
 #[derive(Debug)]
--- a/crates/sparscale_policy/src/cold.rs
+++ b/crates/sparscale_policy/src/cold.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sparscale_catalog::{ColdStart, Directory, StartId, TargetStatus};
+use sparscale_catalog::{Directory, StartId, TargetStatus, cold};
 use sparscale_clock::Timestamp;
 
 use crate::rate_limit::Rate;
@@ -42,7 +42,7 @@
     pub fn update<'a>(
         &mut self,
         targets: &Directory,
-        cold_start: impl Fn(&str) -> Option<&'a ColdStart>,
+        cold_start: impl Fn(&str) -> Option<&'a cold::Start>,
         now: Timestamp,
     ) -> Vec<Limit> {
         let is_first = self.known.is_empty();
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sparscale_catalog::{ColdStart, Directory, Evacuations, Incarnations, Roster, StartId, Target};
+use sparscale_catalog::{Directory, Evacuations, Incarnations, Roster, StartId, Target, cold};
 use sparscale_clock::{Clock as _, SystemClock, Timestamp};
 use sparscale_policy::cold::Register;
 use sparscale_policy::rate_limit::{Limit, Members, Peer, Rate};
 use sparscale_policy::throttle::{Availability, Tracker};
 use sparscale_samples as samples;
 
-const COLD_START: ColdStart = ColdStart {
+const COLD_START: cold::Start = cold::Start {
     duration: Duration::from_secs(3),
     requests_per_second: 26.0,
 };
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -11,7 +11,8 @@
 use sparscale_place::switch;
 use sparscale_quarantine::Strike;
 
-use crate::peer::{GroupLoad, Notices, ObservationSummary, RankOrder, RankUpdate};
+use crate::observation;
+use crate::peer::{GroupLoad, Notices, RankOrder, RankUpdate};
 
 /// Unique id of one dispatch of one request to one agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -49,7 +50,7 @@
     /// Response to [`StreamRequest::Ping`]: incarnation of the responding process.
     Pong(u64),
     /// Summary of the sender's observations, on a [`StreamRequest::ExchangeObservations`] stream; both sides send it.
-    ObservationSummary(ObservationSummary),
+    ObservationSummary(observation::Summary),
     /// Catalog whose version the next [`Frame::ObservationSummary`] of this stream states.
     Catalog(Box<Document>),
     /// Roster whose version the next [`Frame::ObservationSummary`] of this stream states.
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -1,8 +1,11 @@
 //! Protocol between the processes of the system: frames over QUIC streams (quinn) with mutual TLS.
 
 mod endpoint;
+pub mod evacuation;
 mod frame;
+pub mod observation;
 mod peer;
+pub mod roster;
 mod self_signed;
 mod stream;
 mod tls;
@@ -12,9 +15,6 @@
     Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, LeaderContact, Refusal, RefusalReason, RelayedLog,
     ResponseEvent, ResponseFrame, Settlement, StreamRequest, TargetLoad,
 };
-pub use peer::{
-    Echo, EvacuationOrder, GroupLoad, MapUpdate, Notice, Notices, ObservationSummary, ObservedRosterVersion,
-    ObservedVersion, PatchBase, RankExperts, RankLoad, RankOrder, RankUpdate,
-};
+pub use peer::{GroupLoad, MapUpdate, Notice, Notices, PatchBase, RankExperts, RankLoad, RankOrder, RankUpdate};
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
 pub use tls::{CertificateFiles, Error as TlsError, Identity, Role};
--- a/crates/sparscale_wire/src/peer.rs
+++ b/crates/sparscale_wire/src/peer.rs
@@ -1,67 +1,20 @@
-//! Messages by which processes exchange observations (catalog, roster, limits and loads of targets) and orders about
-//! expert maps.
+//! Messages by which processes exchange limits and loads of targets, and orders about expert maps.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use sparscale_catalog::{Evacuations, StartId};
-use sparscale_history::Position;
+use sparscale_catalog::StartId;
 use sparscale_place::barrier::{Answer, Order, Report};
 use sparscale_place::{Map, Patch, Shape};
 
-/// Summary of a process's observations, with the timestamps by which the receiver computes their age on its own clock.
-///
-/// While a process is frozen, a message may stay in a buffer for seconds, so the receiver can't rely on an age alone.
-/// Each side therefore sends the time of its own clock, and the other side echoes the latest one together with the time
-/// since it was received. This proves to the receiver of an echo that the message was sent after that clock time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObservationSummary {
-    /// Address at which the sender accepts connections from other processes.
-    pub sender: SocketAddr,
-    /// Time of the sender's clock, in milliseconds since the sender started.
-    pub clock_ms: u64,
-    /// Echo of the receiver's latest clock time.
-    pub echo: Option<Echo>,
-    /// Version of the sender's catalog.
-    pub catalog: Option<ObservedVersion>,
-    /// Whether the receiver must send its catalog, because it announced a newer one than the sender's.
-    pub requests_catalog: bool,
-    /// Version of the sender's roster.
-    pub roster: Option<ObservedRosterVersion>,
-    /// Evacuated halls.
-    pub evacuations: Option<EvacuationOrder>,
-    /// Whether the receiver must send its roster, because it announced one that the sender doesn't have.
-    pub requests_roster: bool,
-    /// Age in milliseconds of the sender's copy of the strikes in the store; all of it has been sent on this stream.
-    pub strikes_age_ms: Option<u64>,
-    /// Entries that the sender knows, including itself if it is one; empty if they haven't changed.
-    pub entries: Vec<SocketAddr>,
-}
-
-/// Halls that the operators evacuate.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EvacuationOrder {
-    /// Position in the history of the store.
-    pub position: Position,
-    /// The evacuated halls.
-    pub halls: Evacuations,
-}
-
-/// Clock time of the receiver, sent back to it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Echo {
-    /// Clock time as received, in milliseconds.
-    pub clock_ms: u64,
-    /// Time between its receipt and this message, in milliseconds.
-    pub echo_delay_ms: u64,
-}
+use crate::observation;
 
 /// Limits that targets state for their senders.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Notices {
     /// Echo of the receiver's latest clock time, which bounds the age of this message.
-    pub echo: Echo,
+    pub echo: observation::Echo,
     /// Limits received since the last message.
     pub notices: Vec<Notice>,
 }
@@ -83,25 +36,6 @@
     pub sequence: u64,
 }
 
-/// Version of an observation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObservedVersion {
-    /// Position in the history of its source.
-    pub position: Position,
-    /// Age of the observation when this message was sent, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// Version of a roster. Each heartbeat advances its position in the store's history; its digest changes only with its
-/// content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObservedRosterVersion {
-    /// Position and age.
-    pub version: ObservedVersion,
-    /// Digest of the content.
-    pub digest: u64,
-}
-
 /// Message from a group leader to the agent of a rank.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RankOrder {
