--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 
 mod abandon;
 mod choice;
+mod queueing;
 mod throttling;
 
 use std::collections::HashMap;
@@ -13,7 +14,6 @@
 
 use http::StatusCode;
 use http::header::HeaderValue;
-use rand::seq::IteratorRandom as _;
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Instance, RequestKind, Route, RouteKey};
 use sparscale_clock::Timestamp;
@@ -38,15 +38,11 @@
 use crate::gate::Gates;
 use crate::loads::{InFlightGuard, Loads};
 use crate::metrics::Metrics;
-use crate::queues::{self, Arrival, Permit, Queues};
+use crate::queues::Queues;
 use crate::refusal::{Reason, Refusal};
 use crate::response_monitor::ResponseMonitor;
 use crate::traffic_split::TrafficSplit;
 
-/// Maximum number of groups of a service that one request considers, sampled anew for each. Of a hundred groups, the
-/// best of a few is nearly as good as the best of all, and checking all of them would cost an entry more than the
-/// request itself.
-const MAX_SAMPLED_GROUPS: usize = 8;
 /// `Retry-After` of a rejection after targets could not be reached or rejected the request.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// `Retry-After` of a rejection because no target is available or the group stays closed.
@@ -166,86 +162,6 @@
 }
 
 impl Gateway {
-    /// Chooses a group for a streaming request and waits until it is admitted there, or to another group if that one is
-    /// evacuated meanwhile. None if no group serves the request.
-    pub(crate) async fn acquire_permit(
-        &self,
-        job: &Job,
-        history: &mut AttemptHistory,
-    ) -> Result<Option<Permit>, Refusal> {
-        loop {
-            match self.acquire_in_group(job, history).await {
-                Ok(permit) => return Ok(permit),
-                Err(queues::Error::Rejected(refusal)) => return Err(refusal),
-                Err(queues::Error::Displaced) => {}
-            }
-        }
-    }
-
-    async fn acquire_in_group(&self, job: &Job, history: &mut AttemptHistory) -> Result<Option<Permit>, queues::Error> {
-        let Some(observation) = self.board.targets() else {
-            return Ok(None);
-        };
-        history.service = self.choose_service(job, &observation.value);
-        if let Some(service) = history.service.as_deref() {
-            let refusal = Self::evacuation_refusal(service, &observation.value)
-                .or_else(|| self.throttle_refusal(job, service, &observation.value));
-            if let Some(refusal) = refusal {
-                return Err(queues::Error::Rejected(refusal));
-            }
-        }
-        let RequestKind::Stream {
-            max_pause: longest_pause,
-            ..
-        } = job.route().kind
-        else {
-            return Ok(None);
-        };
-        let Some(service) = history.service.as_deref() else {
-            return Ok(None);
-        };
-        let engine = job.catalog.find_service(service);
-        let engine = engine.and_then(|key| job.catalog.service(key).engine.as_ref());
-        let (Some(engine), Some(max_pause)) = (engine, longest_pause) else {
-            return Ok(None);
-        };
-        let retry_age = self.retry_age(job);
-        let groups = observation.value.groups_of(service);
-        let groups = groups.filter(|group| !observation.value.is_evacuated_group(group.name));
-        let sampled = groups.choose_multiple(&mut rand::rng(), MAX_SAMPLED_GROUPS).into_iter();
-        let arrivals = sampled.map(|group| Arrival {
-            request_id: job.outbound.head.id_text(),
-            group: group.name,
-            engine,
-            max_pause,
-            objective: job.route().latency_objective,
-            tier: job.outbound.urgency.unwrap_or_default(),
-            rank_count: group.size,
-            open_fraction: self.open_fraction(&observation.value, group),
-            arrived_at: job.arrived_at,
-            retry_age,
-            remaining: job.outbound.head.remaining,
-        });
-        let arrivals: Vec<Arrival<'_>> = arrivals.collect();
-        let Some(arrival) = self
-            .queues
-            .choose_group(&arrivals, |group| !self.gates.is_closed(group))
-        else {
-            return Ok(None);
-        };
-        history.group = Some(arrival.group.to_owned());
-        self.queues.acquire(arrival).await.map(Some)
-    }
-
-    /// Time that the caller spent on attempts before this one.
-    fn retry_age(&self, job: &Job) -> Duration {
-        let Some(remaining) = job.outbound.head.remaining else {
-            return Duration::ZERO;
-        };
-        let mut deadlines = self.deadlines.lock().unwrap_or_else(PoisonError::into_inner);
-        deadlines.retry_age(&job.route().name, remaining, job.arrived_at.into_std())
-    }
-
     /// Sends attempts until there is a response or no further attempt is allowed.
     pub(crate) async fn obtain_response(
         &self,
--- a/crates/sparscale_quarantine/tests/spread_of_strikes.rs
+++ b/crates/sparscale_quarantine/tests/spread_of_strikes.rs
@@ -222,41 +222,41 @@
         .quickcheck(play as fn(Vec<Event>) -> Result<(), String>);
 }
 
-/// All processes lose their strikes, and two that cannot reach each other receive the request before either reads the
-/// other's strikes.
-#[test]
-fn partition_after_loss() {
-    let history = vec![
+/// A history in which all processes lose the strikes of four targets before the `later` events.
+fn after_loss(later: &[Event]) -> Vec<Event> {
+    let loss = [
         Event::ToggleStore,
         Event::RequestArrives(2),
         Event::RestartAll,
         Event::RequestArrives(2),
         Event::RestartAll,
         Event::ToggleStore,
+    ];
+    loss.into_iter().chain(later.iter().copied()).collect()
+}
+
+/// Two processes that cannot reach each other receive the request before either reads the other's strikes.
+#[test]
+fn partition_after_loss() {
+    let history = after_loss(&[
         Event::Wait(13),
         Event::Partition(2),
         Event::RequestArrives(4),
         Event::RequestArrives(1),
-    ];
+    ]);
     assert_eq!(play(history), Ok(()));
 }
 
 /// A process that starts after the loss learns of it from the store.
 #[test]
 fn start_after_loss() {
-    let history = vec![
-        Event::ToggleStore,
-        Event::RequestArrives(2),
-        Event::RestartAll,
-        Event::RequestArrives(2),
-        Event::RestartAll,
-        Event::ToggleStore,
+    let history = after_loss(&[
         Event::Wait(2),
         Event::Restart(4),
         Event::Wait(13),
         Event::Partition(2),
         Event::RequestArrives(4),
         Event::RequestArrives(1),
-    ];
+    ]);
     assert_eq!(play(history), Ok(()));
 }
