Frames: version 2, since summaries, notices, rosters and catalogs carry new fields

Change: the version byte is 2. Measured: sparscale_wire's tests pass; no play with two releases was made.

--- a/crates/sparscale_wire/src/stream.rs
+++ b/crates/sparscale_wire/src/stream.rs
@@ -10,8 +10,9 @@
 
 use crate::frame::Frame;
 
-/// Version of the frame format.
-const FRAME_VERSION: u8 = 1;
+/// Version of the frame format; raised whenever the encoding of a frame changes, as two releases run side by side during a
+/// rollout.
+const FRAME_VERSION: u8 = 2;
 /// Longest accepted frame; a longer one is rejected before its content is read.
 const MAX_FRAME_BYTES: usize = 2 << 20;
 /// QUIC error code with which a receiver stops a stream that it no longer reads.
