Evacuation: an order goes over each link once for each position, not in each summary

Cause: each summary stated the order, some five bytes; at 285 entries an entry sends 850 summaries a second. Change: a link remembers the position that it sent last; its stream is reliable and ordered, so once is enough. Conclusion: nothing of it grows with the fleet beyond the summaries themselves.

--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -69,6 +69,8 @@
     sent_roster_digest: Option<u64>,
     /// Order of the last load of each group that was sent to the peer.
     sent_load_orders: BTreeMap<String, LoadOrder>,
+    /// Position of the evacuated halls that were sent last.
+    sent_evacuations_position: Option<Position>,
     /// Version of the strikes up to which changes were sent to the peer.
     sent_strikes_version: u64,
     /// Version of the notices up to which changes were sent to the peer.
@@ -95,6 +97,7 @@
             own_request: ValueRequest::default(),
             sent_roster_digest: None,
             sent_load_orders: BTreeMap::new(),
+            sent_evacuations_position: None,
             sent_strikes_version: 0,
             sent_notices_version: 0,
             sent_entries: Vec::new(),
@@ -211,13 +214,14 @@
         send(sender, &Frame::ObservationSummary(exchange)).await
     }
 
-    /// The evacuated halls, for an entry. They are few, so each summary states them.
-    fn evacuation_order(&self) -> Option<evacuation::Order> {
+    /// The evacuated halls, for an entry; none if they were sent as of their current position.
+    fn evacuation_order(&mut self) -> Option<evacuation::Order> {
         if self.role != Role::Entry || self.mesh.settings.role != Role::Entry {
             return None;
         }
         let (halls, position) = self.mesh.board.evacuations()?;
-        Some(evacuation::Order { position, halls })
+        let is_new = self.sent_evacuations_position.replace(position) != Some(position);
+        is_new.then_some(evacuation::Order { position, halls })
     }
 
     /// Sends all strikes that changed since the last time, whatever their source: an entry that has no link to the peer
--- a/crates/sparscale_wire/src/observation.rs
+++ b/crates/sparscale_wire/src/observation.rs
@@ -26,7 +26,7 @@
     pub requests_catalog: bool,
     /// Version of the sender's roster.
     pub roster: Option<roster::Version>,
-    /// Evacuated halls.
+    /// Evacuated halls, if they changed since the last summary on this stream.
     pub evacuations: Option<evacuation::Order>,
     /// Whether the receiver must send its roster, because it announced one that the sender doesn't have.
     pub requests_roster: bool,
