Limits and strikes: the first notice of a target applies, and a flood does not displace the record of a loss

Found by reading the diff. Cause: a target that an entry knows only by a backoff, or because it is cold, counted as having stated at that time that it has no limit, so a limit that another entry had received just before was ignored; with cold targets that would be common. And the record that strikes were lost was the first to be evicted. Change: anything stated supersedes nothing stated; the record is no candidate for eviction. Red first: throttle_register::first_notice_applies, held_requests::loss_survives_flood.

--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -334,6 +334,9 @@
     /// Whether a notice is at least as recent as this state. Notices of one reporter are ordered by their numbers, those
     /// of different reporters by their times.
     fn is_superseded_by(&self, notice: &Notice) -> bool {
+        if self.origin == Origin::NONE {
+            return true;
+        }
         if notice.origin.reporter == self.origin.reporter {
             return notice.origin.sequence >= self.origin.sequence;
         }
--- a/crates/sparscale_policy/tests/throttle_register.rs
+++ b/crates/sparscale_policy/tests/throttle_register.rs
@@ -64,6 +64,17 @@
     assert!(is_open(&tracker, notice(1, None, now).start, later));
 }
 
+/// A limit that another entry announced counts although it is dated before this entry first noted anything of the target.
+#[test]
+fn first_notice_applies() {
+    let (mut tracker, now) = tracker();
+    let start = notice(1, None, now).start;
+    let later = now + SECOND;
+    tracker.record_backoff(start, SECOND / 10, later);
+    assert!(tracker.merge(notice_elsewhere(1, Some(1.0), now), later));
+    assert!(!is_open(&tracker, start, later + SECOND / 10));
+}
+
 /// A restarted target has no limits yet.
 #[test]
 fn restart_clears_limit() {
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -291,7 +291,9 @@
         let priority = |(request, history): (&Fingerprint, &RequestHistory)| {
             (history.counted_ends(), history.last_end_ms(), *request)
         };
-        let mut candidates: Vec<(usize, u64, Fingerprint)> = self.requests.iter().map(priority).collect();
+        let is_request = |(request, _): &(&Fingerprint, &RequestHistory)| **request != Fingerprint::HISTORY_LOSS;
+        let mut candidates: Vec<(usize, u64, Fingerprint)> =
+            self.requests.iter().filter(is_request).map(priority).collect();
         candidates.sort_unstable();
         for (_, _, request) in &candidates[..MAX_REQUESTS / 8] {
             self.requests.remove(request);
--- a/crates/sparscale_quarantine/tests/held_requests.rs
+++ b/crates/sparscale_quarantine/tests/held_requests.rs
@@ -204,3 +204,15 @@
         .tests(2_000)
         .quickcheck(property as fn(History) -> bool);
 }
+
+/// A flood of requests that each saw one termination does not displace the record that strikes were lost.
+#[test]
+fn loss_survives_flood() {
+    let mut tracker = Tracker::default();
+    tracker.record_history_loss(NOW_MS - MINUTE_MS);
+    for number in 0..5_000 {
+        tracker.merge(strike(&format!("r-{number}"), 1, NOW_MS), StrikeSource::Local, NOW_MS);
+    }
+    tracker.merge(strike("a", 2, NOW_MS), StrikeSource::Local, NOW_MS);
+    assert!(remaining_hold(&tracker, "a", NOW_MS).is_some());
+}
