Comments: two more in the field's terms

Cause: found by reading all new comments again for figures of speech. Change: comments only. No change of behaviour.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -25,7 +25,8 @@
 
 /// `Retry-After` of a rejection for missing or outdated state of this entry.
 const INCOMPLETE_STATE_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// `Retry-After` of a stream that this process would not live to end: the load balancer sends its caller elsewhere.
+/// `Retry-After` of a stream that could not complete before this process exits. The load balancer routes the retry to
+/// another entry.
 const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Maximum age of the catalog for decisions that depend on it.
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -55,7 +55,8 @@
     StartId::of(id, None)
 }
 
-/// A target that starts while the process runs is cold before the roster says so; those found at its start are not.
+/// A start that appears while the process runs is limited before the roster lists it as cold; starts of the first roster
+/// are not.
 #[test]
 fn new_start() {
     let mut process = Process::new();
