--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -21,7 +21,7 @@
 
 use crate::engine::{CallError, Engine, EngineLoad};
 use crate::response_buffer::ResponseBuffer;
-use crate::throttle::TargetThrottle;
+use crate::throttle::Throttle;
 use state::{
     AttemptRecord, EarlierUse, State, bind_key, is_abandoned, is_expired, ledger_id, record_counter, wait_past_deadline,
 };
@@ -77,7 +77,7 @@
                 is_listening: false,
                 is_ready: false,
                 engine_load: EngineLoad::default(),
-                throttle: TargetThrottle::new(),
+                throttle: Throttle::new(),
             }),
             engine,
             metrics,
--- a/crates/sparscale_agent/src/core/state.rs
+++ b/crates/sparscale_agent/src/core/state.rs
@@ -11,7 +11,7 @@
 
 use crate::engine::EngineLoad;
 use crate::response_buffer::ResponseBuffer;
-use crate::throttle::TargetThrottle;
+use crate::throttle::Throttle;
 
 /// Time for which a complete response without a reader stays buffered.
 const UNREAD_RETENTION: Duration = Duration::from_secs(10);
@@ -36,7 +36,7 @@
     /// Whether the limits of a bundle have been set.
     pub(super) is_ready: bool,
     pub(super) engine_load: EngineLoad,
-    pub(super) throttle: TargetThrottle,
+    pub(super) throttle: Throttle,
 }
 
 /// An admitted attempt and its buffered response.
--- a/crates/sparscale_agent/src/throttle.rs
+++ b/crates/sparscale_agent/src/throttle.rs
@@ -13,7 +13,7 @@
 
 /// Limits stated by the current start of the target.
 #[derive(Debug)]
-pub(crate) struct TargetThrottle {
+pub(crate) struct Throttle {
     tracker: Tracker,
     clock: Arc<dyn Clock>,
     /// Number of starts of the target seen so far; identifies the current one.
@@ -24,7 +24,7 @@
     has_pending_wakeup: bool,
 }
 
-impl TargetThrottle {
+impl Throttle {
     /// Creates a throttle with the whole rate for this agent, because only the agent sends to its target.
     pub(crate) fn new() -> Self {
         let clock = system_clock();
--- a/crates/sparscale_belief/src/departed.rs
+++ b/crates/sparscale_belief/src/departed.rs
@@ -15,11 +15,11 @@
 
 /// Starts of targets that left or whose registrations were removed, with the time of the last roster that showed it.
 #[derive(Debug, Default)]
-pub(crate) struct DepartedTargets {
+pub(crate) struct Targets {
     departed_at: HashMap<StartKey, Timestamp>,
 }
 
-impl DepartedTargets {
+impl Targets {
     /// Records the targets that were removed between two rosters of the same era, and those that are leaving.
     pub(crate) fn record(&mut self, previous: &Roster, current: &Roster, at: Timestamp) {
         self.departed_at
--- a/crates/sparscale_belief/src/lib.rs
+++ b/crates/sparscale_belief/src/lib.rs
@@ -11,14 +11,15 @@
 mod observation;
 mod peer_first;
 mod quarantine;
-mod reader;
+pub mod reader;
 mod source;
 mod store_roster;
 mod throttle;
+mod view;
 
 pub use board::Board;
 pub use observation::{MergeOutcome, Observation};
 pub use quarantine::{Archive, MAX_HISTORY_WAIT, Quarantine};
-pub use reader::{ReadMetrics, ReadSchedule, read_configuration, read_roster, read_strikes};
+pub use reader::{read_configuration, read_roster, read_strikes};
 pub use source::{Error, Source, Versioned};
 pub use throttle::Throttle;
--- a/crates/sparscale_belief/src/missing.rs
+++ b/crates/sparscale_belief/src/missing.rs
@@ -19,12 +19,12 @@
 
 /// Targets that were registered before an outage and have not registered again since.
 #[derive(Debug)]
-pub(crate) struct MissingTargets {
+pub(crate) struct Targets {
     deadline: Timestamp,
     targets: Vec<Target>,
 }
 
-impl MissingTargets {
+impl Targets {
     /// The ready targets of `previous` that `current` lacks; `None` if no outage or restore lies between the two, or if
     /// no target is missing. Targets that were leaving are not included.
     pub(crate) fn between(previous: &Observation<Roster>, current: &Observation<Roster>) -> Option<Self> {
--- a/crates/sparscale_belief/src/peer_first.rs
+++ b/crates/sparscale_belief/src/peer_first.rs
@@ -19,13 +19,13 @@
 const PEER_WAIT: Duration = Duration::from_millis(400);
 
 /// Delays the first catalog that is read from a restored store until peers had time to send a newer one.
-pub(crate) struct PeerFirstSource {
+pub(crate) struct Delay {
     source: Box<dyn Source<Configuration>>,
     board: Arc<Board>,
     deadline: Option<Instant>,
 }
 
-impl PeerFirstSource {
+impl Delay {
     pub(crate) fn new(source: Box<dyn Source<Configuration>>, board: Arc<Board>) -> Self {
         Self {
             source,
@@ -36,7 +36,7 @@
 }
 
 #[async_trait]
-impl Source<Configuration> for PeerFirstSource {
+impl Source<Configuration> for Delay {
     async fn read(&mut self) -> Result<Versioned<Configuration>, Error> {
         let reading = self.source.read().await?;
         if reading.position.era == 0 || self.board.catalog().is_some() {
--- a/crates/sparscale_belief/src/reader.rs
+++ b/crates/sparscale_belief/src/reader.rs
@@ -13,10 +13,10 @@
 
 use crate::board::Board;
 use crate::observation::MergeOutcome;
-use crate::peer_first::PeerFirstSource;
+use crate::peer_first;
 use crate::source::{Error, Source, Versioned};
+use crate::view::{self, View};
 use sparscale_catalog::{Configuration, Roster};
-use sparscale_clock::Timestamp;
 use sparscale_quarantine::Strike;
 
 /// Timeout of one read.
@@ -30,7 +30,7 @@
 
 /// Decides at which age of its observation a process reads the source itself.
 #[derive(Debug)]
-pub struct ReadSchedule {
+pub struct Schedule {
     /// Age at which the first reader reads.
     pub first_reader_age: Duration,
     /// Additional age for each further reader.
@@ -42,7 +42,7 @@
     reader_index: AtomicUsize,
 }
 
-impl ReadSchedule {
+impl Schedule {
     /// The schedule of a process that knows of no peers: it is the first reader.
     pub fn new(first_reader_age: Duration, age_per_reader: Duration, initial_wait: Duration) -> Self {
         Self {
@@ -88,11 +88,11 @@
 
 /// Metrics of reads of the store.
 #[derive(Debug)]
-pub struct ReadMetrics {
+pub struct Metrics {
     registry: Arc<Registry>,
 }
 
-impl ReadMetrics {
+impl Metrics {
     /// Metrics that are registered in `registry`.
     pub fn new(registry: &Arc<Registry>) -> Self {
         Self {
@@ -119,110 +119,38 @@
 pub async fn read_configuration(
     board: Arc<Board>,
     source: Box<dyn Source<Configuration>>,
-    schedule: Arc<ReadSchedule>,
-    metrics: ReadMetrics,
+    schedule: Arc<Schedule>,
+    metrics: Metrics,
 ) {
-    let source = Box::new(PeerFirstSource::new(source, Arc::clone(&board)));
-    keep_recent("catalog", source, &schedule, &metrics, &ConfigurationView(board)).await;
+    let source = Box::new(peer_first::Delay::new(source, Arc::clone(&board)));
+    keep_recent("catalog", source, &schedule, &metrics, &view::Configuration(board)).await;
 }
 
 /// Keeps the roster on `board` recent; never returns.
 pub async fn read_roster(
     board: Arc<Board>,
     source: Box<dyn Source<Roster>>,
-    schedule: Arc<ReadSchedule>,
-    metrics: ReadMetrics,
+    schedule: Arc<Schedule>,
+    metrics: Metrics,
 ) {
-    keep_recent("roster", source, &schedule, &metrics, &RosterView(board)).await;
+    keep_recent("roster", source, &schedule, &metrics, &view::Roster(board)).await;
 }
 
 /// Keeps the known requests that crash targets recent; never returns.
 pub async fn read_strikes(
     board: Arc<Board>,
     source: Box<dyn Source<Vec<Strike>>>,
-    schedule: Arc<ReadSchedule>,
-    metrics: ReadMetrics,
+    schedule: Arc<Schedule>,
+    metrics: Metrics,
 ) {
-    keep_recent("strikes", source, &schedule, &metrics, &StrikesView(board)).await;
-}
-
-/// The part of a [`Board`] that is read from one source.
-trait View<T>: Send + Sync {
-    fn board(&self) -> &Board;
-
-    /// Age of the observation; `None` before the first one.
-    fn age(&self) -> Option<Duration>;
-
-    /// Merges what the store returned to a query at `queried_at`.
-    fn merge(&self, reading: Versioned<T>, queried_at: Timestamp) -> MergeOutcome;
-
-    /// Records that the store could not be read.
-    fn record_failure(&self) {}
-}
-
-struct ConfigurationView(Arc<Board>);
-
-impl View<Configuration> for ConfigurationView {
-    fn board(&self) -> &Board {
-        &self.0
-    }
-
-    fn age(&self) -> Option<Duration> {
-        self.0.catalog_age()
-    }
-
-    fn merge(&self, reading: Versioned<Configuration>, queried_at: Timestamp) -> MergeOutcome {
-        let Configuration { catalog, evacuations } = reading.value.as_ref();
-        self.0.merge_evacuations(evacuations, reading.position, "store");
-        self.0.merge_catalog(Arc::clone(catalog), queried_at, "store")
-    }
-}
-
-struct RosterView(Arc<Board>);
-
-impl View<Roster> for RosterView {
-    fn board(&self) -> &Board {
-        &self.0
-    }
-
-    fn age(&self) -> Option<Duration> {
-        self.0.roster_age()
-    }
-
-    fn merge(&self, reading: Versioned<Roster>, queried_at: Timestamp) -> MergeOutcome {
-        self.0
-            .merge_roster(reading.value, reading.position, queried_at, "store")
-    }
-}
-
-struct StrikesView(Arc<Board>);
-
-impl View<Vec<Strike>> for StrikesView {
-    fn board(&self) -> &Board {
-        &self.0
-    }
-
-    fn age(&self) -> Option<Duration> {
-        self.0.quarantine.age()
-    }
-
-    fn merge(&self, reading: Versioned<Vec<Strike>>, queried_at: Timestamp) -> MergeOutcome {
-        self.0
-            .quarantine
-            .merge_from_store(&reading.value, reading.position.era, queried_at);
-        MergeOutcome::Confirmed
-    }
-
-    fn record_failure(&self) {
-        self.0.quarantine.record_failed_read();
-    }
+    keep_recent("strikes", source, &schedule, &metrics, &view::Strikes(board)).await;
 }
 
 async fn keep_recent<T: Send + Sync + 'static>(
     source_name: &'static str,
     mut source: Box<dyn Source<T>>,
-    schedule: &ReadSchedule,
-    metrics: &ReadMetrics,
+    schedule: &Schedule,
+    metrics: &Metrics,
     view: &dyn View<T>,
 ) {
     let mut reachable = true;
--- a/crates/sparscale_belief/src/store_roster.rs
+++ b/crates/sparscale_belief/src/store_roster.rs
@@ -7,9 +7,8 @@
 use sparscale_history::Position;
 use sparscale_telemetry::DECISION;
 
-use crate::departed::DepartedTargets;
-use crate::missing::MissingTargets;
 use crate::observation::{MergeOutcome, Observation};
+use crate::{departed, missing};
 
 /// Most target ids in one log line; the loss of a whole hall would make it too long.
 const MAX_LOGGED_IDS: usize = 8;
@@ -20,8 +19,8 @@
     latest: Option<Observation<Roster>>,
     /// The corrected roster of the last merge.
     corrected: Option<Observation<Roster>>,
-    missing: Option<MissingTargets>,
-    departed: DepartedTargets,
+    missing: Option<missing::Targets>,
+    departed: departed::Targets,
     /// Whether the store was restored from an older snapshot, so that the roster may list targets that have left.
     restored: bool,
 }
@@ -78,7 +77,7 @@
         } else {
             self.departed.record(&previous.value, &current.value, current.as_of);
         }
-        if let Some(missing) = MissingTargets::between(&previous, &current) {
+        if let Some(missing) = missing::Targets::between(&previous, &current) {
             log_missing(&missing);
             self.missing = Some(missing);
         }
@@ -121,18 +120,18 @@
     }
 }
 
-fn log_missing(missing: &MissingTargets) {
+fn log_missing(missing: &missing::Targets) {
     let (targets, first) = summarize(missing);
     log::info!(target: DECISION, decision = "await", targets, first = first.as_str(); "targets are missing from the roster after an outage of the store; keeping them until they had time to register again");
 }
 
-fn log_removed(missing: &MissingTargets) {
+fn log_removed(missing: &missing::Targets) {
     let (targets, first) = summarize(missing);
     log::info!(target: DECISION, decision = "gone", targets, first = first.as_str(); "the wait for targets to register again after an outage of the store is over; removing those still missing");
 }
 
 /// Number of missing targets, and the ids of the first [`MAX_LOGGED_IDS`].
-fn summarize(missing: &MissingTargets) -> (usize, String) {
+fn summarize(missing: &missing::Targets) -> (usize, String) {
     let ids: Vec<&str> = missing.targets().iter().map(|target| target.id.as_str()).collect();
     let logged = &ids[..ids.len().min(MAX_LOGGED_IDS)];
     (ids.len(), logged.join(" "))
--- a/crates/sparscale_belief/tests/early_start.rs
+++ b/crates/sparscale_belief/tests/early_start.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sparscale_belief::{Board, Error, ReadMetrics, ReadSchedule, Source, Versioned, read_configuration};
+use sparscale_belief::{Board, Error, Source, Versioned, read_configuration, reader};
 use sparscale_catalog::{Catalog, Configuration, Evacuations};
 use sparscale_history::Position;
 use sparscale_samples as samples;
@@ -45,8 +45,8 @@
 /// The board of a process that has just started beside a store of era `era`.
 fn start(era: u64) -> Arc<Board> {
     let board = Arc::new(Board::default());
-    let schedule = ReadSchedule::new(Duration::from_millis(500), Duration::from_millis(100), Duration::ZERO);
-    let metrics = ReadMetrics::new(&Arc::new(Registry::default()));
+    let schedule = reader::Schedule::new(Duration::from_millis(500), Duration::from_millis(100), Duration::ZERO);
+    let metrics = reader::Metrics::new(&Arc::new(Registry::default()));
     tokio::spawn(read_configuration(
         Arc::clone(&board),
         Box::new(Store(era)),
--- a/crates/sparscale_belief/tests/lost_history.rs
+++ b/crates/sparscale_belief/tests/lost_history.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sparscale_belief::{Board, Error, MAX_HISTORY_WAIT, ReadMetrics, ReadSchedule, Source, Versioned, read_strikes};
+use sparscale_belief::{Board, Error, MAX_HISTORY_WAIT, Source, Versioned, read_strikes, reader};
 use sparscale_quarantine::{EndedStart, Fingerprint, Strike};
 use sparscale_telemetry::Registry;
 
@@ -34,12 +34,12 @@
     let before = Board::default().now();
     tokio::time::sleep(Duration::from_millis(5)).await;
     let board = Arc::new(Board::default());
-    let schedule = ReadSchedule::new(Duration::from_millis(200), Duration::ZERO, Duration::ZERO);
+    let schedule = reader::Schedule::new(Duration::from_millis(200), Duration::ZERO, Duration::ZERO);
     tokio::spawn(read_strikes(
         Arc::clone(&board),
         Box::new(Store { failures }),
         Arc::new(schedule),
-        ReadMetrics::new(&Arc::new(Registry::default())),
+        reader::Metrics::new(&Arc::new(Registry::default())),
     ));
     if peer_knows_earlier {
         board.quarantine.confirm_from_peer(before);
--- a/crates/sparscale_belief/tests/store_outage.rs
+++ b/crates/sparscale_belief/tests/store_outage.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sparscale_belief::{Board, Error, ReadMetrics, ReadSchedule, Source, Versioned, read_roster};
+use sparscale_belief::{Board, Error, Source, Versioned, read_roster, reader};
 use sparscale_catalog::Roster;
 use sparscale_samples as samples;
 use tokio::time::Instant;
@@ -38,10 +38,10 @@
 }
 
 /// The number of calls during an outage, and the age of the roster after it if it was read since the outage.
-async fn run_outage(schedule: ReadSchedule) -> (u32, Option<Duration>) {
+async fn run_outage(schedule: reader::Schedule) -> (u32, Option<Duration>) {
     let board = Arc::new(Board::default());
     let store = Store::default();
-    let metrics = ReadMetrics::new(&Arc::default());
+    let metrics = reader::Metrics::new(&Arc::default());
     let source = Box::new(store.clone());
     let reader = tokio::spawn(read_roster(Arc::clone(&board), source, Arc::new(schedule), metrics));
     tokio::time::sleep(READ_INTERVAL * 3).await;
@@ -58,7 +58,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn few_calls_during_outage() {
-    let (calls, age) = run_outage(ReadSchedule::new(READ_INTERVAL, Duration::ZERO, Duration::ZERO)).await;
+    let (calls, age) = run_outage(reader::Schedule::new(READ_INTERVAL, Duration::ZERO, Duration::ZERO)).await;
     assert!(calls <= 12, "{calls} calls");
     assert!(age.is_some(), "no read within {RECOVERY_LIMIT:?} after the outage");
 }
@@ -66,8 +66,8 @@
 /// A process that needs the roster less urgently retries less often.
 #[tokio::test(start_paused = true)]
 async fn fewer_calls_with_long_retry_delay() {
-    let schedule =
-        ReadSchedule::new(READ_INTERVAL, Duration::ZERO, Duration::ZERO).with_max_retry_delay(Duration::from_secs(6));
+    let schedule = reader::Schedule::new(READ_INTERVAL, Duration::ZERO, Duration::ZERO)
+        .with_max_retry_delay(Duration::from_secs(6));
     let (calls, _) = run_outage(schedule).await;
     assert!(calls <= 7, "{calls} calls");
 }
--- a/crates/sparscale_conduct/src/agent.rs
+++ b/crates/sparscale_conduct/src/agent.rs
@@ -7,7 +7,7 @@
 use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Order, Report, View};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{MapUpdate, RankExperts, RankOrder, RankUpdate};
+use sparscale_wire::{map, rank};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -126,7 +126,7 @@
         if !self.accept_leader(subscriber.assignment.claim) {
             let claim = self.leader.borrow().claim.unwrap_or_default();
             // A leader that does not read its updates has terminated.
-            let _gone = subscriber.updates.try_send(RankUpdate::Superseded { claim });
+            let _gone = subscriber.updates.try_send(rank::Update::Superseded { claim });
             return;
         }
         self.subscriber = Some(subscriber);
@@ -183,9 +183,9 @@
             return;
         }
         match command.order {
-            RankOrder::Heartbeat => {}
-            RankOrder::ToRank { order, map } => self.carry_out(command.assignment.claim, order, map).await,
-            RankOrder::Delegation { order, engine } => self.carry_out_delegated(order, engine),
+            rank::Order::Heartbeat => {}
+            rank::Order::ToRank { order, map } => self.carry_out(command.assignment.claim, order, map).await,
+            rank::Order::Delegation { order, engine } => self.carry_out_delegated(order, engine),
         }
     }
 
@@ -200,7 +200,7 @@
             if let Some(updates) = updates {
                 // A leader that has terminated does not wait for the answer.
                 let _gone = updates
-                    .send(RankUpdate::Delegation {
+                    .send(rank::Update::Delegation {
                         serial: order.serial,
                         answer,
                     })
@@ -209,7 +209,7 @@
         });
     }
 
-    async fn carry_out(&mut self, claim: u64, order: Order, update: Option<MapUpdate>) {
+    async fn carry_out(&mut self, claim: u64, order: Order, update: Option<map::Update>) {
         let answer = match order.act {
             Act::Look => Answer::Done,
             Act::Stage { number } => match update.and_then(|update| self.cache.apply(number, update)) {
@@ -317,7 +317,7 @@
             return;
         }
         self.reported_state = Some((report.view.map(without_step), Instant::now()));
-        if !self.send_update(RankUpdate::Report { report, load }) {
+        if !self.send_update(rank::Update::Report { report, load }) {
             self.unsent_answer = answer;
         }
     }
@@ -353,13 +353,13 @@
             return;
         };
         let reported = (held.epoch, held.number);
-        let placement = RankExperts {
+        let placement = rank::Experts {
             epoch: held.epoch,
             map_number: held.number,
             experts_by_set: held.sets,
             has_full_map: self.cache.contains(held.number),
         };
-        if self.send_update(RankUpdate::Experts(placement)) {
+        if self.send_update(rank::Update::Experts(placement)) {
             self.reported_map = Some(reported);
         }
     }
@@ -385,7 +385,7 @@
             return;
         };
         // Counts that do not fit into the queue are dropped: the next ones show the demand as well.
-        let _missed = self.send_update(RankUpdate::SelectionCounts {
+        let _missed = self.send_update(rank::Update::SelectionCounts {
             epoch: counts.epoch,
             period_ms: now.saturating_duration_since(at).as_millis() as u64,
             selections,
@@ -394,7 +394,7 @@
 
     /// Sends an update to the leader. Returns false if its queue is full; the update is dropped, and the next state
     /// follows.
-    fn send_update(&mut self, update: RankUpdate) -> bool {
+    fn send_update(&mut self, update: rank::Update) -> bool {
         let Some(subscriber) = &self.subscriber else {
             return true;
         };
--- a/crates/sparscale_conduct/src/delegation.rs
+++ b/crates/sparscale_conduct/src/delegation.rs
@@ -4,7 +4,7 @@
 
 use sparscale_place::barrier::{Act, Answer, Order, Progress};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::RankOrder;
+use sparscale_wire::rank;
 use tokio::time::Instant;
 
 use crate::leader::Leader;
@@ -35,7 +35,7 @@
         };
         let sent = self.members[helper]
             .orders
-            .try_send(RankOrder::Delegation { order, engine });
+            .try_send(rank::Order::Delegation { order, engine });
         if sent.is_ok() {
             self.delegation = Some(Delegation {
                 order,
@@ -112,7 +112,7 @@
         // If the queue is full the helper counts as unresponsive.
         let _full = self.members[delegation.helper]
             .orders
-            .try_send(RankOrder::Delegation { order, engine });
+            .try_send(rank::Order::Delegation { order, engine });
     }
 
     /// Drops the map switch if the helper is unresponsive: its box may be frozen, and then its rank cannot be armed.
--- a/crates/sparscale_conduct/src/engine.rs
+++ b/crates/sparscale_conduct/src/engine.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 use sparscale_place::Map;
 use sparscale_place::barrier::{Answer, Order, View};
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 
 /// An engine did not answer a query.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -31,7 +31,7 @@
     /// State that the leader uses for map switches.
     pub view: View,
     /// Load that routing uses.
-    pub load: RankLoad,
+    pub load: rank::Load,
 }
 
 /// Experts that an engine holds.
--- a/crates/sparscale_conduct/src/handle.rs
+++ b/crates/sparscale_conduct/src/handle.rs
@@ -1,6 +1,6 @@
 //! Interface of the agent beside a rank: orders, subscriptions and the latest state.
 
-use sparscale_wire::{RankOrder, RankUpdate};
+use sparscale_wire::rank;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -23,14 +23,14 @@
 #[derive(Debug)]
 pub(crate) struct Command {
     pub(crate) assignment: Assignment,
-    pub(crate) order: RankOrder,
+    pub(crate) order: rank::Order,
 }
 
 /// A leader that subscribes to updates about the rank.
 #[derive(Debug)]
 pub(crate) struct Subscriber {
     pub(crate) assignment: Assignment,
-    pub(crate) updates: mpsc::Sender<RankUpdate>,
+    pub(crate) updates: mpsc::Sender<rank::Update>,
 }
 
 /// Handle to the task of a rank's agent.
@@ -62,7 +62,7 @@
     }
 
     /// Subscribes a leader to updates about the rank.
-    pub(crate) async fn subscribe(&self, assignment: Assignment) -> mpsc::Receiver<RankUpdate> {
+    pub(crate) async fn subscribe(&self, assignment: Assignment) -> mpsc::Receiver<rank::Update> {
         let (updates, receiver) = mpsc::channel(UPDATE_QUEUE_LEN);
         let _stopping = self.subscribers.send(Subscriber { assignment, updates }).await;
         receiver
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -8,7 +8,7 @@
 use sparscale_place::barrier::{Coordinator, Progress};
 use sparscale_place::{Map, Trend};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{PatchBase, RankUpdate};
+use sparscale_wire::{map, rank};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
@@ -172,11 +172,11 @@
         }
     }
 
-    fn handle_update(&mut self, rank: usize, update: RankUpdate) {
+    fn handle_update(&mut self, rank: usize, update: rank::Update) {
         let now = Instant::now();
         match update {
-            RankUpdate::Delegation { serial, answer } => self.handle_delegation_answer(serial, answer),
-            RankUpdate::Report { mut report, load } => {
+            rank::Update::Delegation { serial, answer } => self.handle_delegation_answer(serial, answer),
+            rank::Update::Report { mut report, load } => {
                 if rank != self.term.own_rank {
                     self.members[rank].agent_bypassed = false;
                 }
@@ -204,19 +204,19 @@
                 }
                 self.coordinator.record_report(rank, report);
             }
-            RankUpdate::SelectionCounts { selections: picks, .. } => {
+            rank::Update::SelectionCounts { selections: picks, .. } => {
                 if let Some(decider) = &mut self.decider {
                     decider.add_selections(&picks);
                 }
             }
-            RankUpdate::Experts(placement) => {
+            rank::Update::Experts(placement) => {
                 let member = &mut self.members[rank];
                 if placement.has_full_map && member.pending_map.is_none() {
                     member.sent_maps.record_reported(placement.map_number);
                 }
                 member.placement = Some(placement);
             }
-            RankUpdate::Superseded { claim } => self.overtaken |= claim > self.term.claim,
+            rank::Update::Superseded { claim } => self.overtaken |= claim > self.term.claim,
         }
     }
 
@@ -400,14 +400,14 @@
         let number = (self.term.claim + 1) * FENCES_PER_CLAIM + self.switch_count;
         if self.coordinator.begin_change(number) {
             let base = match base {
-                0 => PatchBase::Initial(decider.shape()),
-                number => PatchBase::Sent(*number),
+                0 => map::Base::Initial(decider.shape()),
+                number => map::Base::Sent(*number),
             };
             let mut bases = vec![(base, Arc::clone(map))];
             bases.extend(
                 self.dropped_map
                     .take()
-                    .map(|(number, map)| (PatchBase::Sent(number), map)),
+                    .map(|(number, map)| (map::Base::Sent(number), map)),
             );
             self.switch = Some(MapSwitch {
                 next_map: OutgoingMap::new(number, refined.map, &bases),
--- a/crates/sparscale_conduct/src/leader/outbound.rs
+++ b/crates/sparscale_conduct/src/leader/outbound.rs
@@ -5,7 +5,7 @@
 
 use sparscale_place::barrier::{Order, Progress};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{GroupLoad, MapUpdate, RankOrder};
+use sparscale_wire::{group, map, rank};
 use tokio::time::Instant;
 
 use super::{Leader, SURVEY_INTERVAL};
@@ -92,15 +92,15 @@
         let map = switch.map(|switch| switch.next_map.update_for(&self.members[rank].sent_maps));
         if let (Some(switch), Some(map)) = (&mut self.switch, &map) {
             let base = match map {
-                MapUpdate::Full(_) => None,
-                MapUpdate::Patch { base, .. } => Some(*base),
+                map::Update::Full(_) => None,
+                map::Update::Patch { base, .. } => Some(*base),
             };
             if rank != self.term.own_rank {
                 self.outbox.charge(encoded_bytes(map));
             }
             self.members[rank].pending_map = Some((switch.next_map.number, base));
         }
-        let sent = self.members[rank].orders.try_send(RankOrder::ToRank { order, map });
+        let sent = self.members[rank].orders.try_send(rank::Order::ToRank { order, map });
         if sent.is_err() {
             self.members[rank].pending_order = None;
             self.coordinator.record_no_answer(rank);
@@ -117,7 +117,7 @@
             }
             member.last_sent = now;
             // A full queue holds orders, which show as well that the leader is alive.
-            let _full = member.orders.try_send(RankOrder::Heartbeat);
+            let _full = member.orders.try_send(rank::Order::Heartbeat);
         }
     }
 
@@ -203,7 +203,7 @@
         };
         self.context.metrics.skew.set(skew);
         self.context.metrics.pass_seconds.set(self.pass_micros / 1.0e6);
-        let load = GroupLoad {
+        let load = group::Load {
             group: self.term.group.clone(),
             sequence: (self.term.claim, self.load_messages),
             is_running: self.coordinator.progress() != Progress::Surveying,
@@ -217,10 +217,10 @@
 }
 
 /// Upper bound of the encoded size of a map update: an expert in a whole map takes two bytes at most.
-fn encoded_bytes(map: &MapUpdate) -> usize {
+fn encoded_bytes(map: &map::Update) -> usize {
     let content = match map {
-        MapUpdate::Patch { patch, .. } => patch.size_bytes(),
-        MapUpdate::Full(map) => map
+        map::Update::Patch { patch, .. } => patch.size_bytes(),
+        map::Update::Full(map) => map
             .layers
             .iter()
             .flat_map(|layer| &layer.ranks)
--- a/crates/sparscale_conduct/src/link.rs
+++ b/crates/sparscale_conduct/src/link.rs
@@ -9,7 +9,7 @@
 
 use sparscale_belief::Board;
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Channel, Endpoint, Frame, MapUpdate, Peer, RankOrder, RankUpdate, Role, StreamRequest};
+use sparscale_wire::{Channel, Endpoint, Frame, Peer, Role, StreamRequest, map, rank};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
@@ -34,9 +34,9 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     /// The rank's agent sent an update.
-    Update { rank: usize, update: RankUpdate },
+    Update { rank: usize, update: rank::Update },
     /// The rank's engine answered a direct order because its agent is unreachable.
-    DirectUpdate { rank: usize, update: RankUpdate },
+    DirectUpdate { rank: usize, update: rank::Update },
     /// Pending orders to the rank will not be answered.
     OrdersLost { rank: usize },
 }
@@ -128,7 +128,7 @@
 
 /// Channels between a leader and the task of a link.
 pub(crate) struct Link {
-    pub(crate) orders: mpsc::Receiver<RankOrder>,
+    pub(crate) orders: mpsc::Receiver<rank::Order>,
     pub(crate) events: mpsc::Sender<Event>,
 }
 
@@ -191,7 +191,7 @@
     /// Opens a stream. An order that arrives meanwhile is returned with it, or is sent directly to the engine if the
     /// agent has been missing for too long, since the group may be stalled by it. Returns `None` once the leader has
     /// terminated.
-    async fn open(&mut self, link: &mut Link, absence: Absence) -> Option<(Option<Channel>, Option<RankOrder>)> {
+    async fn open(&mut self, link: &mut Link, absence: Absence) -> Option<(Option<Channel>, Option<rank::Order>)> {
         if self.locations.has_changed().unwrap_or(false) {
             self.attempt = 0;
         }
@@ -205,14 +205,14 @@
             location.agent,
             self.assignment.clone()
         ));
-        let mut queued_order: Option<RankOrder> = None;
+        let mut queued_order: Option<rank::Order> = None;
         loop {
             let direct_at = absence.since + absence.direct_after;
             tokio::select! {
                 channel = &mut opening => return Some((channel, queued_order)),
                 order = link.orders.recv() => match order? {
                     // An agent that is unreachable needs no heartbeat.
-                    RankOrder::Heartbeat => {}
+                    rank::Order::Heartbeat => {}
                     order => queued_order = Some(order),
                 },
                 () = tokio::time::sleep_until(direct_at), if queued_order.is_some() => {
@@ -226,7 +226,12 @@
 
     /// Forwards orders and updates until the stream ends, starting with `queued_order`; returns when the agent last
     /// sent an update, if it ever did.
-    async fn forward(&mut self, channel: Channel, queued_order: Option<RankOrder>, link: &mut Link) -> Option<Instant> {
+    async fn forward(
+        &mut self,
+        channel: Channel,
+        queued_order: Option<rank::Order>,
+        link: &mut Link,
+    ) -> Option<Instant> {
         let Channel {
             mut sender,
             mut receiver,
@@ -268,15 +273,15 @@
         }
     }
 
-    async fn order_directly(&self, order: RankOrder) -> Option<Event> {
+    async fn order_directly(&self, order: rank::Order) -> Option<Event> {
         let rank = self.assignment.rank;
-        let RankOrder::ToRank { order, map } = order else {
+        let rank::Order::ToRank { order, map } = order else {
             return None;
         };
         let map = match map {
-            Some(MapUpdate::Full(map)) => Some(map),
+            Some(map::Update::Full(map)) => Some(map),
             // An engine needs the whole map, and this change was meant for an agent that has its base.
-            Some(MapUpdate::Patch { .. }) => return Some(Event::OrdersLost { rank }),
+            Some(map::Update::Patch { .. }) => return Some(Event::OrdersLost { rank }),
             None => None,
         };
         let Some(location) = location_for(&self.locations.borrow(), self.attempt) else {
@@ -293,7 +298,7 @@
         log::info!(target: DECISION, decision = "order_directly", rank, act:? = order.act, answer:? = report.answer; "agent unreachable; ordered its engine directly");
         Some(Event::DirectUpdate {
             rank,
-            update: RankUpdate::Report { report, load },
+            update: rank::Update::Report { report, load },
         })
     }
 }
--- a/crates/sparscale_conduct/src/maps.rs
+++ b/crates/sparscale_conduct/src/maps.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use sparscale_place::{Map, Patch};
-use sparscale_wire::{MapUpdate, PatchBase};
+use sparscale_wire::map;
 
 /// Maps that are cached: the active one and the one that is to follow it.
 const MAX_CACHED_MAPS: usize = 2;
@@ -27,14 +27,14 @@
     /// The whole map.
     pub map: Arc<Map>,
     /// Differences from maps that agents may have, the most likely base first.
-    patches: Vec<(PatchBase, Arc<Patch>)>,
+    patches: Vec<(map::Base, Arc<Patch>)>,
 }
 
 impl OutgoingMap {
     /// Prepares a map for agents that may have one of `bases`; a map that was sent but never became active is a base,
     /// too.
-    pub fn new(number: u64, map: Map, bases: &[(PatchBase, Arc<Map>)]) -> Self {
-        let patch_from = |(base, old): &(PatchBase, Arc<Map>)| (*base, Arc::new(Patch::between(old, &map)));
+    pub fn new(number: u64, map: Map, bases: &[(map::Base, Arc<Map>)]) -> Self {
+        let patch_from = |(base, old): &(map::Base, Arc<Map>)| (*base, Arc::new(Patch::between(old, &map)));
         Self {
             patches: bases.iter().map(patch_from).collect(),
             number,
@@ -43,17 +43,17 @@
     }
 
     /// The smallest update that gives the map to an agent that has the maps in `sent`.
-    pub fn update_for(&self, sent: &SentMaps) -> MapUpdate {
-        let is_known = |base: &PatchBase| match base {
-            PatchBase::Initial(_) => true,
-            PatchBase::Sent(number) => sent.contains(*number),
+    pub fn update_for(&self, sent: &SentMaps) -> map::Update {
+        let is_known = |base: &map::Base| match base {
+            map::Base::Initial(_) => true,
+            map::Base::Sent(number) => sent.contains(*number),
         };
         match self.patches.iter().find(|(base, _)| is_known(base)) {
-            Some((base, patch)) => MapUpdate::Patch {
+            Some((base, patch)) => map::Update::Patch {
                 base: *base,
                 patch: Arc::clone(patch),
             },
-            None => MapUpdate::Full(Arc::clone(&self.map)),
+            None => map::Update::Full(Arc::clone(&self.map)),
         }
     }
 }
@@ -71,15 +71,15 @@
     }
 
     /// Applies `update` and caches the result as map `number`; returns `None` if the base is not cached.
-    pub fn apply(&mut self, number: u64, update: MapUpdate) -> Option<Arc<Map>> {
+    pub fn apply(&mut self, number: u64, update: map::Update) -> Option<Arc<Map>> {
         let (base, map) = match update {
-            MapUpdate::Full(map) => (None, map),
-            MapUpdate::Patch {
-                base: PatchBase::Initial(shape),
+            map::Update::Full(map) => (None, map),
+            map::Update::Patch {
+                base: map::Base::Initial(shape),
                 patch,
             } => (None, Arc::new(patch.apply(&Map::initial(shape)).ok()?)),
-            MapUpdate::Patch {
-                base: PatchBase::Sent(base),
+            map::Update::Patch {
+                base: map::Base::Sent(base),
                 patch,
             } => {
                 let (_, old) = self.maps.iter().find(|(number, _)| *number == base)?;
@@ -107,9 +107,9 @@
     }
 
     /// Records that the agent accepted map `number`, which was sent as a change of `base` or as a whole.
-    pub fn record_sent(&mut self, number: u64, base: Option<PatchBase>) {
+    pub fn record_sent(&mut self, number: u64, base: Option<map::Base>) {
         self.numbers
-            .retain(|sent| matches!(base, Some(PatchBase::Sent(base)) if base == *sent));
+            .retain(|sent| matches!(base, Some(map::Base::Sent(base)) if base == *sent));
         self.numbers.push(number);
         debug_assert!(self.numbers.len() <= MAX_CACHED_MAPS);
     }
--- a/crates/sparscale_conduct/src/member.rs
+++ b/crates/sparscale_conduct/src/member.rs
@@ -4,7 +4,7 @@
 
 use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Order};
-use sparscale_wire::{PatchBase, RankExperts, RankLoad, RankOrder};
+use sparscale_wire::{map, rank};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
@@ -19,11 +19,11 @@
 
 /// One rank of the group, as its leader sees it.
 pub(crate) struct Member {
-    pub(crate) orders: mpsc::Sender<RankOrder>,
+    pub(crate) orders: mpsc::Sender<rank::Order>,
     /// Candidate locations, the most likely first.
     pub(crate) locations: watch::Sender<Vec<Location>>,
-    pub(crate) load: Option<(RankLoad, Instant)>,
-    pub(crate) placement: Option<RankExperts>,
+    pub(crate) load: Option<(rank::Load, Instant)>,
+    pub(crate) placement: Option<rank::Experts>,
     /// Serial of the order that awaits an answer, and when it was sent.
     pub(crate) pending_order: Option<(u64, Instant)>,
     /// When the latest order or heartbeat was sent to it.
@@ -34,7 +34,7 @@
     /// Maps known to be in the agent's cache.
     pub(crate) sent_maps: SentMaps,
     /// The map whose staging it has not answered yet: its number, and the base if it was sent as a change.
-    pub(crate) pending_map: Option<(u64, Option<PatchBase>)>,
+    pub(crate) pending_map: Option<(u64, Option<map::Base>)>,
 }
 
 impl Member {
@@ -135,13 +135,13 @@
 
 /// Assembles the group's map from the placements that the ranks report, if all report the same epoch and number.
 pub(crate) fn assemble_map<'a>(
-    placements: impl Iterator<Item = Option<&'a RankExperts>>,
+    placements: impl Iterator<Item = Option<&'a rank::Experts>>,
     epoch: u64,
     number: u64,
     layers: usize,
 ) -> Option<Map> {
-    let placements: Vec<&RankExperts> = placements.collect::<Option<_>>()?;
-    let matches = |placement: &&RankExperts| {
+    let placements: Vec<&rank::Experts> = placements.collect::<Option<_>>()?;
+    let matches = |placement: &&rank::Experts| {
         (placement.epoch, placement.map_number) == (epoch, number) && placement.experts_by_set.len() == layers
     };
     if !placements.iter().all(matches) {
--- a/crates/sparscale_conduct/src/program.rs
+++ b/crates/sparscale_conduct/src/program.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use snafu::{ResultExt as _, Snafu};
-use sparscale_belief::{Board, ReadMetrics, ReadSchedule, Source, read_configuration, read_roster};
+use sparscale_belief::{Board, Source, read_configuration, read_roster, reader};
 use sparscale_catalog::{Configuration, Roster};
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{DECISION, Registry, Signals};
@@ -111,9 +111,9 @@
     tokio::spawn(Arc::clone(&mesh).run_agent_link());
     let new_schedule = || {
         let (interval, head_start) = (settings.max_observation_age, settings.max_observation_age);
-        Arc::new(ReadSchedule::new(interval, Duration::ZERO, head_start).with_max_retry_delay(MAX_RETRY_DELAY))
+        Arc::new(reader::Schedule::new(interval, Duration::ZERO, head_start).with_max_retry_delay(MAX_RETRY_DELAY))
     };
-    let read_metrics = || ReadMetrics::new(&parts.registry);
+    let read_metrics = || reader::Metrics::new(&parts.registry);
     tokio::spawn(read_configuration(
         Arc::clone(&board),
         parts.configuration,
--- a/crates/sparscale_conduct/src/remote_engine.rs
+++ b/crates/sparscale_conduct/src/remote_engine.rs
@@ -4,7 +4,7 @@
 
 use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Order, Report};
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 
 use crate::engine::Engine;
 
@@ -42,7 +42,7 @@
 
     /// Carries out `order` and reads the state late enough to show the effect of the order and of everything before it.
     /// An earlier state would hide, for example, that the rank had just been armed.
-    pub async fn order(&mut self, order: &Order, map: Option<&Map>) -> (Report, Option<RankLoad>) {
+    pub async fn order(&mut self, order: &Order, map: Option<&Map>) -> (Report, Option<rank::Load>) {
         let answer = match order.act {
             Act::Look => Answer::Done,
             _ => self.engine.order(order, map).await,
--- a/crates/sparscale_conduct/tests/group/engines.rs
+++ b/crates/sparscale_conduct/tests/group/engines.rs
@@ -16,7 +16,7 @@
 use sparscale_place::barrier::{Act, Answer, Change, Order, View};
 use sparscale_place::{Map, Shape};
 use sparscale_samples as samples;
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 use tokio::runtime::Runtime;
 
 pub const RANKS: usize = 4;
@@ -282,7 +282,7 @@
                 armed: rank.armed,
                 held: rank.held_step,
             },
-            load: RankLoad::default(),
+            load: rank::Load::default(),
         }
     }
 
--- a/crates/sparscale_conduct/tests/group/first_order.rs
+++ b/crates/sparscale_conduct/tests/group/first_order.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use sparscale_place::barrier::{Act, Order};
-use sparscale_wire::{Endpoint, Frame, Identity, RankOrder, RankUpdate, Role, StreamRequest};
+use sparscale_wire::{Endpoint, Frame, Identity, Role, StreamRequest, rank};
 
 use crate::engines::World;
 
@@ -67,14 +67,14 @@
     };
     for frame in [
         Frame::Open(ask),
-        Frame::RankOrder(RankOrder::ToRank { order, map: None }),
+        Frame::RankOrder(rank::Order::ToRank { order, map: None }),
     ] {
         channel.sender.send(&frame).await.expect("an agent that reads");
     }
     let answered = async {
         loop {
             match channel.receiver.receive().await {
-                Ok(Frame::RankUpdate(RankUpdate::Report { report, .. })) if report.answer.is_some() => return true,
+                Ok(Frame::RankUpdate(rank::Update::Report { report, .. })) if report.answer.is_some() => return true,
                 Ok(_) => {}
                 Err(_) => return false,
             }
--- a/crates/sparscale_conduct/tests/group/stale_state.rs
+++ b/crates/sparscale_conduct/tests/group/stale_state.rs
@@ -8,7 +8,7 @@
 use sparscale_conduct::{Engine, EngineError, EngineState, HeldExperts, RemoteEngine, SelectionCounts};
 use sparscale_place::Map;
 use sparscale_place::barrier::{Act, Answer, Change, Order, View};
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 use tokio::time::Instant;
 
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -37,7 +37,7 @@
                 armed: known.and_then(|(_, armed)| *armed),
                 held: None,
             },
-            load: RankLoad::default(),
+            load: rank::Load::default(),
         })
     }
 
--- a/crates/sparscale_conduct/tests/map_updates.rs
+++ b/crates/sparscale_conduct/tests/map_updates.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use sparscale_conduct::{MapCache, OutgoingMap, SentMaps};
 use sparscale_place::{Layer, Map};
-use sparscale_wire::{MapUpdate, PatchBase};
+use sparscale_wire::map;
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
@@ -72,13 +72,13 @@
         let bases = [&self.active, &self.dropped];
         let bases = bases.into_iter().flatten();
         let bases: Vec<_> = bases
-            .map(|(number, map)| (PatchBase::Sent(*number), Arc::clone(map)))
+            .map(|(number, map)| (map::Base::Sent(*number), Arc::clone(map)))
             .collect();
         let outgoing = OutgoingMap::new(number, map(number), &bases);
         let update = outgoing.update_for(&self.sent);
         let base = match &update {
-            MapUpdate::Full(_) => None,
-            MapUpdate::Patch { base, .. } => Some(*base),
+            map::Update::Full(_) => None,
+            map::Update::Patch { base, .. } => Some(*base),
         };
         self.whole_updates += u32::from(base.is_none());
         let Some(applied) = self.cache.apply(number, update) else {
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -86,7 +86,7 @@
         refusal.response(&self.gateway.target_client.header_names.request_id, head.id.as_ref())
     }
 
-    fn admit(&self, head: &Head, arrived_at: Instant) -> Result<AdmittedRequest, Refusal> {
+    fn admit(&self, head: &Head, arrived_at: Instant) -> Result<Grant, Refusal> {
         let retry_later = |reason| Refusal::with_retry_after(reason, INCOMPLETE_STATE_RETRY_DELAY);
         let observation = self
             .gateway
@@ -126,7 +126,7 @@
         let timeout = head
             .remaining
             .map_or(route.timeout, |remaining| remaining.min(route.timeout));
-        Ok(AdmittedRequest {
+        Ok(Grant {
             workspace,
             deadline: arrived_at + timeout,
             deadline_timestamp: self.gateway.board.now() + timeout.saturating_sub(arrived_at.elapsed()),
@@ -139,7 +139,7 @@
 }
 
 /// What the catalog says about an admitted request.
-struct AdmittedRequest {
+struct Grant {
     catalog: Arc<Catalog>,
     route: sparscale_catalog::RouteKey,
     workspace: Option<String>,
@@ -149,7 +149,7 @@
     retryable: bool,
 }
 
-impl AdmittedRequest {
+impl Grant {
     fn into_job(self, head: Head, body: bytes::Bytes, arrived_at: Instant) -> Job {
         let workspace = self.workspace.as_deref();
         let fingerprint = Fingerprint::of(head.method.as_str(), head.path.as_str(), workspace, &body);
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -8,11 +8,9 @@
 use std::time::Duration;
 
 use snafu::ResultExt as _;
-use sparscale_belief::{
-    Archive, Board, ReadMetrics, ReadSchedule, Source, read_configuration, read_roster, read_strikes,
-};
+use sparscale_belief::{Archive, Board, Source, read_configuration, read_roster, read_strikes, reader};
 use sparscale_catalog::Group;
-use sparscale_mesh::{Mesh, MeshStatus};
+use sparscale_mesh::{self as mesh, Mesh};
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, Identity, MAX_LONG_LIVED_STREAMS, Role};
@@ -26,7 +24,7 @@
 use crate::gate::Gates;
 use crate::loads::Loads;
 use crate::metrics::{Metrics, register_gauges};
-use crate::phase::{ConnectionCounter, Phase};
+use crate::phase::{Connections, Phase};
 use crate::pool::Pool;
 use crate::queues::Queues;
 use crate::readiness;
@@ -61,7 +59,7 @@
     pub mesh: Arc<Mesh>,
     settings: Settings,
     phase: watch::Sender<Phase>,
-    connection_counter: Arc<ConnectionCounter>,
+    connection_counter: Arc<Connections>,
 }
 
 impl Entry {
@@ -71,13 +69,13 @@
         let callers = listen(settings.caller_address).await?;
         let ready = listen(settings.ready_address).await?;
         let mesh = start_mesh(&settings, &board)?;
-        let read_schedule = Arc::new(ReadSchedule::new(
+        let read_schedule = Arc::new(reader::Schedule::new(
             settings.max_observation_age,
             settings.read_delay_per_entry,
             Duration::ZERO,
         ));
         let registry = parts.registry;
-        let read_metrics = || ReadMetrics::new(&registry);
+        let read_metrics = || reader::Metrics::new(&registry);
         tokio::spawn(read_configuration(
             Arc::clone(&board),
             parts.configuration,
@@ -116,7 +114,7 @@
             deadlines: Mutex::default(),
             retry_schedules: Mutex::default(),
         });
-        let connection_counter = Arc::new(ConnectionCounter::default());
+        let connection_counter = Arc::new(Connections::default());
         register_gauges(&registry, &board, &mesh, &connection_counter);
         tokio::spawn(follow_group_loads(Arc::clone(&gateway)));
         let read_schedules = [read_schedule, strikes_schedule];
@@ -205,9 +203,9 @@
     board: &Arc<Board>,
     strikes: Box<dyn Source<Vec<Strike>>>,
     archive: Box<dyn Archive>,
-    metrics: ReadMetrics,
-) -> Arc<ReadSchedule> {
-    let schedule = Arc::new(ReadSchedule::new(
+    metrics: reader::Metrics,
+) -> Arc<reader::Schedule> {
+    let schedule = Arc::new(reader::Schedule::new(
         settings.max_observation_age * CATALOG_READS_PER_STRIKES_READ,
         settings.read_delay_per_entry * CATALOG_READS_PER_STRIKES_READ,
         Duration::ZERO,
@@ -222,7 +220,7 @@
 }
 
 /// Writes the strikes to the archive, as long as this entry is the first reader of the store.
-async fn archive_strikes(board: Arc<Board>, archive: Box<dyn Archive>, read_schedule: Arc<ReadSchedule>) {
+async fn archive_strikes(board: Arc<Board>, archive: Box<dyn Archive>, read_schedule: Arc<reader::Schedule>) {
     board
         .quarantine
         .sync_to_archive(archive, || read_schedule.reader_index() == 0)
@@ -233,14 +231,14 @@
 /// that share the headroom of groups and the slack of the retry budgets.
 async fn follow_mesh_status(
     mesh: Arc<Mesh>,
-    read_schedules: [Arc<ReadSchedule>; 2],
+    read_schedules: [Arc<reader::Schedule>; 2],
     entry_count: Arc<AtomicUsize>,
     gateway: Arc<Gateway>,
 ) {
     let mut status = mesh.status();
     let mut last_entry_count = status.borrow().entries;
     while status.changed().await.is_ok() {
-        let MeshStatus {
+        let mesh::Status {
             index,
             entries,
             sharers,
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -76,7 +76,7 @@
 }
 
 /// Outcome of an attempt.
-enum AttemptOutcome {
+enum Outcome {
     /// There is a response for the caller.
     Responded(CallerResponse),
     /// The target could not be reached; nothing was sent.
@@ -93,7 +93,7 @@
 
 /// Why a request is sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RetryReason {
+enum Cause {
     /// The target rejected it, failed, or sent no complete response.
     NotServed,
     /// Another incarnation had the target's address.
@@ -104,7 +104,7 @@
     Unresponsive,
 }
 
-impl RetryReason {
+impl Cause {
     fn name(self) -> &'static str {
         match self {
             Self::NotServed => "unserved",
@@ -206,11 +206,11 @@
         &self,
         job: &Job,
         instance: Instance,
-        outcome: AttemptOutcome,
+        outcome: Outcome,
         history: &mut AttemptHistory,
     ) -> Result<Option<CallerResponse>, Refusal> {
         match outcome {
-            AttemptOutcome::Responded(response) => {
+            Outcome::Responded(response) => {
                 self.loads.record_success(instance.key);
                 if let Some(membership) = &instance.target.membership {
                     self.gates.record_response(&membership.group);
@@ -222,34 +222,33 @@
                 return Ok(Some(response));
             }
             // The next attempt was charged to the budget when the target was abandoned.
-            AttemptOutcome::Abandoned => {
+            Outcome::Abandoned => {
                 history.unknown_outcome_refusal = Some(Refusal::new(Reason::NoAnswer));
                 history.attempted_targets.push(instance);
                 return Ok(None);
             }
-            AttemptOutcome::NotSent => {
+            Outcome::NotSent => {
                 self.loads.record_failure(instance.key);
                 return history.skip_unavailable(
                     Refusal::with_retry_after(Reason::Unreachable, REJECTED_RETRY_DELAY),
                     |_| true,
                 );
             }
-            AttemptOutcome::Rejected(rejection) if rejection.is_replaced(&instance.target) => {
+            Outcome::Rejected(rejection) if rejection.is_replaced(&instance.target) => {
                 self.loads.record_replaced(instance.key);
-                let may_retry =
-                    |history: &AttemptHistory| self.charge_retry_budget(job, history, RetryReason::Replaced);
+                let may_retry = |history: &AttemptHistory| self.charge_retry_budget(job, history, Cause::Replaced);
                 return history.skip_unavailable(
                     Refusal::with_retry_after(Reason::Rejected, REJECTED_RETRY_DELAY),
                     may_retry,
                 );
             }
-            AttemptOutcome::Rejected(rejection) => {
+            Outcome::Rejected(rejection) => {
                 self.record_rejection(job, &instance, &rejection);
                 self.switch_group(job, history);
                 history.not_run_refusal = Some(Refusal::with_retry_after(Reason::Rejected, REJECTED_RETRY_DELAY));
             }
-            AttemptOutcome::Failed(response) => history.error_response = Some(response),
-            AttemptOutcome::ResponseLost(error) => self.record_lost_response(job, &instance, error, history).await?,
+            Outcome::Failed(response) => history.error_response = Some(response),
+            Outcome::ResponseLost(error) => self.record_lost_response(job, &instance, error, history).await?,
         }
         history.attempted_targets.push(instance);
         if self.may_retry(job, history) {
@@ -264,7 +263,7 @@
     /// Runs one attempt, up to a complete response or the first event. A target that turns out to be a straggler, or
     /// that is unresponsive while others respond, is abandoned if the request may go elsewhere: with a straggler each
     /// pass of the group would wait for that one rank, and with an unresponsive target the caller would wait in vain.
-    async fn attempt(&self, job: &Job, instance: &Instance, history: &AttemptHistory) -> AttemptOutcome {
+    async fn attempt(&self, job: &Job, instance: &Instance, history: &AttemptHistory) -> Outcome {
         let mut sending = std::pin::pin!(self.send(job, instance));
         if let Some(membership) = &instance.target.membership {
             match tokio::time::timeout(gate::ACCEPTED_AFTER, &mut sending).await {
@@ -280,14 +279,10 @@
                 self.may_abandon_unresponsive(job, instance, verdict, attempts_made, history)
             }
         };
-        if abandoned {
-            AttemptOutcome::Abandoned
-        } else {
-            sending.await
-        }
+        if abandoned { Outcome::Abandoned } else { sending.await }
     }
 
-    async fn send(&self, job: &Job, instance: &Instance) -> AttemptOutcome {
+    async fn send(&self, job: &Job, instance: &Instance) -> Outcome {
         let in_flight = self.loads.begin_request(instance);
         let since = Instant::now();
         let outcome = self.target_client.send(instance, &job.outbound).await;
@@ -300,17 +295,17 @@
                 Ok(response) => {
                     self.response_monitor
                         .record_response(instance, job.first_response_part(), since);
-                    AttemptOutcome::Responded(response)
+                    Outcome::Responded(response)
                 }
-                Err(error) => AttemptOutcome::ResponseLost(error),
+                Err(error) => Outcome::ResponseLost(error),
             },
             SendOutcome::Complete(response) if is_failure(response.status) && job.outbound.retryable => {
-                AttemptOutcome::Failed(response)
+                Outcome::Failed(response)
             }
-            SendOutcome::Complete(response) => AttemptOutcome::Responded(CallerResponse::Complete(response)),
-            SendOutcome::NotSent => AttemptOutcome::NotSent,
-            SendOutcome::Rejected(rejection) => AttemptOutcome::Rejected(rejection),
-            SendOutcome::ResponseLost(error) => AttemptOutcome::ResponseLost(error),
+            SendOutcome::Complete(response) => Outcome::Responded(CallerResponse::Complete(response)),
+            SendOutcome::NotSent => Outcome::NotSent,
+            SendOutcome::Rejected(rejection) => Outcome::Rejected(rejection),
+            SendOutcome::ResponseLost(error) => Outcome::ResponseLost(error),
         }
     }
 
@@ -371,7 +366,7 @@
         if history.attempted_targets.len() >= job.route().max_attempts as usize {
             return false;
         }
-        let allowed = self.charge_retry_budget(job, history, RetryReason::NotServed);
+        let allowed = self.charge_retry_budget(job, history, Cause::NotServed);
         let counter = if allowed {
             &self.metrics.retries
         } else {
@@ -394,7 +389,7 @@
     }
 
     /// Charges one more attempt to the budget of the service; returns whether the budget allows it.
-    fn charge_retry_budget(&self, job: &Job, history: &AttemptHistory, reason: RetryReason) -> bool {
+    fn charge_retry_budget(&self, job: &Job, history: &AttemptHistory, reason: Cause) -> bool {
         let Some(service) = history.service.as_deref() else {
             return false;
         };
--- a/crates/sparscale_gateway/src/exchange/abandon.rs
+++ b/crates/sparscale_gateway/src/exchange/abandon.rs
@@ -5,7 +5,7 @@
 use sparscale_catalog::Instance;
 use sparscale_telemetry::DECISION;
 
-use super::{Gateway, Job, RetryReason};
+use super::{Cause, Gateway, Job};
 use crate::attempt_history::AttemptHistory;
 use crate::response_monitor::UnresponsiveTarget;
 
@@ -20,7 +20,7 @@
         history: &AttemptHistory,
     ) -> bool {
         let may_resend = job.outbound.retryable && attempts_made < job.route().max_attempts as usize;
-        let may_abandon = may_resend && self.charge_retry_budget(job, history, RetryReason::Straggler);
+        let may_abandon = may_resend && self.charge_retry_budget(job, history, Cause::Straggler);
         log::info!(target: DECISION, decision = "leave_slow", request = job.outbound.head.id_text(), at = target, left = may_abandon; "target is a straggler and slows its group down");
         may_abandon
     }
@@ -37,7 +37,7 @@
     ) -> bool {
         self.loads.record_failure(instance.key);
         let may_resend = job.outbound.retryable && attempts_made < job.route().max_attempts as usize;
-        let may_abandon = may_resend && self.charge_retry_budget(job, history, RetryReason::Unresponsive);
+        let may_abandon = may_resend && self.charge_retry_budget(job, history, Cause::Unresponsive);
         let evidence = verdict.evidence;
         let millis = |time: Duration| time.as_millis() as u64;
         log::info!(
--- a/crates/sparscale_gateway/src/exchange/choice.rs
+++ b/crates/sparscale_gateway/src/exchange/choice.rs
@@ -4,14 +4,14 @@
 use sparscale_catalog::{Directory, Instance};
 use sparscale_policy::caller_timeout;
 use sparscale_telemetry::DECISION;
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 
 use super::{Gateway, Job, max_pause_of};
 use crate::attempt::{Rejection, is_named};
 use crate::attempt_history::AttemptHistory;
 use crate::attempted_targets::AttemptedTargets;
 use crate::gate::GateDecision;
-use crate::loads::TargetFilter;
+use crate::loads::Filter;
 
 impl Gateway {
     /// Switches to another group of the service if the chosen one is closed or all its ranks are evacuated.
@@ -72,7 +72,7 @@
         let no_limits = throttle.is_unrestricted();
         let may_take = |instance: &Instance| no_limits || throttle.is_open(instance);
         let choose = |excluded: &AttemptedTargets, group: Option<&str>| {
-            let filter = TargetFilter {
+            let filter = Filter {
                 service: &service,
                 group,
                 excluded,
@@ -97,15 +97,15 @@
 
     /// The load of a rank as reported by the leader of its group, or none if the leader does not receive from the rank.
     /// A rank that has started since the report counts as having no requests.
-    fn reported_load(&self, instance: &Instance) -> Option<RankLoad> {
+    fn reported_load(&self, instance: &Instance) -> Option<rank::Load> {
         let membership = instance.target.membership.as_ref()?;
         let group = self.mesh.group_load(&membership.group)?;
         group.rank_loads.get(membership.rank).copied().flatten()?;
         let start = instance.target.start_mark();
         let load = group.rank_load(membership.rank, start);
-        Some(load.unwrap_or(RankLoad {
+        Some(load.unwrap_or(rank::Load {
             start_marker: start,
-            ..RankLoad::default()
+            ..rank::Load::default()
         }))
     }
 
--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -10,7 +10,7 @@
 
 use sparscale_catalog::{Directory, Incarnation, Instance, TargetStatus};
 use sparscale_policy::spread::{Candidate, draw, shares};
-use sparscale_wire::RankLoad;
+use sparscale_wire::rank;
 use tokio::time::Instant;
 
 use crate::attempted_targets::AttemptedTargets;
@@ -33,7 +33,7 @@
 
 /// State of one target, as observed by this entry.
 #[derive(Debug, Default)]
-struct TargetState {
+struct State {
     /// Requests of this entry that have not finished.
     in_flight: u32,
     /// Consecutive failures.
@@ -45,7 +45,7 @@
     recent_sends: VecDeque<Instant>,
 }
 
-impl TargetState {
+impl State {
     fn is_avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
@@ -61,7 +61,7 @@
 /// The load and recent failures of all targets.
 #[derive(Debug)]
 pub(crate) struct Loads {
-    targets: Mutex<HashMap<Incarnation, TargetState>>,
+    targets: Mutex<HashMap<Incarnation, State>>,
     /// Number of entries that send to the same targets, including this one.
     entry_count: Arc<AtomicUsize>,
     /// Sends of this entry to targets in groups within the last [`RATE_WINDOW`].
@@ -72,7 +72,7 @@
 
 /// Selects the targets that a request may be sent to.
 #[derive(Debug)]
-pub(crate) struct TargetFilter<'a> {
+pub(crate) struct Filter<'a> {
     pub(crate) service: &'a str,
     /// The only group that the request may go to, if it is bound to one.
     pub(crate) group: Option<&'a str>,
@@ -109,9 +109,9 @@
     pub(crate) fn choose(
         &self,
         targets: &Directory,
-        filter: &TargetFilter<'_>,
+        filter: &Filter<'_>,
         may_take: impl Fn(&Instance) -> bool,
-        reported: impl Fn(&Instance) -> Option<RankLoad>,
+        reported: impl Fn(&Instance) -> Option<rank::Load>,
     ) -> Option<Instance> {
         let is_available = |instance: &&Instance| {
             let is_ready = instance.target.status == TargetStatus::Ready;
@@ -129,7 +129,7 @@
             .collect();
         let eligible: Vec<&Instance> = available.iter().copied().filter(in_group).collect();
         let fraction = eligible.len() as f64 / available.len().max(1) as f64;
-        let mut with_load: Vec<(&Instance, RankLoad)> = eligible
+        let mut with_load: Vec<(&Instance, rank::Load)> = eligible
             .iter()
             .filter_map(|instance| reported(instance).map(|load| (*instance, load)))
             .collect();
@@ -186,7 +186,7 @@
     /// fraction of this entry's requests that may go to these targets.
     fn draw_by_load<'t>(
         &self,
-        with_load: &[(&'t Instance, RankLoad)],
+        with_load: &[(&'t Instance, rank::Load)],
         fraction: f64,
         hall: &str,
     ) -> Option<&'t Instance> {
@@ -194,12 +194,12 @@
         let expected_arrivals = self.expected_arrivals(now) * fraction;
         let targets = self.lock();
         let is_avoided = |instance: &Instance| targets.get(&instance.key).is_some_and(|state| state.is_avoided(now));
-        let mut candidates: Vec<&(&Instance, RankLoad)> =
+        let mut candidates: Vec<&(&Instance, rank::Load)> =
             with_load.iter().filter(|(instance, _)| !is_avoided(instance)).collect();
         if candidates.is_empty() {
             candidates = with_load.iter().collect();
         }
-        let candidate = |instance: &Instance, load: RankLoad| {
+        let candidate = |instance: &Instance, load: rank::Load| {
             let target = &instance.target;
             let state = targets.get(&instance.key);
             let own_requests = state.map_or(0, |state| state.in_flight);
@@ -295,7 +295,7 @@
             .retain(|target, state| state.in_flight > 0 || targets.find(*target).is_some());
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Incarnation, TargetState>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Incarnation, State>> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{Counter, Histogram, Registry};
 
-use crate::phase::ConnectionCounter;
+use crate::phase::Connections;
 use crate::refusal::Reason;
 
 /// Metrics that are updated by requests.
@@ -91,7 +91,7 @@
     registry: &Arc<Registry>,
     board: &Arc<Board>,
     mesh: &Arc<Mesh>,
-    connection_counter: &Arc<ConnectionCounter>,
+    connection_counter: &Arc<Connections>,
 ) {
     let gauge = |name, help| registry.gauge(name, help, &[]);
     let catalog_age = gauge(
--- a/crates/sparscale_gateway/src/phase.rs
+++ b/crates/sparscale_gateway/src/phase.rs
@@ -17,6 +17,6 @@
 
 /// Counts the open connections from callers.
 #[derive(Debug, Default)]
-pub(crate) struct ConnectionCounter {
+pub(crate) struct Connections {
     pub(crate) connections: AtomicUsize,
 }
--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -147,7 +147,7 @@
                 }
             }
         };
-        let guard = BacklogGuard {
+        let guard = Guard {
             queues: self,
             group: arrival.group,
             ticket,
@@ -252,13 +252,13 @@
 }
 
 /// Removes a request from the backlog when it stops waiting for any reason, including cancellation.
-struct BacklogGuard<'a> {
+struct Guard<'a> {
     queues: &'a Queues,
     group: &'a str,
     ticket: Ticket,
 }
 
-impl Drop for BacklogGuard<'_> {
+impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if let Some(group_queue) = self.queues.lock().get_mut(self.group) {
             group_queue.queue.cancel(self.ticket);
--- a/crates/sparscale_gateway/src/response_monitor.rs
+++ b/crates/sparscale_gateway/src/response_monitor.rs
@@ -9,7 +9,7 @@
 use sparscale_catalog::{Directory, Instance};
 use sparscale_policy::response_timeout::{Evidence, ResponsePart};
 use sparscale_policy::response_tracker::{PendingResponse, Tracker};
-use sparscale_wire::GroupLoad;
+use sparscale_wire::group;
 use tokio::time::Instant;
 
 /// Interval between the checks of a target that has not responded yet.
@@ -43,7 +43,7 @@
     }
 
     /// Records a load report from the leader of a group.
-    pub(crate) fn record_report(&self, load: &GroupLoad) {
+    pub(crate) fn record_report(&self, load: &group::Load) {
         self.lock().record_group_load(load, Instant::now().into_std());
     }
 
--- a/crates/sparscale_gateway/src/server.rs
+++ b/crates/sparscale_gateway/src/server.rs
@@ -23,7 +23,7 @@
 
 use crate::admission::Admission;
 use crate::body::Body;
-use crate::phase::{ConnectionCounter, Phase};
+use crate::phase::{Connections, Phase};
 
 /// Delay after accepting a connection failed: usually file descriptors are exhausted, and some become free meanwhile.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -159,7 +159,7 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     admission: Arc<Admission>,
-    connection_counter: Arc<ConnectionCounter>,
+    connection_counter: Arc<Connections>,
     mut phase: watch::Receiver<Phase>,
 ) {
     loop {
@@ -186,11 +186,11 @@
 
 /// Counts an open connection until dropped.
 struct ConnectionGuard {
-    connection_counter: Arc<ConnectionCounter>,
+    connection_counter: Arc<Connections>,
 }
 
 impl ConnectionGuard {
-    fn new(connection_counter: Arc<ConnectionCounter>) -> Self {
+    fn new(connection_counter: Arc<Connections>) -> Self {
         connection_counter.connections.fetch_add(1, Ordering::Relaxed);
         Self { connection_counter }
     }
--- a/crates/sparscale_gateway/src/stragglers.rs
+++ b/crates/sparscale_gateway/src/stragglers.rs
@@ -7,11 +7,11 @@
 use sparscale_mesh::Mesh;
 use sparscale_policy::straggler;
 use sparscale_telemetry::DECISION;
-use sparscale_wire::GroupLoad;
+use sparscale_wire::group;
 use tokio::sync::watch;
 
 /// The load report of a group, and the ranks that are stragglers according to it.
-type GroupStragglers = (Arc<GroupLoad>, Vec<usize>);
+type GroupStragglers = (Arc<group::Load>, Vec<usize>);
 
 /// The current stragglers.
 #[derive(Debug, Default)]
--- a/crates/sparscale_gateway/tests/path/evacuations.rs
+++ b/crates/sparscale_gateway/tests/path/evacuations.rs
@@ -4,7 +4,7 @@
 
 use sparscale_catalog::{Document, Membership, Roster, TargetStatus, cold};
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 use crate::entry::{Fixture, Request, evacuating, linked_settings, roster, send_requests, wait_for};
 use crate::target::{Arrival, Connection, Target};
@@ -137,13 +137,13 @@
 
 /// The load of a group with this skew, whose ranks have `running` requests each. With a large skew its passes are too
 /// long for any request to be on time, so that requests wait.
-fn load(group: &str, serial: u64, skew: f64, running: u32) -> GroupLoad {
-    let rank = RankLoad {
+fn load(group: &str, serial: u64, skew: f64, running: u32) -> group::Load {
+    let rank = rank::Load {
         running,
         slowdown_milli: 1_000,
-        ..RankLoad::default()
+        ..rank::Load::default()
     };
-    GroupLoad {
+    group::Load {
         group: group.to_owned(),
         sequence: (1, serial),
         is_running: true,
--- a/crates/sparscale_gateway/tests/path/groups.rs
+++ b/crates/sparscale_gateway/tests/path/groups.rs
@@ -7,7 +7,7 @@
 
 use sparscale_catalog::{Document, Membership, Roster};
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 use crate::entry::{Fixture, Request, roster, settings, wait_for};
 use crate::target::{Arrival, Connection, Target};
@@ -41,13 +41,13 @@
 }
 
 /// Load report of a group whose ranks have these slowdowns, in thousandths.
-pub fn load_report(serial: u64, slowdowns_milli: &[u32]) -> GroupLoad {
-    let rank = |slowdown_milli: &u32| RankLoad {
+pub fn load_report(serial: u64, slowdowns_milli: &[u32]) -> group::Load {
+    let rank = |slowdown_milli: &u32| rank::Load {
         running: 1,
         slowdown_milli: *slowdown_milli,
-        ..RankLoad::default()
+        ..rank::Load::default()
     };
-    GroupLoad {
+    group::Load {
         group: GROUP.to_owned(),
         sequence: (1, serial),
         is_running: true,
@@ -282,7 +282,7 @@
         observation.is_some_and(|observation| observation.value.groups_of(samples::MODEL_SERVICE).count() == 2)
     });
     for group in ["a", "z"] {
-        let report = GroupLoad {
+        let report = group::Load {
             group: group.to_owned(),
             ..load_report(1, &[1_000; 2])
         };
--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -5,8 +5,7 @@
 //! process that the store rejects still receives every change.
 
 mod link;
-mod link_clock;
+pub mod link_clock;
 mod mesh;
 
-pub use link_clock::LinkClock;
-pub use mesh::{DEFAULT_ENTRIES_PER_LOAD_STEP, LOAD_INTERVAL_STEP, Mesh, MeshStatus, Settings, Traffic};
+pub use mesh::{DEFAULT_ENTRIES_PER_LOAD_STEP, LOAD_INTERVAL_STEP, Mesh, Settings, Status, Traffic};
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -14,12 +14,10 @@
 use sparscale_policy::throttle;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{
-    Channel, Frame, GroupLoad, Notice, Notices, Receiver, Role, Sender, evacuation, observation, roster,
-};
+use sparscale_wire::{Channel, Frame, Notice, Notices, Receiver, Role, Sender, evacuation, group, observation, roster};
 use tokio::time::Instant;
 
-use crate::link_clock::{LinkClock, millis};
+use crate::link_clock::{self, millis};
 use crate::mesh::Mesh;
 
 /// Timeout of sending one message; a link whose peer does not read for so long is closed.
@@ -40,12 +38,12 @@
 
 /// The values that one side requests from the other.
 #[derive(Debug, Default)]
-struct ValueRequest {
+struct Request {
     catalog: bool,
     roster: bool,
 }
 
-impl ValueRequest {
+impl Request {
     fn is_any(&self) -> bool {
         self.catalog || self.roster
     }
@@ -56,15 +54,15 @@
     mesh: Arc<Mesh>,
     /// Role of the peer.
     role: Role,
-    clock: LinkClock,
+    clock: link_clock::Clock,
     /// Address of the peer; `None` until its first exchange.
     peer: Option<SocketAddr>,
     peer_catalog_position: Position,
     peer_roster_position: Position,
     /// What the peer has requested and not been sent yet.
-    peer_request: ValueRequest,
+    peer_request: Request,
     /// What to request from the peer in the next exchange.
-    own_request: ValueRequest,
+    own_request: Request,
     /// Digest of the last roster that was sent to the peer.
     sent_roster_digest: Option<u64>,
     /// Order of the last load of each group that was sent to the peer.
@@ -87,14 +85,14 @@
 impl Link {
     pub(crate) fn new(mesh: Arc<Mesh>, role: Role) -> Self {
         Self {
-            clock: LinkClock::new(mesh.started_at),
+            clock: link_clock::Clock::new(mesh.started_at),
             mesh,
             role,
             peer: None,
             peer_catalog_position: Position::default(),
             peer_roster_position: Position::default(),
-            peer_request: ValueRequest::default(),
-            own_request: ValueRequest::default(),
+            peer_request: Request::default(),
+            own_request: Request::default(),
             sent_roster_digest: None,
             sent_load_orders: BTreeMap::new(),
             sent_evacuations_position: None,
@@ -373,7 +371,7 @@
         self.mesh.board.throttle.merge_from_peer(&notices, &source);
     }
 
-    fn handle_load(&mut self, load: GroupLoad) {
+    fn handle_load(&mut self, load: group::Load) {
         self.mesh.received.loads.fetch_add(1, Ordering::Relaxed);
         self.mesh.merge_group_load(load, self.role == Role::Agent);
     }
--- a/crates/sparscale_mesh/src/link_clock.rs
+++ b/crates/sparscale_mesh/src/link_clock.rs
@@ -10,12 +10,12 @@
 
 /// Stamps that one side of a link has sent and received.
 #[derive(Debug)]
-pub struct LinkClock {
+pub struct Clock {
     started_at: Timestamp,
     latest_received: Option<(u64, Timestamp)>,
 }
 
-impl LinkClock {
+impl Clock {
     /// A clock whose stamps count milliseconds from `started_at`.
     pub fn new(started_at: Timestamp) -> Self {
         Self {
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -14,7 +14,7 @@
 use sparscale_history::Position;
 use sparscale_policy::rate_limit::{self, Members};
 use sparscale_telemetry::DECISION;
-use sparscale_wire::{Channel, Endpoint, Frame, GroupLoad, Peer, Role, StreamRequest};
+use sparscale_wire::{Channel, Endpoint, Frame, Peer, Role, StreamRequest, group};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -64,7 +64,7 @@
 
 /// Index of this entry among the live ones, and their number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MeshStatus {
+pub struct Status {
     /// Number of linked entries with a smaller address: 0 for the first entry.
     pub index: usize,
     /// Number of entries that are live or were recently, including this one.
@@ -77,7 +77,7 @@
 
 /// What is known of another entry.
 #[derive(Debug, Clone, Copy)]
-struct EntryState {
+struct Entry {
     link_count: usize,
     last_seen: Option<Timestamp>,
     next_dial_at: Instant,
@@ -87,9 +87,9 @@
 
 /// The position that was requested last from any entry, and the time of the request.
 #[derive(Debug, Default)]
-struct LatestRequest(Mutex<Option<(Position, Instant)>>);
+struct Request(Mutex<Option<(Position, Instant)>>);
 
-impl LatestRequest {
+impl Request {
     /// Records a request for `position` and returns true, unless this position or a later one was requested within
     /// [`REQUEST_TIMEOUT`].
     fn try_record(&self, position: Position) -> bool {
@@ -105,7 +105,7 @@
 
 /// Counters of what other processes sent to this one.
 #[derive(Debug, Default)]
-pub(crate) struct TrafficCounters {
+pub(crate) struct Counters {
     pub(crate) catalogs: AtomicU64,
     pub(crate) rosters: AtomicU64,
     pub(crate) loads: AtomicU64,
@@ -132,20 +132,20 @@
     pub(crate) board: Arc<Board>,
     pub(crate) started_at: Timestamp,
     endpoint: Arc<Endpoint>,
-    entries: Mutex<BTreeMap<SocketAddr, EntryState>>,
-    status: watch::Sender<MeshStatus>,
+    entries: Mutex<BTreeMap<SocketAddr, Entry>>,
+    status: watch::Sender<Status>,
     members: watch::Sender<Members>,
-    latest_catalog_request: LatestRequest,
-    latest_roster_request: LatestRequest,
-    pub(crate) received: TrafficCounters,
+    latest_catalog_request: Request,
+    latest_roster_request: Request,
+    pub(crate) received: Counters,
     /// Latest loads of each group.
-    pub(crate) groups: watch::Sender<BTreeMap<String, GroupReport>>,
+    pub(crate) groups: watch::Sender<BTreeMap<String, Report>>,
 }
 
 /// Loads of a group, and how they were received.
 #[derive(Debug, Clone)]
-pub(crate) struct GroupReport {
-    pub(crate) load: Arc<GroupLoad>,
+pub(crate) struct Report {
+    pub(crate) load: Arc<group::Load>,
     /// Whether the group leader sent them to this process itself, which then forwards them to the other entries.
     pub(crate) from_leader: bool,
 }
@@ -158,15 +158,15 @@
             board,
             endpoint,
             entries: Mutex::default(),
-            status: watch::Sender::new(MeshStatus {
+            status: watch::Sender::new(Status {
                 index: 0,
                 entries: 1,
                 sharers: None,
             }),
             members: watch::Sender::new(Members::new(settings.address, &[])),
-            latest_catalog_request: LatestRequest::default(),
-            latest_roster_request: LatestRequest::default(),
-            received: TrafficCounters::default(),
+            latest_catalog_request: Request::default(),
+            latest_roster_request: Request::default(),
+            received: Counters::default(),
             groups: watch::Sender::new(BTreeMap::new()),
             settings,
         };
@@ -190,7 +190,7 @@
     }
 
     /// Subscribes to this entry's index among the live ones, and their number.
-    pub fn status(&self) -> watch::Receiver<MeshStatus> {
+    pub fn status(&self) -> watch::Receiver<Status> {
         self.status.subscribe()
     }
 
@@ -200,12 +200,12 @@
     }
 
     /// Latest loads of a group.
-    pub fn group_load(&self, name: &str) -> Option<Arc<GroupLoad>> {
+    pub fn group_load(&self, name: &str) -> Option<Arc<group::Load>> {
         self.groups.borrow().get(name).map(|report| Arc::clone(&report.load))
     }
 
     /// Latest loads of all groups.
-    pub fn group_loads(&self) -> Vec<Arc<GroupLoad>> {
+    pub fn group_loads(&self) -> Vec<Arc<group::Load>> {
         self.groups
             .borrow()
             .values()
@@ -214,13 +214,13 @@
     }
 
     /// Subscribes to the loads of all groups.
-    pub fn subscribe_group_loads(&self) -> GroupChanges {
-        GroupChanges(self.groups.subscribe())
+    pub fn subscribe_group_loads(&self) -> Changes {
+        Changes(self.groups.subscribe())
     }
 
     /// Merges loads of a group, unless later ones are known; `from_leader` if the group leader sent them to this
     /// process itself.
-    pub fn merge_group_load(&self, load: GroupLoad, from_leader: bool) {
+    pub fn merge_group_load(&self, load: group::Load, from_leader: bool) {
         self.groups.send_if_modified(|groups| {
             let is_newer = groups
                 .get(&load.group)
@@ -228,7 +228,7 @@
             if is_newer {
                 let name = load.group.clone();
                 let load = Arc::new(load);
-                groups.insert(name, GroupReport { load, from_leader });
+                groups.insert(name, Report { load, from_leader });
             }
             is_newer
         });
@@ -298,7 +298,7 @@
         let mut entries = self.lock_entries();
         for address in addresses {
             if *address != self.settings.address {
-                entries.entry(*address).or_insert(EntryState {
+                entries.entry(*address).or_insert(Entry {
                     link_count: 0,
                     last_seen: None,
                     next_dial_at: now,
@@ -425,18 +425,17 @@
         let now = self.board.now();
         let status = {
             let entries = self.lock_entries();
-            let precedes = |(address, entry): &(&SocketAddr, &EntryState)| {
-                entry.link_count > 0 && **address < self.settings.address
-            };
+            let precedes =
+                |(address, entry): &(&SocketAddr, &Entry)| entry.link_count > 0 && **address < self.settings.address;
             let linked_count = entries.values().filter(|entry| entry.link_count > 0).count() + 1;
             let known_count = entries.len() + 1;
-            let is_live = |entry: &&EntryState| {
+            let is_live = |entry: &&Entry| {
                 let seen_recently = entry
                     .last_seen
                     .is_some_and(|last_seen| now.since(last_seen) < RECENTLY_SEEN_LIMIT);
                 entry.link_count > 0 || seen_recently
             };
-            MeshStatus {
+            Status {
                 index: entries.iter().filter(precedes).count(),
                 entries: entries.values().filter(is_live).count() + 1,
                 sharers: (2 * linked_count > known_count).then_some(known_count),
@@ -450,7 +449,7 @@
     fn rate_members(&self) -> Members {
         let now = self.board.now();
         let entries = self.lock_entries();
-        let peer = |(address, entry): (&SocketAddr, &EntryState)| rate_limit::Peer {
+        let peer = |(address, entry): (&SocketAddr, &Entry)| rate_limit::Peer {
             address: *address,
             is_linked: entry.link_count > 0,
             since_last_message: entry.last_seen.map(|last_seen| now.since(last_seen)),
@@ -459,7 +458,7 @@
         Members::new(self.settings.address, &peers)
     }
 
-    fn lock_entries(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, EntryState>> {
+    fn lock_entries(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Entry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -475,9 +474,9 @@
 
 /// A subscription to the loads of all groups.
 #[derive(Debug)]
-pub struct GroupChanges(watch::Receiver<BTreeMap<String, GroupReport>>);
+pub struct Changes(watch::Receiver<BTreeMap<String, Report>>);
 
-impl GroupChanges {
+impl Changes {
     /// Waits for the next change; false if the mesh was dropped.
     pub async fn next(&mut self) -> bool {
         self.0.changed().await.is_ok()
--- a/crates/sparscale_mesh/tests/belief_exchange.rs
+++ b/crates/sparscale_mesh/tests/belief_exchange.rs
@@ -8,10 +8,10 @@
 use sparscale_belief::Board;
 use sparscale_catalog::{Catalog, Directory, Document, Incarnations, Roster};
 use sparscale_clock::{Clock, SystemClock};
-use sparscale_mesh::{LOAD_INTERVAL_STEP, LinkClock, Mesh, Settings};
+use sparscale_mesh::{LOAD_INTERVAL_STEP, Mesh, Settings, link_clock};
 use sparscale_policy::rate_limit::Rate;
 use sparscale_samples as samples;
-use sparscale_wire::{Endpoint, GroupLoad, Identity, Role};
+use sparscale_wire::{Endpoint, Identity, Role, group};
 use tokio::time::Instant;
 
 struct Process {
@@ -65,12 +65,12 @@
     Arc::new(Catalog::try_from(document).expect("a valid catalog"))
 }
 
-fn load(message: u64) -> GroupLoad {
+fn load(message: u64) -> group::Load {
     load_of("g", message)
 }
 
-fn load_of(group: &str, message: u64) -> GroupLoad {
-    GroupLoad {
+fn load_of(group: &str, message: u64) -> group::Load {
+    group::Load {
         group: group.to_owned(),
         sequence: (1, message),
         is_running: true,
@@ -323,8 +323,8 @@
         let start = SystemClock::default().now();
         let at = |millis: u64| start + Duration::from_millis(millis);
         let (delay_to, held, delay_back) = (u64::from(delay_to), u64::from(held), u64::from(delay_back));
-        let mut own = LinkClock::new(start);
-        let mut peer = LinkClock::new(at(0));
+        let mut own = link_clock::Clock::new(start);
+        let mut peer = link_clock::Clock::new(at(0));
         let stamp = own.stamp(at(100));
         peer.record_received(stamp, at(100 + delay_to));
         let sent_at = 100 + delay_to + held;
--- a/crates/sparscale_mesh/tests/notice_order.rs
+++ b/crates/sparscale_mesh/tests/notice_order.rs
@@ -7,7 +7,7 @@
 use quickcheck::{Gen, QuickCheck};
 use sparscale_catalog::StartId;
 use sparscale_clock::{Clock as _, SystemClock, Timestamp};
-use sparscale_mesh::LinkClock;
+use sparscale_mesh::link_clock;
 use sparscale_policy::rate_limit::{Members, Rate};
 use sparscale_policy::throttle::{Notice, Origin, Tracker};
 
@@ -24,7 +24,7 @@
 
 struct Receiver {
     started_at: Timestamp,
-    clock: LinkClock,
+    clock: link_clock::Clock,
     tracker: Tracker,
 }
 
@@ -35,7 +35,7 @@
         tracker.set_members(Members::new(SocketAddr::from(([10, 0, 0, 1], 7_000)), &[]), started_at);
         Self {
             started_at,
-            clock: LinkClock::new(started_at),
+            clock: link_clock::Clock::new(started_at),
             tracker,
         }
     }
@@ -51,7 +51,7 @@
     /// Receives a notice that its reporter sent as soon as the target had stated it.
     fn receive(&mut self, stated_at: u64, sequence: u64, rate: Option<Rate>, delays: Delays) {
         let stamp = self.clock.stamp(self.at(stated_at - delays.stamp_delay));
-        let mut reporter = LinkClock::new(self.started_at);
+        let mut reporter = link_clock::Clock::new(self.started_at);
         reporter.record_received(stamp, self.at(stated_at));
         let echo = reporter.echo(self.at(stated_at)).expect("a received stamp");
         let notice = Notice {
--- a/crates/sparscale_mesh/tests/slack_sharers.rs
+++ b/crates/sparscale_mesh/tests/slack_sharers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sparscale_belief::Board;
-use sparscale_mesh::{DEFAULT_ENTRIES_PER_LOAD_STEP, Mesh, MeshStatus, Settings};
+use sparscale_mesh::{self as mesh, DEFAULT_ENTRIES_PER_LOAD_STEP, Mesh, Settings};
 use sparscale_wire::{Endpoint, Identity, Role};
 use tokio::runtime::Runtime;
 
@@ -41,7 +41,7 @@
         Self { runtime, mesh, address }
     }
 
-    fn wait_for_status(&self, condition: impl FnMut(&MeshStatus) -> bool) -> MeshStatus {
+    fn wait_for_status(&self, condition: impl FnMut(&mesh::Status) -> bool) -> mesh::Status {
         let mut status = self.mesh.status();
         let reached = async move {
             let result = tokio::time::timeout(Duration::from_secs(20), status.wait_for(condition)).await;
--- a/crates/sparscale_policy/src/headroom.rs
+++ b/crates/sparscale_policy/src/headroom.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use sparscale_catalog::EngineProfile;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 /// Fraction of the allowed pause that passes may take: the remainder is for prompts processed in between and for the
 /// network.
@@ -62,7 +62,7 @@
 /// The engine's performance model gives the growth of the pass time with the requests of a rank. The latest passes show
 /// what they take in addition, such as for prompts and uneven experts. Where even a single request is late, only the
 /// number of slots limits the capacity.
-pub fn capacity(load: &GroupLoad, engine: &EngineProfile, max_pause: Duration) -> f64 {
+pub fn capacity(load: &group::Load, engine: &EngineProfile, max_pause: Duration) -> f64 {
     let ranks = load.rank_loads.len() as f64;
     let slots = f64::from(engine.slots);
     let reported: Vec<f64> = load
@@ -105,7 +105,7 @@
 /// While passes with the current requests are longer than the allowed pause, no further request is admitted that could
 /// be on time later: demand shifts at once, and the next expert map is active half a second later. Requests that are
 /// already late lose nothing by being admitted in the meantime.
-pub fn capacity_at_current_skew(load: &GroupLoad, engine: &EngineProfile, max_pause: Duration) -> Headroom {
+pub fn capacity_at_current_skew(load: &group::Load, engine: &EngineProfile, max_pause: Duration) -> Headroom {
     let late = capacity(load, engine, max_pause);
     if load.skew < 1.0 || load.mean_pass_micros == 0 {
         return Headroom::uniform(late);
@@ -117,7 +117,7 @@
         .iter()
         .flatten()
         .filter(|rank| rank.running + rank.queued > 0);
-    let slowdown = busy.map(RankLoad::slowdown).fold(1.0, f64::max);
+    let slowdown = busy.map(rank::Load::slowdown).fold(1.0, f64::max);
     let pause_ms = max_pause.as_secs_f64() * 1_000.0;
     let pass_ms = |requests: f64| engine.sustained_pass_ms(requests, load.skew, slowdown);
     if pass_ms(reported_requests(load) / ranks) > pause_ms {
@@ -132,7 +132,7 @@
 
 /// Number of requests that the ranks hold by the latest report, waiting ones included. A rank that did not report
 /// counts as the mean of the others.
-pub fn reported_requests(load: &GroupLoad) -> f64 {
+pub fn reported_requests(load: &group::Load) -> f64 {
     let reported: Vec<f64> = load
         .rank_loads
         .iter()
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use sparscale_catalog::EngineProfile;
-use sparscale_wire::GroupLoad;
+use sparscale_wire::group;
 
 use crate::backlog::{Backlog, Ticket};
 use crate::caller_timeout;
@@ -130,7 +130,7 @@
 
     /// Recomputes the headroom if `load` is a new report. Without a new report for a while, as after a restart of all
     /// processes, it follows from `in_flight`, the requests of this entry that are in flight.
-    pub fn refresh(&mut self, load: Option<&GroupLoad>, group: &Group<'_>, in_flight: usize, now: Instant) {
+    pub fn refresh(&mut self, load: Option<&group::Load>, group: &Group<'_>, in_flight: usize, now: Instant) {
         let entries = group.entry_count.max(1) as f64;
         if let Some(load) = load.filter(|load| load.sequence != self.load_order) {
             self.load_order = load.sequence;
--- a/crates/sparscale_policy/src/response_tracker.rs
+++ b/crates/sparscale_policy/src/response_tracker.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sparscale_catalog::{Directory, Incarnation, Instance};
-use sparscale_wire::GroupLoad;
+use sparscale_wire::group;
 
 use crate::response_timeout::{Evidence, Health, ResponsePart, ResponseTimeMean};
 
@@ -144,7 +144,7 @@
     }
 
     /// Merges a group leader's report.
-    pub fn record_group_load(&mut self, load: &GroupLoad, now: Instant) {
+    pub fn record_group_load(&mut self, load: &group::Load, now: Instant) {
         let peers = self.peers(&load.group);
         if peers.latest_report.is_some_and(|(order, _)| order == load.sequence) {
             return;
--- a/crates/sparscale_policy/tests/closed_ranks.rs
+++ b/crates/sparscale_policy/tests/closed_ranks.rs
@@ -6,18 +6,18 @@
 use sparscale_policy::queue::{Group, Queue};
 use sparscale_policy::retry_schedule::RetrySchedule;
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 const RANKS: usize = 12;
 
 /// Headroom of a group whose ranks hold one request each; the fraction `open_part` of them accepts requests.
 fn headroom(open_part: f64) -> f64 {
     let now = Instant::now();
-    let rank = RankLoad {
+    let rank = rank::Load {
         running: 1,
-        ..RankLoad::default()
+        ..rank::Load::default()
     };
-    let load = GroupLoad {
+    let load = group::Load {
         group: "g".to_owned(),
         sequence: (1, 1),
         is_running: true,
--- a/crates/sparscale_policy/tests/group_room.rs
+++ b/crates/sparscale_policy/tests/group_room.rs
@@ -5,18 +5,18 @@
 use sparscale_policy::headroom::{capacity, capacity_at_current_skew, reported_requests};
 use sparscale_policy::straggler;
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 const RANKS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(120);
 
 /// A group with `running` requests on each rank, whose passes take `pass`.
-fn group(running: u32, pass: Duration) -> GroupLoad {
-    let rank = RankLoad {
+fn group(running: u32, pass: Duration) -> group::Load {
+    let rank = rank::Load {
         running,
-        ..RankLoad::default()
+        ..rank::Load::default()
     };
-    GroupLoad {
+    group::Load {
         group: "g".to_owned(),
         sequence: (1, 1),
         is_running: true,
@@ -71,7 +71,7 @@
 
 /// Capacity for each rank, timely and late, of a group with `running` requests on each rank and this skew.
 fn capacity_per_rank_at(running: u32, skew: f64) -> (f64, f64) {
-    let load = GroupLoad {
+    let load = group::Load {
         skew,
         ..group(running, Duration::from_millis(45))
     };
@@ -105,10 +105,10 @@
 fn idle_straggler() {
     let capacity = |running| {
         let mut load = group(3, Duration::from_millis(45));
-        load.rank_loads[5] = Some(RankLoad {
+        load.rank_loads[5] = Some(rank::Load {
             running,
             slowdown_milli: 12_000,
-            ..RankLoad::default()
+            ..rank::Load::default()
         });
         capacity_at_current_skew(&load, &samples::engine(), PAUSE).timely
     };
@@ -121,9 +121,9 @@
     let mut load = group(3, Duration::from_millis(45));
     assert_eq!(straggler::find(&load), [0_usize; 0]);
     let with_slowdown = |pace_milli| {
-        Some(RankLoad {
+        Some(rank::Load {
             slowdown_milli: pace_milli,
-            ..RankLoad::default()
+            ..rank::Load::default()
         })
     };
     load.rank_loads[4] = with_slowdown(5_000);
--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -9,7 +9,7 @@
 use sparscale_catalog::EngineProfile;
 use sparscale_policy::caller_timeout;
 use sparscale_policy::queue::{Decision, Group, Queue, Request};
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 const RANKS: usize = 12;
 const ENTRIES: usize = 4;
@@ -109,8 +109,8 @@
     in_flight: Vec<usize>,
     admission_limits: BTreeMap<(u64, usize), usize>,
     retries: BinaryHeap<Reverse<(u64, usize)>>,
-    latest_report: Option<GroupLoad>,
-    report_in_transit: Option<(u64, GroupLoad)>,
+    latest_report: Option<group::Load>,
+    report_in_transit: Option<(u64, group::Load)>,
     seconds: Vec<Second>,
 }
 
@@ -304,12 +304,12 @@
         if !self.now.is_multiple_of(REPORT_INTERVAL_MS) {
             return;
         }
-        let rank = |rank: usize| RankLoad {
+        let rank = |rank: usize| rank::Load {
             running: self.running[rank].len() as u32,
             queued: self.queued[rank].len() as u32,
-            ..RankLoad::default()
+            ..rank::Load::default()
         };
-        let load = GroupLoad {
+        let load = group::Load {
             group: "g".to_owned(),
             sequence: (1, self.now + 1),
             is_running: true,
--- a/crates/sparscale_policy/tests/responding_targets.rs
+++ b/crates/sparscale_policy/tests/responding_targets.rs
@@ -6,7 +6,7 @@
 use sparscale_policy::response_timeout::{Health, ResponsePart};
 use sparscale_policy::response_tracker::{PendingResponse, Tracker};
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 const RANKS: usize = 4;
 const OBJECTIVE: Duration = Duration::from_millis(500);
@@ -40,9 +40,9 @@
 }
 
 /// A group leader's report in which the ranks of `unresponsive` are missing.
-fn report(group: &str, unresponsive: &[usize]) -> GroupLoad {
-    let load = |index: usize| (!unresponsive.contains(&index)).then(RankLoad::default);
-    GroupLoad {
+fn report(group: &str, unresponsive: &[usize]) -> group::Load {
+    let load = |index: usize| (!unresponsive.contains(&index)).then(rank::Load::default);
+    group::Load {
         group: group.to_owned(),
         sequence: (1, 1),
         is_running: true,
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -5,7 +5,7 @@
 use quickcheck::quickcheck;
 use sparscale_policy::queue::{Decision, Group, Queue, Request};
 use sparscale_samples as samples;
-use sparscale_wire::{GroupLoad, RankLoad};
+use sparscale_wire::{group, rank};
 
 const RANKS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(120);
@@ -29,11 +29,11 @@
 
 /// The same for one of `entries` entries that share the group.
 fn shared_queue(running: u32, skew: f64, entries: usize, now: Instant) -> Queue<usize> {
-    let rank = RankLoad {
+    let rank = rank::Load {
         running,
-        ..RankLoad::default()
+        ..rank::Load::default()
     };
-    let load = GroupLoad {
+    let load = group::Load {
         group: "g".to_owned(),
         sequence: (1, 1),
         is_running: true,
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -57,7 +57,7 @@
 
 /// What is known of one termination under one request.
 #[derive(Debug, Clone, Copy)]
-struct EndRecord {
+struct Record {
     at_ms: u64,
     status: StrikeStatus,
     /// Version of the tracker with which this entry last changed.
@@ -69,15 +69,15 @@
 
 /// The terminations and responses of one request.
 #[derive(Debug, Default)]
-struct RequestHistory {
-    ends: BTreeMap<EndedStart, EndRecord>,
+struct History {
+    ends: BTreeMap<EndedStart, Record>,
     /// Complete responses since this process learned of the latest termination.
     responses_since_end: u32,
 }
 
-impl RequestHistory {
+impl History {
     fn counted_ends(&self) -> usize {
-        let is_counted = |record: &&EndRecord| record.status == StrikeStatus::Counted;
+        let is_counted = |record: &&Record| record.status == StrikeStatus::Counted;
         self.ends.values().filter(is_counted).count()
     }
 
@@ -110,7 +110,7 @@
 /// All requests that were running on targets which terminated.
 #[derive(Debug, Default)]
 pub struct Tracker {
-    requests: HashMap<Fingerprint, RequestHistory>,
+    requests: HashMap<Fingerprint, History>,
     version: u64,
 }
 
@@ -137,7 +137,7 @@
             return false;
         }
         self.version += 1;
-        let record = EndRecord {
+        let record = Record {
             // A process whose clock is ahead must not extend the hold.
             at_ms: strike.at_ms.min(now_ms),
             status: strike.status,
@@ -185,7 +185,7 @@
 
     /// Number of targets that terminated under `request` and count against it.
     pub fn end_count(&self, request: &Fingerprint) -> usize {
-        self.requests.get(request).map_or(0, RequestHistory::counted_ends)
+        self.requests.get(request).map_or(0, History::counted_ends)
     }
 
     /// Records a complete response to `request`; returns whether that cleared its strikes.
@@ -251,7 +251,7 @@
 
     /// Removes strikes of requests whose retention time is over, and returns them.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Strike> {
-        let is_expired = |request: &Fingerprint, history: &RequestHistory| {
+        let is_expired = |request: &Fingerprint, history: &History| {
             let deadline_ms = if *request == Fingerprint::HISTORY_LOSS {
                 history.last_end_ms() + millis(HISTORY_LOSS_CAUTION)
             } else {
@@ -268,7 +268,7 @@
         dropped
     }
 
-    fn strikes(&self) -> impl Iterator<Item = (Strike, &EndRecord)> {
+    fn strikes(&self) -> impl Iterator<Item = (Strike, &Record)> {
         self.requests.iter().flat_map(|(request, history)| {
             history.ends.iter().map(|(end, record)| {
                 let strike = Strike {
@@ -288,10 +288,9 @@
         if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(&request) {
             return;
         }
-        let priority = |(request, history): (&Fingerprint, &RequestHistory)| {
-            (history.counted_ends(), history.last_end_ms(), *request)
-        };
-        let is_request = |(request, _): &(&Fingerprint, &RequestHistory)| **request != Fingerprint::HISTORY_LOSS;
+        let priority =
+            |(request, history): (&Fingerprint, &History)| (history.counted_ends(), history.last_end_ms(), *request);
+        let is_request = |(request, _): &(&Fingerprint, &History)| **request != Fingerprint::HISTORY_LOSS;
         let mut candidates: Vec<(usize, u64, Fingerprint)> =
             self.requests.iter().filter(is_request).map(priority).collect();
         candidates.sort_unstable();
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -11,8 +11,9 @@
 use sparscale_place::switch;
 use sparscale_quarantine::Strike;
 
+use crate::notice::Notices;
 use crate::observation;
-use crate::peer::{GroupLoad, Notices, RankOrder, RankUpdate};
+use crate::{group, rank};
 
 /// Unique id of one dispatch of one request to one agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -60,11 +61,11 @@
     /// Limits that targets state for their senders, on a [`StreamRequest::ExchangeObservations`] stream.
     Notices(Notices),
     /// Loads of a group's ranks, on a [`StreamRequest::ExchangeObservations`] stream.
-    GroupLoad(GroupLoad),
+    GroupLoad(group::Load),
     /// Message from a group leader to the agent of a rank, on a [`StreamRequest::LeadRank`] stream.
-    RankOrder(RankOrder),
+    RankOrder(rank::Order),
     /// Message from the agent of a rank to the group leader, on a [`StreamRequest::LeadRank`] stream.
-    RankUpdate(RankUpdate),
+    RankUpdate(rank::Update),
     /// Response to [`StreamRequest::QueryLeader`].
     LeaderContact(LeaderContact),
 }
--- a/crates/sparscale_wire/src/lib.rs
+++ b/crates/sparscale_wire/src/lib.rs
@@ -3,8 +3,11 @@
 mod endpoint;
 pub mod evacuation;
 mod frame;
+pub mod group;
+pub mod map;
+mod notice;
 pub mod observation;
-mod peer;
+pub mod rank;
 pub mod roster;
 mod self_signed;
 mod stream;
@@ -15,6 +18,6 @@
     Attempt, AttemptId, Call, Chunk, Failure, Frame, Head, LeaderContact, Refusal, RefusalReason, RelayedLog,
     ResponseEvent, ResponseFrame, Settlement, StreamRequest, TargetLoad,
 };
-pub use peer::{GroupLoad, MapUpdate, Notice, Notices, PatchBase, RankExperts, RankLoad, RankOrder, RankUpdate};
+pub use notice::{Notice, Notices};
 pub use stream::{Channel, Error as StreamError, Receiver, Sender};
 pub use tls::{CertificateFiles, Error as TlsError, Identity, Role};
