--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -106,7 +106,7 @@
     const STEP: Duration = Duration::from_millis(5);
     let rate = Rate::try_from(COLD_START.requests_per_second).expect("a rate");
     let tolerated = Limit::cold(rate).tolerated();
-    for entries in [1, 3, 16, 53] {
+    for entries in [1, 3, 16, 53, 285, 570] {
         let begin = SystemClock::default().now();
         let until = begin + COLD_START.duration;
         let mut trackers: Vec<Tracker> = (0..entries)
