Tests and comments: one fixture for services with two groups; five comments plainer

Cause: the review of twins found the same setup in two tests; five doc comments needed a second reading. Change: groups::two_group_fixture serves both; comments. No check changed. Conclusion: no twin of a decision is left in this change.

--- a/crates/sparscale_agent/src/throttle.rs
+++ b/crates/sparscale_agent/src/throttle.rs
@@ -18,7 +18,7 @@
     clock: Arc<dyn Clock>,
     /// Number of starts of the target seen so far; identifies the current one.
     start_count: u64,
-    /// Number of responses with limits, or without, that the target has sent.
+    /// Number of responses received from the target.
     statements: u64,
     /// Whether a task already waits for the target to accept requests again.
     has_pending_wakeup: bool,
--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -186,7 +186,8 @@
         }
     }
 
-    /// Limits the cold targets of a directory before it is published, or else waiting requests would all go to them.
+    /// Limits the cold targets of a directory. Must happen before it is published: otherwise all waiting requests would
+    /// go to them.
     fn limit_cold(&self, directory: &Arc<Directory>) {
         let Some(catalog) = self.catalog() else { return };
         let now = self.now();
--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -19,7 +19,7 @@
     /// Notifies subscribers of changes.
     changed: watch::Sender<()>,
     clock: Arc<dyn Clock>,
-    /// Identifies this process as the reporter of what targets state to it.
+    /// Random id under which this process reports notices.
     reporter: u64,
     /// Number of statements that this process received from targets.
     statements: AtomicU64,
--- a/crates/sparscale_gateway/tests/path/evacuations.rs
+++ b/crates/sparscale_gateway/tests/path/evacuations.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use sparscale_catalog::{Document, Membership, Roster, TargetStatus, cold};
+use sparscale_catalog::{Document, Roster, TargetStatus, cold};
 use sparscale_samples as samples;
 use sparscale_wire::{group, rank};
 
 use crate::entry::{Fixture, Request, evacuating, linked_settings, roster, send_requests, wait_for};
+use crate::groups::two_group_fixture;
 use crate::target::{Arrival, Connection, Target};
 
 /// The evacuated hall: that of the entry, which it prefers.
@@ -158,22 +159,8 @@
 #[test]
 fn waiting_requests_move() {
     let targets: Vec<Target> = (0..4).map(|_| Target::start(serve_stream)).collect();
-    let target_refs: Vec<&Target> = targets.iter().collect();
-    let fixture = Fixture::new(&[], &target_refs);
-    let mut ranks = in_two_halls(roster(&[], &target_refs)).targets;
-    for (index, target) in ranks.iter_mut().enumerate() {
-        target.membership = Some(Membership {
-            group: if index % 2 == 0 { "evacuated" } else { "kept" }.to_owned(),
-            rank: index / 2,
-            size: 2,
-            is_open: true,
-        });
-    }
-    fixture.rosters.put(Roster::new(ranks), 2);
-    wait_for("both groups", || {
-        let observation = fixture.entry.board.targets();
-        observation.is_some_and(|observation| observation.value.groups_of(samples::MODEL_SERVICE).count() == 2)
-    });
+    let group_of = |index| if index % 2 == 0 { "evacuated" } else { "kept" };
+    let fixture = two_group_fixture(&targets, OTHER_HALL, group_of);
     let mesh = &fixture.entry.mesh;
     for group in ["kept", "evacuated"] {
         mesh.merge_group_load(load(group, 1, 12.0, 5), true);
--- a/crates/sparscale_gateway/tests/path/groups.rs
+++ b/crates/sparscale_gateway/tests/path/groups.rs
@@ -40,6 +40,33 @@
     fixture
 }
 
+/// Starts an entry whose `targets` form two groups of equal size: `group_of` names the group of a target by its index.
+/// Every second target is in `odd_hall`.
+pub fn two_group_fixture(targets: &[Target], odd_hall: &str, group_of: impl Fn(usize) -> &'static str) -> Fixture {
+    let target_refs: Vec<&Target> = targets.iter().collect();
+    let fixture = Fixture::new(&[], &target_refs);
+    let mut ranks = roster(&[], &target_refs).targets;
+    for (index, target) in ranks.iter_mut().enumerate() {
+        if index % 2 == 1 {
+            odd_hall.clone_into(&mut target.hall);
+        }
+        let group = group_of(index);
+        let rank = (0..index).filter(|earlier| group_of(*earlier) == group).count();
+        target.membership = Some(Membership {
+            group: group.to_owned(),
+            rank,
+            size: targets.len() / 2,
+            is_open: true,
+        });
+    }
+    fixture.rosters.put(Roster::new(ranks), 2);
+    wait_for("both groups", || {
+        let observation = fixture.entry.board.targets();
+        observation.is_some_and(|observation| observation.value.groups_of(samples::MODEL_SERVICE).count() == 2)
+    });
+    fixture
+}
+
 /// Load report of a group whose ranks have these slowdowns, in thousandths.
 pub fn load_report(serial: u64, slowdowns_milli: &[u32]) -> group::Load {
     let rank = |slowdown_milli: &u32| rank::Load {
@@ -265,22 +292,7 @@
         })
     };
     let targets = [serving(), serving(), closed(), closed()];
-    let target_refs: Vec<&Target> = targets.iter().collect();
-    let fixture = Fixture::new(&[], &target_refs);
-    let mut ranks = roster(&[], &target_refs).targets;
-    for (index, target) in ranks.iter_mut().enumerate() {
-        target.membership = Some(Membership {
-            group: if index < 2 { "a" } else { "z" }.to_owned(),
-            rank: index % 2,
-            size: 2,
-            is_open: true,
-        });
-    }
-    fixture.rosters.put(Roster::new(ranks), 2);
-    wait_for("both groups", || {
-        let observation = fixture.entry.board.targets();
-        observation.is_some_and(|observation| observation.value.groups_of(samples::MODEL_SERVICE).count() == 2)
-    });
+    let fixture = two_group_fixture(&targets, "derby", |index| if index < 2 { "a" } else { "z" });
     for group in ["a", "z"] {
         let report = group::Load {
             group: group.to_owned(),
--- a/crates/sparscale_policy/src/evacuation.rs
+++ b/crates/sparscale_policy/src/evacuation.rs
@@ -16,7 +16,7 @@
 /// Effect of merging the orders that were observed at one position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Merge {
-    /// Ignored: orders at a later position are known.
+    /// The orders are older than the known ones and were ignored.
     Stale,
     /// The orders are the known ones.
     Unchanged,
--- a/crates/sparscale_quarantine/src/strike.rs
+++ b/crates/sparscale_quarantine/src/strike.rs
@@ -22,7 +22,7 @@
 }
 
 impl EndedStart {
-    /// Identifies a number of a kind of record that is no termination.
+    /// Identifies a record that is not a termination, by a number.
     pub(crate) fn numbered(number: u64) -> Self {
         Self(number)
     }
--- a/crates/sparscale_quarantine/tests/spread_of_strikes.rs
+++ b/crates/sparscale_quarantine/tests/spread_of_strikes.rs
@@ -155,7 +155,7 @@
         }
         self.exchange_strikes();
         for process in 0..PROCESSES {
-            // A process waits no longer for strikes before it serves requests.
+            // A process that received no strikes at its start serves requests without them.
             if !self.is_informed[process] {
                 self.processes[process].record_history_loss(now_ms);
                 self.is_informed[process] = true;
