Demand: shifts are detected against the noise of the samples

Cause: a shift had to be a distance of 0.35 whatever the group. Where demand is flat a shift is 0.23 to 0.35, so none was detected, and maps followed a mixture of old and new demand (skew of passes 2.0 where the leader estimated 1.25). A lower constant gave series of false shifts, because the part of a sample that predates a shift was taken from experts that had only fallen to the typical share.

Change: `Popularity` expects a distance by the running noise of samples that agree, and detects a shift at 2.5 times of it (0.1 to 0.35). In the first five samples after a shift the upper bound is left out, so that noise isn't taken for another shift. The part that predates a shift is estimated from what the demoted experts keep above the median. The next sample replaces the one in which the shift was detected if it differs by more than noise (`Trend::Corrected`). `shift_interval` gives the mean of the last five intervals. The skew of each window's own selections is metric `sparscale_observed_skew` and field `observed_skew` of `move` and `stay`.

`cargo test -p sparscale_place` and `-p sparscale_conduct` pass.

--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sparscale_catalog::ExpertLayout;
-use sparscale_place::{LoadLimits, Map, Popularity, Refinement, Shape, Trend, mean_skew, refine};
+use sparscale_place::{LoadLimits, Map, Popularity, Refinement, Shape, Trend, mean_skew, refine, sample_skew};
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
@@ -45,6 +45,8 @@
     slowdowns: Vec<f64>,
     /// Time of the latest passes divided by the pause that streams allow.
     pressure: f64,
+    /// Skew of the selections of the last window under the map that was active at its end.
+    observed_skew: Option<f64>,
     stay_logged_at: Option<Instant>,
 }
 
@@ -65,6 +67,7 @@
             window_start: Instant::now(),
             slowdowns: vec![1.0; ranks],
             pressure: 1.0,
+            observed_skew: None,
             stay_logged_at: None,
         }
     }
@@ -100,14 +103,15 @@
         }
     }
 
-    /// Evaluates the accumulated selections if the sample window is over.
-    pub(crate) fn sample(&mut self, now: Instant) -> Option<Trend> {
+    /// Evaluates the accumulated selections if the sample window is over. `map` is the active one.
+    pub(crate) fn sample(&mut self, now: Instant, map: Option<&Map>) -> Option<Trend> {
         let span = now.saturating_duration_since(self.window_start);
         if span < SAMPLE_WINDOW {
             return None;
         }
         let trend = self.popularity.observe(&self.accumulated, span);
         if trend != Trend::TooSmall {
+            self.observed_skew = map.map(|map| sample_skew(&self.accumulated, map, self.shape, &self.slowdowns));
             self.accumulated.fill(0.0);
             self.window_start = now;
         }
@@ -119,6 +123,12 @@
         mean_skew(&self.popularity, map, self.shape, &self.slowdowns)
     }
 
+    /// Skew of the last window's own selections under the map that was active, which passes really had. The skew of
+    /// the estimate is less while demand has shifted and no sample has shown it.
+    pub(crate) fn observed_skew(&self) -> Option<f64> {
+        self.observed_skew
+    }
+
     /// Whether any demand has been observed.
     pub(crate) fn has_demand(&self) -> bool {
         self.popularity.sample_count() > 0
@@ -154,6 +164,7 @@
                 loads = best.replica_loads,
                 deepest = best.max_loads_per_rank,
                 pressure = self.pressure,
+                observed_skew = self.observed_skew,
                 samples = self.popularity.sample_count();
                 "switching to another map"
             );
@@ -177,6 +188,7 @@
             skew_now = best.skew_before,
             skew_next = best.skew_after,
             loads = best.replica_loads,
+            observed_skew = self.observed_skew,
             samples = self.popularity.sample_count();
             "keeping the current map"
         );
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -247,10 +247,11 @@
     fn advance(&mut self) {
         self.init_decider();
         if let Some(decider) = &mut self.decider {
-            let trend = decider.sample(Instant::now());
+            let map = self.current_map.as_ref().map(|(_, _, map)| map.as_ref());
+            let trend = decider.sample(Instant::now(), map);
             self.decision_due |= trend.is_some();
             // A shift in demand lengthens the passes of the next half second, so entries should hold back load at once.
-            self.send_loads_now |= trend == Some(Trend::Shifted);
+            self.send_loads_now |= matches!(trend, Some(Trend::Shifted | Trend::Corrected));
         }
         let unresponsive = self.unresponsive().count();
         self.coordinator.set_unresponsive(unresponsive > 0);
--- a/crates/sparscale_conduct/src/leader/outbound.rs
+++ b/crates/sparscale_conduct/src/leader/outbound.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::{Leader, SURVEY_INTERVAL};
+use crate::decision::Decider;
 use crate::link::{Location, report_lag};
 use crate::member::{Member, is_stage};
 
@@ -202,6 +203,8 @@
             load.map(|(load, _)| load)
         };
         self.context.metrics.skew.set(skew);
+        let observed_skew = self.decider.as_ref().and_then(Decider::observed_skew);
+        self.context.metrics.observed_skew.set(observed_skew.unwrap_or(0.0));
         self.context.metrics.pass_seconds.set(self.pass_micros / 1.0e6);
         let load = group::Load {
             group: self.term.group.clone(),
--- a/crates/sparscale_conduct/src/metrics.rs
+++ b/crates/sparscale_conduct/src/metrics.rs
@@ -11,6 +11,7 @@
     registry: Arc<Registry>,
     pub(crate) leading: Arc<Gauge>,
     pub(crate) skew: Arc<Gauge>,
+    pub(crate) observed_skew: Arc<Gauge>,
     pub(crate) pass_seconds: Arc<Gauge>,
     pub(crate) switch_seconds: Arc<Histogram>,
     pub(crate) hold_seconds: Arc<Histogram>,
@@ -26,6 +27,10 @@
                 "sparscale_skew",
                 "Mean over the sets of the largest rank load over the mean.",
             ),
+            observed_skew: gauge(
+                "sparscale_observed_skew",
+                "Skew of the selections counted last under the active map.",
+            ),
             pass_seconds: gauge("sparscale_pass_seconds", "Time of the latest passes of the group."),
             switch_seconds: registry.histogram(
                 "sparscale_switch_seconds",
--- a/crates/sparscale_place/src/lib.rs
+++ b/crates/sparscale_place/src/lib.rs
@@ -19,4 +19,4 @@
 pub use map::{Layer, Map, Shape};
 pub use patch::{Mismatch, Patch};
 pub use popularity::{Popularity, Trend};
-pub use refine::{LoadLimits, Refinement, mean_skew, refine};
+pub use refine::{LoadLimits, Refinement, mean_skew, refine, sample_skew};
--- a/crates/sparscale_place/src/popularity.rs
+++ b/crates/sparscale_place/src/popularity.rs
@@ -3,16 +3,18 @@
 //! Demand stays the same for seconds and then shifts abruptly to other experts. So a sample that differs from the
 //! earlier ones by more than chance replaces them, and samples that agree are added up.
 
+mod distribution;
+mod intervals;
+mod noise;
+
 use std::time::Duration;
 
-/// Distance between two distributions, from 0 to 2, above which demand has shifted. A shift moves most of the demand;
-/// chance and the mix of running requests move a few hundredths.
-const SHIFT_DISTANCE: f64 = 0.35;
+use distribution::{distance, kept_share};
+use intervals::ShiftIntervals;
+use noise::SampleNoise;
+
 /// Selections in a sample below which its distance means nothing.
 const MIN_SAMPLE_SELECTIONS: f64 = 1_000.0;
-
-/// Number of most selected experts of a set whose remaining share shows how much of a sample predates a shift.
-const MOST_SELECTED_EXPERTS: usize = 5;
 /// Smallest share of a sample that is subtracted as recorded before a shift: rarely selected experts keep as much by
 /// chance.
 const MIN_OLD_SHARE: f64 = 0.1;
@@ -27,6 +29,10 @@
     selections: Vec<f64>,
     /// Samples recorded since the last shift.
     sample_count: u32,
+    /// Whether `selections` is the one sample in which a shift was detected: it may predate the shift in part.
+    is_shift_sample: bool,
+    noise: SampleNoise,
+    intervals: ShiftIntervals,
 }
 
 /// How a sample compares with the earlier ones.
@@ -36,6 +42,8 @@
     Steady,
     /// It differs from the earlier samples and replaced them.
     Shifted,
+    /// It replaced the sample in which a shift was detected, which had been recorded before the shift in part.
+    Corrected,
     /// It is too small to compare.
     TooSmall,
 }
@@ -48,6 +56,9 @@
             half_life,
             selections: vec![0.0; sets * experts],
             sample_count: 0,
+            is_shift_sample: false,
+            noise: SampleNoise::default(),
+            intervals: ShiftIntervals::default(),
         }
     }
 
@@ -56,14 +67,29 @@
         if sample.len() != self.selections.len() {
             return Trend::TooSmall;
         }
-        let total: f64 = sample.iter().sum();
-        if total < MIN_SAMPLE_SELECTIONS {
+        let size: f64 = sample.iter().sum();
+        if size < MIN_SAMPLE_SELECTIONS {
             return Trend::TooSmall;
         }
-        if self.sample_count > 0 && self.mean_distance(sample) > SHIFT_DISTANCE {
-            self.selections = self.part_after_shift(sample);
-            self.sample_count = 1;
-            return Trend::Shifted;
+        self.intervals.advance(span);
+        if self.sample_count > 0 {
+            let distance = self.mean_distance(sample);
+            let earlier = self.total();
+            let replaces_shift_sample =
+                std::mem::take(&mut self.is_shift_sample) && self.noise.exceeds_chance(distance, size, earlier);
+            if replaces_shift_sample {
+                self.selections.copy_from_slice(sample);
+                self.sample_count = 1;
+                return Trend::Corrected;
+            }
+            if distance > self.noise.shift_limit(size, earlier, self.sample_count) {
+                self.selections = self.part_after_shift(sample);
+                self.sample_count = 1;
+                self.is_shift_sample = true;
+                self.intervals.record_shift();
+                return Trend::Shifted;
+            }
+            self.noise.record(distance, size, earlier);
         }
         let decay_factor = 0.5_f64.powf(span.as_secs_f64() / self.half_life.as_secs_f64().max(f64::MIN_POSITIVE));
         for (count, new) in self.selections.iter_mut().zip(sample) {
@@ -83,6 +109,11 @@
         self.sample_count
     }
 
+    /// Mean time between the last shifts; `None` before the second one.
+    pub fn shift_interval(&self) -> Option<Duration> {
+        self.intervals.mean()
+    }
+
     /// Sum of all selection counts.
     pub fn total(&self) -> f64 {
         self.selections.iter().sum()
@@ -123,26 +154,3 @@
         total / set_count as f64
     }
 }
-
-/// Largest share of `new` that may predate a shift away from `old`: of the most selected experts of `old`, the smallest
-/// ratio of the share in `new` to the share in `old`.
-fn kept_share(old: &[f64], new: &[f64]) -> f64 {
-    let (old_sum, new_sum): (f64, f64) = (old.iter().sum(), new.iter().sum());
-    if old_sum <= 0.0 || new_sum <= 0.0 {
-        return 0.0;
-    }
-    let mut by_demand: Vec<(f64, f64)> = old.iter().copied().zip(new.iter().copied()).collect();
-    by_demand.sort_by(|left, right| right.0.total_cmp(&left.0));
-    let kept_shares = by_demand.iter().take(MOST_SELECTED_EXPERTS);
-    let kept_shares = kept_shares.map(|(old, new)| (new / new_sum) / (old / old_sum).max(f64::MIN_POSITIVE));
-    kept_shares.fold(1.0, f64::min)
-}
-
-fn distance(old: &[f64], new: &[f64]) -> f64 {
-    let (old_sum, new_sum): (f64, f64) = (old.iter().sum(), new.iter().sum());
-    if old_sum <= 0.0 || new_sum <= 0.0 {
-        return 0.0;
-    }
-    let pairs = old.iter().zip(new);
-    pairs.map(|(old, new)| (old / old_sum - new / new_sum).abs()).sum()
-}
--- a/crates/sparscale_place/src/refine.rs
+++ b/crates/sparscale_place/src/refine.rs
@@ -89,6 +89,13 @@
     mean_set_skew(&sets.collect::<Vec<_>>())
 }
 
+/// Skew that `map` has for `selections`, which are counts of each expert, set by set.
+pub fn sample_skew(selections: &[f64], map: &Map, shape: Shape, slowdowns: &[f64]) -> f64 {
+    let sets = map.layers.iter().zip(selections.chunks(shape.experts.max(1)));
+    let sets = sets.map(|(layer, counts)| LayerSet::new(layer, counts, shape.slots, slowdowns));
+    mean_set_skew(&sets.collect::<Vec<_>>())
+}
+
 fn index_of_best(best_changes: &[Option<SetChange>]) -> Option<usize> {
     let gains = best_changes.iter().enumerate();
     let gains = gains.filter_map(|(index, change)| change.as_ref().map(|change| (index, change.gain)));
