Placement: a switch loads as many experts per rank as pays off

Cause: a switch loaded at most min(3, spare) = 2 experts per rank over all sets, although engines allow `spare` in each set; after a shift the best map is many loads away. The staging time left out the sending of the map, which takes longer than the loading in a large group. Staging is loading, sending the patch to all ranks over the leader's link, and the fixed overhead. Candidates above 3 (or `spare`, if less) continue the refinement of the one before and stop at the first that is not better. The refinement updates only the loads of ranks that a change touches.

--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -6,21 +6,22 @@
 use std::time::Duration;
 
 use sparscale_catalog::ExpertLayout;
-use sparscale_place::{LoadLimits, Map, Popularity, Refinement, Shape, Trend, mean_skew, refine};
+use sparscale_place::payoff::{self, Candidate, Staging};
+use sparscale_place::{Map, Popularity, Refinement, Shape, Trend, mean_skew};
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
+use crate::bandwidth::Bandwidth;
+
 /// Half-life of a selection's weight while demand is steady: long enough to average over the mix of the requests in
 /// progress, short enough to follow slow changes.
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// Time over which selections are accumulated before they are evaluated.
 const SAMPLE_WINDOW: Duration = Duration::from_millis(100);
-/// Time that a switch takes besides loading: sending orders, holding and arming.
+/// Time that a switch takes besides loading and sending the map: sending orders, holding and arming.
 const SWITCH_OVERHEAD_MS: f64 = 30.0;
 /// Time within which a switch must pay off; after that the next switch follows, or demand has shifted.
 const HORIZON_MS: f64 = 900.0;
-/// Maximum number of experts that one rank loads in one switch.
-const MAX_LOADS_PER_RANK: usize = 3;
 /// Minimum time between two log lines about keeping the current map.
 const STAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum reduction of the skew for a switch while passes take as long as streams allow.
@@ -38,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Decider {
     shape: Shape,
-    experts: ExpertLayout,
+    staging: Staging,
     popularity: Popularity,
     accumulated: Vec<f64>,
     window_start: Instant,
@@ -49,8 +50,8 @@
 }
 
 impl Decider {
-    /// Creates a decider without any demand data for a group of `ranks` ranks.
-    pub(crate) fn new(experts: ExpertLayout, ranks: usize) -> Self {
+    /// Creates a decider without any demand data for a group of `ranks` ranks; `bandwidth` is that of the leader's link.
+    pub(crate) fn new(experts: ExpertLayout, ranks: usize, bandwidth: Bandwidth) -> Self {
         let shape = Shape {
             ranks,
             layers: experts.set_count,
@@ -59,7 +60,15 @@
         };
         Self {
             shape,
-            experts,
+            staging: Staging {
+                spare_per_set: experts.spare_experts_per_rank,
+                load_ms: experts.load_ms(),
+                overhead_ms: SWITCH_OVERHEAD_MS,
+                link: payoff::Link {
+                    bytes_per_ms: bandwidth.map_bytes_in(0.001),
+                    burst_bytes: bandwidth.map_burst_bytes(),
+                },
+            },
             popularity: Popularity::new(experts.set_count, experts.experts_per_set, DEMAND_HALF_LIFE),
             accumulated: vec![0.0; experts.set_count * experts.experts_per_set],
             window_start: Instant::now(),
@@ -130,16 +139,17 @@
         if !self.has_demand() {
             return None;
         }
-        let load_limits = 1..=MAX_LOADS_PER_RANK.min(self.experts.spare_experts_per_rank);
-        let candidates = load_limits.map(|per_rank| {
-            let bounds = LoadLimits {
-                loads_per_rank: per_rank,
-                loads_per_set: self.experts.spare_experts_per_rank,
-            };
-            let refined = refine(&self.popularity, map, self.shape, bounds, &self.slowdowns);
-            (self.cost(&refined), refined)
-        });
-        let (_, best) = candidates.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
+        let Candidate {
+            refinement: best,
+            staging_ms,
+        } = payoff::best_candidate(
+            &self.popularity,
+            map,
+            self.shape,
+            &self.slowdowns,
+            &self.staging,
+            HORIZON_MS,
+        )?;
         let slack = ((SHORT_PASS_SHARE - self.pressure) / SHORT_PASS_SHARE).clamp(0.0, 1.0);
         let pays_off = best.skew_before - best.skew_after >= MIN_SKEW_REDUCTION + IDLE_SKEW_REDUCTION * slack;
         if !pays_off {
@@ -153,6 +163,7 @@
                 skew_next = best.skew_after,
                 loads = best.replica_loads,
                 deepest = best.max_loads_per_rank,
+                staging_ms,
                 pressure = self.pressure,
                 samples = self.popularity.sample_count();
                 "switching to another map"
@@ -181,11 +192,4 @@
             "keeping the current map"
         );
     }
-
-    /// Skew times milliseconds over the horizon if the group switches to `refined`.
-    fn cost(&self, refined: &Refinement) -> f64 {
-        let switch_ms =
-            (f64::from(refined.max_loads_per_rank) * self.experts.load_ms() + SWITCH_OVERHEAD_MS).min(HORIZON_MS);
-        switch_ms * refined.skew_before + (HORIZON_MS - switch_ms) * refined.skew_after
-    }
 }
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -283,7 +283,7 @@
         let service = catalog.value.find_service(&self.term.service);
         let engine = service.and_then(|key| catalog.value.service(key).engine.as_ref());
         if let Some(experts) = engine.and_then(|engine| engine.experts) {
-            self.decider = Some(Decider::new(experts, self.term.size));
+            self.decider = Some(Decider::new(experts, self.term.size, self.context.bandwidth));
         }
     }
 
--- a/crates/sparscale_place/src/lib.rs
+++ b/crates/sparscale_place/src/lib.rs
@@ -8,6 +8,7 @@
 mod load;
 mod map;
 mod patch;
+pub mod payoff;
 mod popularity;
 mod refine;
 mod search;
--- a/crates/sparscale_place/src/refine.rs
+++ b/crates/sparscale_place/src/refine.rs
@@ -41,44 +41,74 @@
 /// Improves `map` within `limits`. `slowdowns` has a factor for each rank, 1 if nominal: a straggler gets
 /// proportionally less load.
 pub fn refine(popularity: &Popularity, map: &Map, shape: Shape, limits: LoadLimits, slowdowns: &[f64]) -> Refinement {
-    let mut sets: Vec<LayerSet> = (0..shape.layers)
-        .map(|set| LayerSet::new(&map.layers[set], popularity.counts_of_set(set), shape.slots, slowdowns))
-        .collect();
-    let before = mean_set_skew(&sets);
-    let mut load_counts = vec![0_usize; shape.ranks];
-    let mut loads = 0;
-    let mut best_changes: Vec<Option<SetChange>> =
-        sets.iter().map(|set| set.best_change(&load_counts, limits)).collect();
-    while let Some(index) = index_of_best(&best_changes) {
-        let Some(change) = best_changes[index].take() else {
-            break;
-        };
-        if change
-            .loading_rank
-            .is_some_and(|rank| load_counts[rank] >= limits.loads_per_rank)
-        {
-            // Changes of other sets have used up the limit of this rank.
-            best_changes[index] = sets[index].best_change(&load_counts, limits);
-            continue;
+    let mut search = Search::new(popularity, map, shape, slowdowns);
+    search.extend(limits);
+    search.refinement()
+}
+
+/// A refinement that can be continued with higher limits, which costs much less than to start again.
+#[derive(Debug, Clone)]
+pub(crate) struct Search<'a> {
+    sets: Vec<LayerSet<'a>>,
+    skew_before: f64,
+    /// Number of experts that each rank has loaded.
+    load_counts: Vec<usize>,
+    loads: u32,
+}
+
+impl<'a> Search<'a> {
+    pub(crate) fn new(popularity: &'a Popularity, map: &Map, shape: Shape, slowdowns: &'a [f64]) -> Self {
+        let sets: Vec<LayerSet<'_>> = (0..shape.layers)
+            .map(|set| LayerSet::new(&map.layers[set], popularity.counts_of_set(set), shape.slots, slowdowns))
+            .collect();
+        Self {
+            skew_before: mean_set_skew(&sets),
+            sets,
+            load_counts: vec![0; shape.ranks],
+            loads: 0,
         }
-        sets[index].apply(&change);
-        if let Some(rank) = change.loading_rank {
-            load_counts[rank] += 1;
-            loads += 1;
+    }
+
+    /// Improves the map until no further change within `limits` gains anything; returns whether anything changed.
+    pub(crate) fn extend(&mut self, limits: LoadLimits) -> bool {
+        let mut changed = false;
+        let sets = self.sets.iter();
+        let mut best_changes: Vec<Option<SetChange>> =
+            sets.map(|set| set.best_change(&self.load_counts, limits)).collect();
+        while let Some(index) = index_of_best(&best_changes) {
+            let Some(change) = best_changes[index].take() else {
+                break;
+            };
+            let is_allowed = |rank: usize| self.load_counts[rank] < limits.loads_per_rank;
+            // Otherwise changes of other sets have used up the limit of this rank.
+            if change.loading_rank.is_none_or(is_allowed) {
+                changed = true;
+                self.sets[index].apply(&change);
+                if let Some(rank) = change.loading_rank {
+                    self.load_counts[rank] += 1;
+                    self.loads += 1;
+                }
+            }
+            best_changes[index] = self.sets[index].best_change(&self.load_counts, limits);
         }
-        best_changes[index] = sets[index].best_change(&load_counts, limits);
+        changed
     }
-    let after = mean_set_skew(&sets);
-    let mut map = Map {
-        layers: sets.into_iter().map(|set| Layer { ranks: set.ranks }).collect(),
-    };
-    map.sort();
-    Refinement {
-        skew_after: after,
-        skew_before: before,
-        replica_loads: loads,
-        max_loads_per_rank: load_counts.iter().copied().max().unwrap_or(0) as u32,
-        map,
+
+    pub(crate) fn refinement(&self) -> Refinement {
+        let layers = self.sets.iter().map(|set| Layer {
+            ranks: set.ranks.clone(),
+        });
+        let mut map = Map {
+            layers: layers.collect(),
+        };
+        map.sort();
+        Refinement {
+            skew_after: mean_set_skew(&self.sets),
+            skew_before: self.skew_before,
+            replica_loads: self.loads,
+            max_loads_per_rank: self.load_counts.iter().copied().max().unwrap_or(0) as u32,
+            map,
+        }
     }
 }
 
@@ -179,14 +209,18 @@
 
     /// The change that lowers the smooth largest load most.
     fn best_change(&self, load_counts: &[usize], limits: LoadLimits) -> Option<SetChange> {
-        let norm_before = smooth_max(&self.loads);
         let source = (0..self.loads.len()).max_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]))?;
+        let norm = Norm::new(&self.loads);
+        let mut destinations: Vec<usize> = (0..self.loads.len())
+            .filter(|rank| load_counts[*rank] < limits.loads_per_rank && self.load_counts[*rank] < limits.loads_per_set)
+            .collect();
+        destinations.sort_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]));
         let mut best: Option<SetChange> = None;
         for expert in self.heaviest_experts(source) {
-            for change in self.changes(expert, source, load_counts, limits) {
-                let gain = norm_before - smooth_max(&self.loads_after(&change.edits));
+            for change in self.changes(expert, source, &destinations) {
+                let gain = norm.before - norm.after(&self.new_loads(&change.edits));
                 let is_better = best.as_ref().is_none_or(|best| gain > best.gain);
-                if gain > norm_before * MIN_GAIN_SHARE && is_better {
+                if gain > norm.before * MIN_GAIN_SHARE && is_better {
                     best = Some(SetChange { gain, ..change });
                 }
             }
@@ -201,8 +235,9 @@
         experts
     }
 
-    /// Changes that take load of `expert` off rank `source`.
-    fn changes(&self, expert: u16, source: usize, load_counts: &[usize], limits: LoadLimits) -> Vec<SetChange> {
+    /// Changes that take load of `expert` off rank `source`. `destinations` are the ranks that may load an expert, the
+    /// least loaded first.
+    fn changes(&self, expert: u16, source: usize, destinations: &[usize]) -> Vec<SetChange> {
         let change = |loading_rank, edits| SetChange {
             gain: 0.0,
             loading_rank,
@@ -213,7 +248,9 @@
         if self.holders[usize::from(expert)].len() > 1 {
             found.push(change(None, vec![drop_from_source]));
         }
-        for destination in self.least_loaded_ranks(expert, load_counts, limits) {
+        let destinations = destinations.iter().copied();
+        let destinations = destinations.filter(|rank| !self.ranks[*rank].contains(&expert));
+        for destination in destinations.take(MAX_DESTINATIONS_TRIED) {
             let add = Edit::Add {
                 expert,
                 rank: destination,
@@ -236,19 +273,6 @@
         found
     }
 
-    /// Least loaded ranks that may load `expert`.
-    fn least_loaded_ranks(&self, expert: u16, load_counts: &[usize], limits: LoadLimits) -> Vec<usize> {
-        let may_load = |rank: &usize| {
-            load_counts[*rank] < limits.loads_per_rank
-                && self.load_counts[*rank] < limits.loads_per_set
-                && !self.ranks[*rank].contains(&expert)
-        };
-        let mut ranks: Vec<usize> = (0..self.loads.len()).filter(may_load).collect();
-        ranks.sort_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]));
-        ranks.truncate(MAX_DESTINATIONS_TRIED);
-        ranks
-    }
-
     /// The expert on `rank` with the smallest load, of those that have other replicas.
     fn lightest_replicated_expert(&self, rank: usize) -> Option<u16> {
         let replicated = self.ranks[rank]
@@ -258,31 +282,40 @@
         replicated.min_by(|left, right| self.share(*left).total_cmp(&self.share(*right)))
     }
 
-    /// Loads after `edits`; only holders of the experts that move are updated.
-    fn loads_after(&self, edits: &[Edit]) -> Vec<f64> {
-        let mut loads = self.loads.clone();
-        let mut experts: Vec<u16> = edits.iter().map(|edit| edit.expert()).collect();
-        experts.dedup();
-        for expert in experts {
-            let mut holders = self.holders[usize::from(expert)].clone();
+    /// Loads after `edits` of the ranks whose loads change: the holders of the experts that move.
+    fn new_loads(&self, edits: &[Edit]) -> Vec<(usize, f64)> {
+        let mut loads: Vec<(usize, f64)> = Vec::new();
+        let mut add = |rank: usize, load: f64| match loads.iter_mut().find(|(other, _)| *other == rank) {
+            Some((_, sum)) => *sum += load,
+            None => loads.push((rank, self.loads[rank] + load)),
+        };
+        for (index, edit) in edits.iter().enumerate() {
+            let expert = edit.expert();
+            if edits[..index].iter().any(|earlier| earlier.expert() == expert) {
+                continue;
+            }
+            let old_holders = &self.holders[usize::from(expert)];
             let share = self.share(expert);
-            for holder in &holders {
-                loads[*holder] -= share * self.slowdown(*holder);
+            for holder in old_holders {
+                add(*holder, -share * self.slowdown(*holder));
             }
+            let mut holders = old_holders.clone();
             for edit in edits.iter().filter(|edit| edit.expert() == expert) {
                 edit.apply_to(&mut holders);
             }
             let total = self.tokens[usize::from(expert)] * self.scale;
             let share = total / holders.len().max(1) as f64;
             for holder in &holders {
-                loads[*holder] += share * self.slowdown(*holder);
+                add(*holder, share * self.slowdown(*holder));
             }
         }
         loads
     }
 
     fn apply(&mut self, change: &SetChange) {
-        self.loads = self.loads_after(&change.edits);
+        for (rank, load) in self.new_loads(&change.edits) {
+            self.loads[rank] = load;
+        }
         for edit in &change.edits {
             edit.apply_to(&mut self.holders[usize::from(edit.expert())]);
             match edit {
@@ -311,13 +344,45 @@
     }
 }
 
-/// A smooth approximation of the largest of `loads`: their 16-norm, which also rewards lowering those that are nearly
-/// largest.
-fn smooth_max(loads: &[f64]) -> f64 {
-    let largest = loads.iter().copied().fold(0.0, f64::max);
-    if largest <= 0.0 {
-        return 0.0;
+/// A smooth approximation of the largest load: the 16-norm of the loads, which also rewards lowering those that are
+/// nearly largest.
+#[derive(Debug)]
+struct Norm {
+    /// The norm of the loads before any change.
+    before: f64,
+    largest: f64,
+    /// Powers of the loads relative to the largest, and their sum.
+    powers: Vec<f64>,
+    sum: f64,
+}
+
+impl Norm {
+    fn new(loads: &[f64]) -> Self {
+        let largest = loads.iter().copied().fold(0.0, f64::max);
+        if largest <= 0.0 {
+            return Self {
+                before: 0.0,
+                largest: 1.0,
+                powers: vec![0.0; loads.len()],
+                sum: 0.0,
+            };
+        }
+        let powers: Vec<f64> = loads.iter().map(|load| (load / largest).powi(16)).collect();
+        let sum: f64 = powers.iter().sum();
+        Self {
+            before: largest * sum.powf(1.0 / 16.0),
+            largest,
+            powers,
+            sum,
+        }
+    }
+
+    /// The norm when some ranks have new loads.
+    fn after(&self, new_loads: &[(usize, f64)]) -> f64 {
+        let changes = new_loads
+            .iter()
+            .map(|(rank, load)| (load / self.largest).powi(16) - self.powers[*rank]);
+        let sum = self.sum + changes.sum::<f64>();
+        self.largest * sum.max(0.0).powf(1.0 / 16.0)
     }
-    let sum: f64 = loads.iter().map(|load| (load / largest).powi(16)).sum();
-    largest * sum.powf(1.0 / 16.0)
 }
