Cold targets: a catalog that arrives after the roster limits its cold targets before it is in force

Cause: `Board` determined the cold targets only when it merged a roster, and only if it had a catalog. After its start a process reads the roster at once, while its first catalog waits for peers (`peer_first`). From the catalog until the next roster it sent to cold targets without any limit; when all entries start at the same time, all of them do.

Change: `merge_catalog` determines the limits of the known directory by the new catalog before it publishes the catalog, under the lock that `merge_roster` holds, so that one of two concurrent merges sees the other. A check is repeated if the catalog has changed.

Conclusion: of the ways in which a start exceeds the bound this is the only one that needs no unusual order of links.

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -104,7 +104,16 @@
     /// Merges a catalog that was received from `source`.
     pub fn merge_catalog(&self, catalog: Arc<Catalog>, as_of: Timestamp, source: &str) -> MergeOutcome {
         let version = catalog.version();
+        // Locked as in `merge_roster`, so that the directory of a concurrent merge is limited by one of the two.
+        let store_roster = self.lock_store_roster();
+        let is_newer = self
+            .catalog()
+            .is_none_or(|known| known.position < Position::from(version));
+        if is_newer && let Some(targets) = self.targets() {
+            self.limit_cold(&targets.value, &catalog);
+        }
         let outcome = merge(&self.catalog, catalog, Position::from(version), as_of);
+        drop(store_roster);
         if outcome == MergeOutcome::Replaced {
             log::info!(target: DECISION, decision = "catalog", version, source, age_ms = self.now().since(as_of).as_millis() as u64; "a new catalog is active");
         }
@@ -178,7 +187,9 @@
             let mut builder = self.directory_builder.lock().unwrap_or_else(PoisonError::into_inner);
             builder.build(&observed.value, evacuations)
         };
-        self.limit_cold(&directory);
+        if let Some(catalog) = self.catalog() {
+            self.limit_cold(&directory, &catalog.value);
+        }
         Observation {
             value: directory,
             position: observed.position,
@@ -186,13 +197,12 @@
         }
     }
 
-    /// Limits the cold targets of a directory. Must happen before it is published: otherwise all waiting requests would
-    /// go to them.
-    fn limit_cold(&self, directory: &Arc<Directory>) {
-        let Some(catalog) = self.catalog() else { return };
+    /// Limits the cold targets of a directory by the rates in a catalog. Must happen before the later of the two is
+    /// published: otherwise all waiting requests would go to them.
+    fn limit_cold(&self, directory: &Arc<Directory>, catalog: &Catalog) {
         let now = self.now();
         let mut cold_targets = self.cold_targets.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(limits) = cold_targets.check(directory, &catalog.value, now) {
+        if let Some(limits) = cold_targets.check(directory, catalog, now) {
             self.throttle.record_cold(&limits);
         }
     }
--- a/crates/sparscale_belief/src/cold.rs
+++ b/crates/sparscale_belief/src/cold.rs
@@ -15,12 +15,14 @@
 pub(crate) struct Targets {
     register: Register,
     directory: Weak<Directory>,
+    /// Version of the catalog that stated how targets start.
+    catalog_version: u64,
     checked_at: Option<Timestamp>,
 }
 
 impl Targets {
-    /// Returns the limits of the cold targets of `directory`; none if they were determined from it shortly before, or
-    /// if no service of `catalog` has cold targets.
+    /// Returns the limits of the cold targets of `directory`; none if they were determined from it and `catalog` shortly
+    /// before, or if no service of `catalog` has cold targets.
     pub(crate) fn check(
         &mut self,
         directory: &Arc<Directory>,
@@ -34,11 +36,13 @@
         let is_recent = self
             .checked_at
             .is_some_and(|checked_at| now.since(checked_at) < CHECK_INTERVAL);
-        if is_recent && std::ptr::eq(self.directory.as_ptr(), Arc::as_ptr(directory)) {
+        let is_same_directory = std::ptr::eq(self.directory.as_ptr(), Arc::as_ptr(directory));
+        if is_recent && is_same_directory && self.catalog_version == catalog.version() {
             return None;
         }
         self.checked_at = Some(now);
         self.directory = Arc::downgrade(directory);
+        self.catalog_version = catalog.version();
         let cold_start = |service: &str| {
             let key = catalog.find_service(service)?;
             catalog.service(key).cold_start.as_ref()
