Cold targets: an entry that has just started sends nothing to them until it knows the others

Cause: an entry divides the rate of a cold target among the entries that it knows. When all start at the same time, each knows its seeds at first and is linked to one or two entries, so each takes the whole rate or half of it. Also, an entry took a peer that it had never had a link to for one that does not exist, although entries in reach named it as linked; such views hold shares twice over.

Change: `rate_limit::Settling` determines when an entry knows the others: its view has not grown for 2 s (longer than a failed dial and the wait before the next one), or for 6 s while a seed has given no sign of itself. Time during which the process was paused does not count. An entry that restarts alone does not wait: once most of the entries are linked and have run for 10 s, by the clock stamps in their summaries, they have told it of the others. Before that, `Members::is_settled` is false and cold targets get nothing from the entry; all others, and announced limits, are as before. A peer that a linked entry has named within 12 s counts as live, and the view as incomplete (0.6 of the rate) until there is a link to it. The first view of a mesh does not count as settled either. No frame changes.

Not covered: two parts of the entries that know of each other by one seed only, whose link is down for longer than the settling time. Each part then holds the bound for itself.

--- a/crates/sparscale_gateway/tests/path/evacuations.rs
+++ b/crates/sparscale_gateway/tests/path/evacuations.rs
@@ -219,6 +219,10 @@
         let sharers = |fixture: &Fixture| fixture.entry.mesh.status().borrow().sharers;
         sharers(&second) == Some(2) && sharers(&fixture) == Some(2) && is_evacuated(&second)
     });
+    wait_for("views that have settled", || {
+        let is_settled = |fixture: &Fixture| fixture.entry.mesh.members().borrow().is_settled;
+        is_settled(&fixture) && is_settled(&second)
+    });
     let returned_at = Instant::now();
     fixture.catalogs.put(evacuating(cold_document(), &[]), 3);
     let unserved: usize = std::thread::scope(|scope| {
--- a/crates/sparscale_mesh/src/link.rs
+++ b/crates/sparscale_mesh/src/link.rs
@@ -390,13 +390,15 @@
         let now = self.mesh.board.now();
         self.clock.record_received(exchange.clock_ms, now);
         if self.role == Role::Entry {
-            self.mesh.record_seen(exchange.sender);
+            // Before the link counts: an entry that is linked to established ones relies on their lists.
+            self.mesh.record_named(&exchange.entries);
+            let uptime = Duration::from_millis(exchange.clock_ms);
+            self.mesh.record_seen(exchange.sender, uptime);
             if self.peer.is_none() {
                 self.mesh.change_link_count(exchange.sender, 1);
             }
             let addresses = exchange.entries.len() as u64;
             self.mesh.received.addresses.fetch_add(addresses, Ordering::Relaxed);
-            self.mesh.add_entries(&exchange.entries);
         }
         self.peer = Some(exchange.sender);
         self.peer_request.catalog |= exchange.requests_catalog;
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -12,7 +12,7 @@
 use sparscale_belief::Board;
 use sparscale_clock::Timestamp;
 use sparscale_history::Position;
-use sparscale_policy::rate_limit::{self, Members};
+use sparscale_policy::rate_limit::{self, Members, Settling};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Channel, Endpoint, Frame, Peer, Role, StreamRequest, group};
 use tokio::sync::watch;
@@ -80,6 +80,10 @@
 struct Entry {
     link_count: usize,
     last_seen: Option<Timestamp>,
+    /// When a linked entry last stated that it is linked to this one.
+    last_named: Option<Timestamp>,
+    /// Time for which it had been running at its last message.
+    uptime: Option<Duration>,
     next_dial_at: Instant,
     dial_failures: u32,
     discovered_at: Timestamp,
@@ -135,6 +139,7 @@
     entries: Mutex<BTreeMap<SocketAddr, Entry>>,
     status: watch::Sender<Status>,
     members: watch::Sender<Members>,
+    settling: Mutex<Settling>,
     latest_catalog_request: Request,
     latest_roster_request: Request,
     pub(crate) received: Counters,
@@ -153,8 +158,9 @@
 impl Mesh {
     /// A mesh that knows only the seeds.
     pub fn new(settings: Settings, board: Arc<Board>, endpoint: Arc<Endpoint>) -> Arc<Self> {
+        let started_at = board.now();
         let mesh = Self {
-            started_at: board.now(),
+            started_at,
             board,
             endpoint,
             entries: Mutex::default(),
@@ -163,7 +169,11 @@
                 entries: 1,
                 sharers: None,
             }),
-            members: watch::Sender::new(Members::new(settings.address, &[])),
+            members: watch::Sender::new(Members {
+                is_settled: false,
+                ..Members::new(settings.address, &[])
+            }),
+            settling: Mutex::new(Settling::new(started_at)),
             latest_catalog_request: Request::default(),
             latest_roster_request: Request::default(),
             received: Counters::default(),
@@ -301,6 +311,8 @@
                 entries.entry(*address).or_insert(Entry {
                     link_count: 0,
                     last_seen: None,
+                    last_named: None,
+                    uptime: None,
                     next_dial_at: now,
                     dial_failures: 0,
                     discovered_at,
@@ -334,11 +346,24 @@
         LOAD_INTERVAL_STEP.saturating_mul(steps).min(MAX_LOAD_INTERVAL)
     }
 
-    /// Records that a message of an entry was received.
-    pub(crate) fn record_seen(&self, address: SocketAddr) {
+    /// Records the entries that a linked entry states to be linked to; it counts itself among them.
+    pub(crate) fn record_named(&self, addresses: &[SocketAddr]) {
+        self.add_entries(addresses);
+        let now = self.board.now();
+        let mut entries = self.lock_entries();
+        for address in addresses {
+            if let Some(entry) = entries.get_mut(address) {
+                entry.last_named = Some(now);
+            }
+        }
+    }
+
+    /// Records that a message of an entry was received that had been running for `uptime`.
+    pub(crate) fn record_seen(&self, address: SocketAddr, uptime: Duration) {
         self.add_entries(&[address]);
         if let Some(entry) = self.lock_entries().get_mut(&address) {
             entry.last_seen = Some(self.board.now());
+            entry.uptime = Some(uptime);
             entry.dial_failures = 0;
         }
     }
@@ -453,9 +478,15 @@
             address: *address,
             is_linked: entry.link_count > 0,
             since_last_message: entry.last_seen.map(|last_seen| now.since(last_seen)),
+            since_named: entry.last_named.map(|last_named| now.since(last_named)),
+            uptime: entry.uptime,
         };
         let peers: Vec<rate_limit::Peer> = entries.iter().map(peer).collect();
-        Members::new(self.settings.address, &peers)
+        let mut settling = self.settling.lock().unwrap_or_else(PoisonError::into_inner);
+        Members {
+            is_settled: settling.update(&peers, now),
+            ..Members::new(self.settings.address, &peers)
+        }
     }
 
     fn lock_entries(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Entry>> {
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -40,6 +40,16 @@
 const PARTITION_FRACTION: f64 = 0.6;
 /// Time without a message from an entry after which its share passes to another one.
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time without a new entry after which an entry that has just started knows the others: longer than one failed dial and
+/// the wait before the next, which take 1.7 s.
+pub const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// The same while an entry that the settings name has given no sign of itself: longer than the longest wait between two
+/// dials and a failed dial, which take 4.5 s. The others may be linked to that entry.
+const UNCONFIRMED_SETTLING_TIME: Duration = Duration::from_secs(6);
+/// Longest time between two updates of the view that counts towards [`SETTLING_TIME`]; twice the usual time.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after its start at which an entry is assumed to be linked to most others.
+pub const ESTABLISHED_TIME: Duration = Duration::from_secs(10);
 /// Time without a confirmation after which a limit may have ended.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(10);
 /// Additional time for each position in the order of the entries: the response to the first probe informs all entries.
@@ -125,8 +135,12 @@
     /// Addresses of all live entries, this one included; empty while this entry has no link to most of the known
     /// entries.
     pub live: Vec<SocketAddr>,
-    /// Whether this entry is linked to all known entries, except those that never sent it a message.
+    /// Whether this entry is linked to all known entries, except those that neither sent it a message nor were named by
+    /// a linked entry.
     pub is_complete: bool,
+    /// Whether this entry has had the time to learn of the other entries, see [`Settling`]. Until then it sends nothing
+    /// to cold targets.
+    pub is_settled: bool,
 }
 
 /// Another entry, as this one sees it.
@@ -138,29 +152,89 @@
     pub is_linked: bool,
     /// Time since its last message; none if there was none.
     pub since_last_message: Option<Duration>,
+    /// Time since another linked entry last stated that it is linked to it; none if none did.
+    pub since_named: Option<Duration>,
+    /// Time for which it had been running at its last message; none if there was none.
+    pub uptime: Option<Duration>,
+}
+
+impl Peer {
+    /// Whether it counts as running: a link that has not been established yet or is cut does not mean that it ended.
+    fn is_live(&self) -> bool {
+        let is_recent = |since: Option<Duration>| since.is_some_and(|since| since < TAKEOVER_TIMEOUT);
+        self.is_linked || is_recent(self.since_last_message) || is_recent(self.since_named)
+    }
+
+    /// Whether there is no sign that it has ever run: the settings may name entries that do not exist.
+    fn is_unconfirmed(&self) -> bool {
+        self.since_last_message.is_none() && !self.is_live()
+    }
+}
+
+/// Determines when an entry that has just started knows the other entries.
+///
+/// Load pattern: all entries start at the same time, for example after a power loss, while targets are cold. Each knows
+/// only few others at first. If it divided the rate of a cold target among these, all entries together would exceed it
+/// many times over.
+#[derive(Debug)]
+pub struct Settling {
+    known_count: usize,
+    /// Time for which the number of known entries has not grown.
+    stable_for: Duration,
+    updated_at: Timestamp,
+    is_settled: bool,
+}
+
+impl Settling {
+    /// The state of an entry that starts at `now`.
+    pub fn new(now: Timestamp) -> Self {
+        Self {
+            known_count: 0,
+            stable_for: Duration::ZERO,
+            updated_at: now,
+            is_settled: false,
+        }
+    }
+
+    /// Returns whether this entry, which knows `peers`, knows the others; once it does, that is final.
+    ///
+    /// It does once its view has not grown for [`SETTLING_TIME`], or [`UNCONFIRMED_SETTLING_TIME`]. An entry that restarts alone does not wait for that: if
+    /// most of the entries are linked and have run for [`ESTABLISHED_TIME`], they have already told it of the others.
+    pub fn update(&mut self, peers: &[Peer], now: Timestamp) -> bool {
+        // A process that was paused has received nothing in the meantime.
+        self.stable_for += now.since(self.updated_at).min(MAX_UPDATE_INTERVAL);
+        self.updated_at = now;
+        if peers.len() > self.known_count {
+            self.known_count = peers.len();
+            self.stable_for = Duration::ZERO;
+        }
+        let is_established =
+            |peer: &&Peer| peer.is_linked && peer.uptime.is_some_and(|uptime| uptime >= ESTABLISHED_TIME);
+        let established = peers.iter().filter(is_established).count();
+        let settling_time = if peers.iter().any(Peer::is_unconfirmed) {
+            UNCONFIRMED_SETTLING_TIME
+        } else {
+            SETTLING_TIME
+        };
+        self.is_settled |= 2 * established > peers.len() + 1 || self.stable_for >= settling_time;
+        self.is_settled
+    }
 }
 
 impl Members {
-    /// Creates the view of the entry `own_address`, which knows all `peers`.
+    /// Creates the view of the entry `own_address`, which knows all `peers` and has settled.
     pub fn new(own_address: SocketAddr, peers: &[Peer]) -> Self {
         let linked = peers.iter().filter(|peer| peer.is_linked).count() + 1;
-        let is_live = |peer: &&Peer| {
-            peer.is_linked
-                || peer
-                    .since_last_message
-                    .is_some_and(|since_message| since_message < TAKEOVER_TIMEOUT)
-        };
         let mut live = Vec::new();
         if 2 * linked > peers.len() + 1 {
             live.push(own_address);
-            live.extend(peers.iter().filter(is_live).map(|peer| peer.address));
+            live.extend(peers.iter().filter(|peer| peer.is_live()).map(|peer| peer.address));
         }
         Self {
             own_address,
             live,
-            is_complete: peers
-                .iter()
-                .all(|peer| peer.is_linked || peer.since_last_message.is_none()),
+            is_complete: peers.iter().all(|peer| peer.is_linked || peer.is_unconfirmed()),
+            is_settled: true,
         }
     }
 
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -80,7 +80,8 @@
     }
 
     fn set_share(&mut self, members: Option<&Members>, start: StartId, now: Timestamp) {
-        let share = members.map_or(Share::None, |members| members.share(Limit::cold(self.rate), start));
+        let settled = members.filter(|members| members.is_settled);
+        let share = settled.map_or(Share::None, |members| members.share(Limit::cold(self.rate), start));
         // The limit expires at `until`, so no entry has to probe for its end.
         let share = match share {
             Share::ProbeAfter(_) => Share::None,
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -94,6 +94,8 @@
         address: address(entry),
         is_linked: true,
         since_last_message: Some(Duration::ZERO),
+        since_named: None,
+        uptime: None,
     };
     let peers: Vec<Peer> = (0..entries).filter(|entry| *entry != own).map(peer).collect();
     Members::new(address(own), &peers)
--- a/crates/sparscale_policy/tests/limited_target.rs
+++ b/crates/sparscale_policy/tests/limited_target.rs
@@ -212,6 +212,8 @@
                 is_linked: *linked,
                 since_last_message: self.entries[index].last_seen[*other]
                     .map(|last_seen| Duration::from_millis(self.now - last_seen)),
+                since_named: None,
+                uptime: None,
             };
             let peers: Vec<Peer> = others.iter().map(peer).collect();
             let members = Members::new(self.entries[index].address, &peers);
@@ -365,6 +367,8 @@
             address: entry.address,
             is_linked: true,
             since_last_message: None,
+            since_named: None,
+            uptime: None,
         })
         .collect();
     let limit = Limit::announced(Rate::try_from(1.0).expect("a rate"));
