Cold targets: a target counts as cold for the whole time from its first listing, unless a later roster lists it as warm

Cause: a target that a process first sees listed as cold was limited for 1.5 s after each look at the roster. A process that reads one roster after its start and then none for 1.5 s (store slow or unavailable, which is likely when everything starts at the same time) sent at will to a target that may be cold for 3 s.

Change: the first listing of a target that was not seen to turn cold before limits it for the time of a cold start, which is the longest that it can be. Later listings renew the limit by 1.5 s as before. When the roster lists a target as warm that was listed as cold, its limit ends at once, so nothing is lost to the longer limit. The targets of services without cold starts are remembered as well, so that a catalog that states a cold start for one does not make all its targets count as new starts.

Measured: `store_unavailable_after_first_roster`, `first_listing` and `listed_as_cold` pass. The latter required that the first look limits a target for less than the whole time, which is the fault; it now requires the whole time, and the end by a roster.

Conclusion: a limit ends after the target is warm also where no further roster arrives.

--- a/crates/sparscale_policy/src/cold.rs
+++ b/crates/sparscale_policy/src/cold.rs
@@ -13,7 +13,7 @@
 
 use crate::rate_limit::Rate;
 
-/// Time for which a target that the roster lists as cold counts as cold after the latest look at the roster: a
+/// Time for which a target that the roster still lists as cold counts as cold after the latest look at the roster: a
 /// heartbeat that states the end may be this late.
 const LISTED_COLD_TIME: Duration = Duration::from_millis(1_500);
 
@@ -24,21 +24,32 @@
     pub start: StartId,
     /// Requests a second that it handles from all entries together.
     pub rate: Rate,
-    /// When it counts as warm.
+    /// When it counts as warm; not later than the look at the roster if the roster lists it as warm again.
     pub until: Timestamp,
 }
 
 /// The targets that a process knew at its latest look at the roster.
 #[derive(Debug, Default)]
 pub struct Register {
-    known: HashMap<StartId, TargetStatus>,
+    known: HashMap<StartId, Known>,
+}
+
+/// What the latest look at the roster showed of a target.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    status: TargetStatus,
+    is_listed: bool,
+    /// When the target was last seen to turn cold.
+    turned_cold_at: Option<Timestamp>,
 }
 
 impl Register {
     /// Returns the limits of the targets that are cold at `now`; `cold_start` states how the targets of a service
     /// start, or none if they are never cold.
     ///
-    /// A start in the first roster that a process reads does not count as new, because it may be of any age.
+    /// A start in the first roster that a process reads does not count as new, because it may be of any age. If it is
+    /// listed as cold, it may be so for the whole time of a cold start, and the roster may not be readable again before
+    /// that has passed; so it counts as cold for that time unless a later roster lists it as warm.
     pub fn update<'a>(
         &mut self,
         targets: &Directory,
@@ -49,22 +60,40 @@
         let previous = std::mem::take(&mut self.known);
         let mut limits = Vec::new();
         for instance in targets.instances() {
-            let Some(cold_start) = cold_start(&instance.target.service) else {
+            let (status, is_listed) = (instance.target.status, instance.target.is_cold);
+            let cold_start = cold_start(&instance.target.service);
+            let before = previous.get(&instance.start);
+            let has_returned = match before {
+                None => !is_first,
+                Some(before) => before.status == TargetStatus::Evacuated && status == TargetStatus::Ready,
+            };
+            let turned_cold_at = before.and_then(|before| before.turned_cold_at);
+            // The first listing after a new start or a return belongs to the same time of being cold.
+            let is_counted = turned_cold_at
+                .zip(cold_start)
+                .is_some_and(|(at, cold_start)| now.since(at) < cold_start.duration);
+            let is_newly_listed = is_listed && before.is_none_or(|before| !before.is_listed);
+            let turns_cold = has_returned || (is_newly_listed && !is_counted);
+            self.known.insert(
+                instance.start,
+                Known {
+                    status,
+                    is_listed,
+                    turned_cold_at: if turns_cold { Some(now) } else { turned_cold_at },
+                },
+            );
+            let Some(cold_start) = cold_start else {
                 continue;
             };
-            let status = instance.target.status;
-            self.known.insert(instance.start, status);
             let Ok(rate) = Rate::try_from(cold_start.requests_per_second) else {
                 continue;
             };
-            let has_returned = match previous.get(&instance.start) {
-                None => !is_first,
-                Some(before) => *before == TargetStatus::Evacuated && status == TargetStatus::Ready,
-            };
-            let time = if has_returned {
+            let time = if turns_cold {
                 cold_start.duration
-            } else if instance.target.is_cold {
+            } else if is_listed {
                 LISTED_COLD_TIME
+            } else if before.is_some_and(|before| before.is_listed) {
+                Duration::ZERO
             } else {
                 continue;
             };
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -210,9 +210,15 @@
         Some(until)
     }
 
-    /// Records that a target is cold until `until`, and then handles `rate` from all entries together. A later end
-    /// replaces an earlier one; the shares stay.
+    /// Records that a target is cold until `until`, and handles `rate` from all entries together until then. A later end
+    /// replaces an earlier one; the shares stay. An end that has passed states that the target is warm.
     pub fn record_cold(&mut self, start: StartId, rate: Rate, until: Timestamp, now: Timestamp) {
+        if until <= now {
+            if let Some(state) = self.targets.get_mut(&start) {
+                state.cold = None;
+            }
+            return;
+        }
         let state = self
             .targets
             .entry(start)
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -66,18 +66,66 @@
     assert!(process.look(&targets, &[]).is_empty(), "once for each start");
 }
 
-/// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started.
+/// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started:
+/// at first for the whole time of a cold start, since the next rosters may come too late.
 #[test]
 fn listed_as_cold() {
     let mut process = Process::new();
-    for _ in 0..3 {
+    assert_eq!(
+        process.look(&[target("a", true)], &[]),
+        [(start("a"), COLD_START.duration)]
+    );
+    for _ in 0..2 {
         let limits = process.look(&[target("a", true)], &[]);
         assert_eq!(limits.len(), 1);
         assert!(limits[0].1 < COLD_START.duration, "renewed while it is listed");
     }
+    assert_eq!(
+        process.look(&[target("a", false)], &[]),
+        [(start("a"), Duration::ZERO)],
+        "warm at once when the roster says so"
+    );
     assert!(process.look(&[target("a", false)], &[]).is_empty());
 }
 
+/// A target that turns cold without a new start is limited for the whole time from its first listing on; a new start only
+/// from the time at which it appeared, as its first listing is of the same time of being cold.
+#[test]
+fn first_listing() {
+    let mut process = Process::new();
+    process.look(&[target("a", false)], &[]);
+    let times = |limits: Vec<(StartId, Duration)>| -> Vec<Duration> { limits.iter().map(|(_, time)| *time).collect() };
+    let both = [target("a", true), target("b", false)];
+    assert_eq!(times(process.look(&both, &[])), [COLD_START.duration; 2]);
+    process.now = process.now + Duration::from_secs(1);
+    let both = [target("a", true), target("b", true)];
+    let renewed = times(process.look(&both, &[]));
+    assert_eq!(renewed.len(), 2);
+    assert!(renewed.iter().all(|time| *time < COLD_START.duration), "{renewed:?}");
+}
+
+/// A process that reads one roster and then none must not send at will to a target that is listed as cold, before that
+/// target is warm. Once a roster lists it as warm, it is free at once.
+#[test]
+fn store_unavailable_after_first_roster() {
+    let mut process = Process::new();
+    let directory =
+        |process: &mut Process, is_cold| Directory::new(&Roster::new(vec![target("a", is_cold)]), &mut process.starts);
+    let begin = process.now;
+    let mut tracker = Tracker::default();
+    let cold = directory(&mut process, true);
+    for limit in process.register.update(&cold, |_| Some(&COLD_START), begin) {
+        tracker.record_cold(limit.start, limit.rate, limit.until, begin);
+    }
+    let almost_warm = begin + COLD_START.duration.mul_f64(0.99);
+    assert_ne!(tracker.availability(start("a"), almost_warm), Availability::Now);
+    let warm = directory(&mut process, false);
+    for limit in process.register.update(&warm, |_| Some(&COLD_START), almost_warm) {
+        tracker.record_cold(limit.start, limit.rate, limit.until, almost_warm);
+    }
+    assert_eq!(tracker.availability(start("a"), almost_warm), Availability::Now);
+}
+
 /// The targets of a hall are limited from the end of its evacuation, not during it.
 #[test]
 fn returned_hall() {
