Cold targets: recent starts in the first roster of a process count as new

Cause: a start in the first roster never counted as new. A target that started while all entries were down, and whose listing does not state yet that it is cold, was sent any number of requests.

Change: a start of the first roster that is younger than the time of a cold start, by the start time in the roster and the clock of this box, is limited like a new one. One second is added for differences of the clocks. On the first start of the whole system (`first_start` in the settings) all starts are recent and warm, so the rule does not apply. A start whose time is unknown is limited only if it is listed: where targets state no start time, no process can recognize a restart anyway, and each restart of an entry would limit all targets.

Measured: `recent_start_in_first_roster` fails without the rule.

Conclusion: the first roster is covered as far as it states starts or cold targets. A target that turned cold unseen, without a new start, is limited from its next heartbeat on, as before.

--- a/crates/sparscale_belief/src/board.rs
+++ b/crates/sparscale_belief/src/board.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// States whether the system starts for the first time, so that recent starts of targets are not cold ones.
+    #[must_use]
+    pub fn with_first_start(self, is_first_start: bool) -> Self {
+        Self {
+            cold_targets: Mutex::new(cold::Targets::new(is_first_start)),
+            ..self
+        }
+    }
+
     /// The current time on the clock that measures ages.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
--- a/crates/sparscale_belief/src/cold.rs
+++ b/crates/sparscale_belief/src/cold.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sparscale_catalog::{Catalog, Directory};
-use sparscale_clock::Timestamp;
+use sparscale_clock::{Timestamp, unix_ms};
 use sparscale_policy::cold::{Limit, Register};
 
 /// Interval at which the cold targets of an unchanged directory are determined again.
@@ -21,6 +21,14 @@
 }
 
 impl Targets {
+    /// The state of a process that has not determined any yet.
+    pub(crate) fn new(is_first_start: bool) -> Self {
+        Self {
+            register: Register::new(is_first_start),
+            ..Self::default()
+        }
+    }
+
     /// Returns the limits of the cold targets of `directory`; none if they were determined from it and `catalog` shortly
     /// before, or if no service of `catalog` has cold targets.
     pub(crate) fn check(
@@ -47,7 +55,7 @@
             let key = catalog.find_service(service)?;
             catalog.service(key).cold_start.as_ref()
         };
-        let limits = self.register.update(directory, cold_start, now);
+        let limits = self.register.update(directory, cold_start, now, unix_ms());
         if !limits.is_empty() {
             log::debug!(targets = limits.len(); "targets are cold and get requests at a limited rate");
         }
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -65,7 +65,8 @@
 impl Entry {
     /// Starts the tasks of an entry on the current runtime.
     pub async fn start(settings: Settings, parts: Dependencies) -> Result<Self, Error> {
-        let board = Arc::new(Board::new(Arc::clone(&parts.clock)));
+        let board = Board::new(Arc::clone(&parts.clock)).with_first_start(settings.is_first_start);
+        let board = Arc::new(board);
         let callers = listen(settings.caller_address).await?;
         let ready = listen(settings.ready_address).await?;
         let mesh = start_mesh(&settings, &board)?;
--- a/crates/sparscale_policy/src/cold.rs
+++ b/crates/sparscale_policy/src/cold.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sparscale_catalog::{Directory, StartId, TargetStatus, cold};
+use sparscale_catalog::{Directory, Instance, StartId, TargetStatus, cold};
 use sparscale_clock::Timestamp;
 
 use crate::rate_limit::Rate;
@@ -17,6 +17,9 @@
 /// heartbeat that states the end may be this late.
 const LISTED_COLD_TIME: Duration = Duration::from_millis(1_500);
 
+/// Largest assumed difference between the clock of a target and that of this process.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// The limit of a cold target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
@@ -32,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct Register {
     known: HashMap<StartId, Known>,
+    /// Whether the system starts for the first time, with targets that are warm.
+    is_first_start: bool,
 }
 
 /// What the latest look at the roster showed of a target.
@@ -44,17 +49,26 @@
 }
 
 impl Register {
+    /// The register of a process that has not looked at a roster yet.
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            is_first_start,
+            ..Self::default()
+        }
+    }
+
     /// Returns the limits of the targets that are cold at `now`; `cold_start` states how the targets of a service
     /// start, or none if they are never cold.
     ///
-    /// A start in the first roster that a process reads does not count as new, because it may be of any age. If it is
-    /// listed as cold, it may be so for the whole time of a cold start, and the roster may not be readable again before
+    /// A start in the first roster that a process reads does not count as new, because it may be of any age, unless the
+    /// roster states a time of the start that is recent at `unix_ms`. If it is listed as cold, it may be so for the whole time of a cold start, and the roster may not be readable again before
     /// that has passed; so it counts as cold for that time unless a later roster lists it as warm.
     pub fn update<'a>(
         &mut self,
         targets: &Directory,
         cold_start: impl Fn(&str) -> Option<&'a cold::Start>,
         now: Timestamp,
+        unix_ms: u64,
     ) -> Vec<Limit> {
         let is_first = self.known.is_empty();
         let previous = std::mem::take(&mut self.known);
@@ -64,7 +78,8 @@
             let cold_start = cold_start(&instance.target.service);
             let before = previous.get(&instance.start);
             let has_returned = match before {
-                None => !is_first,
+                None if is_first => cold_start.is_some_and(|cold_start| self.is_young(instance, cold_start, unix_ms)),
+                None => true,
                 Some(before) => before.status == TargetStatus::Evacuated && status == TargetStatus::Ready,
             };
             let turned_cold_at = before.and_then(|before| before.turned_cold_at);
@@ -105,4 +120,11 @@
         }
         limits
     }
+
+    /// Whether a start of the first roster may be so recent that no heartbeat has stated yet that it is cold.
+    fn is_young(&self, instance: &Instance, cold_start: &cold::Start, unix_ms: u64) -> bool {
+        let age = |born_ms: u64| Duration::from_millis(unix_ms.saturating_sub(born_ms));
+        let born_ms = instance.target.born_ms.filter(|_| !self.is_first_start);
+        born_ms.is_some_and(|born_ms| age(born_ms) < cold_start.duration + CLOCK_TOLERANCE)
+    }
 }
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -15,6 +15,9 @@
     requests_per_second: 26.0,
 };
 
+/// Time since 1970 at which the processes look at a roster.
+const UNIX_MS: u64 = 1_700_000_000_000;
+
 fn target(id: &str, is_cold: bool) -> Target {
     Target {
         is_cold,
@@ -43,7 +46,9 @@
         let evacuations: Evacuations = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
         let roster = Roster::new(targets.to_vec()).with_evacuated(&evacuations);
         let directory = Directory::new(&roster, &mut self.starts);
-        let limits = self.register.update(&directory, |_| Some(&COLD_START), self.now);
+        let limits = self
+            .register
+            .update(&directory, |_| Some(&COLD_START), self.now, UNIX_MS);
         limits
             .iter()
             .map(|limit| (limit.start, limit.until.since(self.now)))
@@ -66,6 +71,35 @@
     assert!(process.look(&targets, &[]).is_empty(), "once for each start");
 }
 
+/// A process without history limits the starts of its first roster that are recent, because a heartbeat that states that
+/// they are cold may still be missing; not those of the first start of the whole system, which are all recent and warm.
+/// The clocks may differ.
+#[test]
+fn recent_start_in_first_roster() {
+    let started = |id: &str, ago_ms: i64| Target {
+        born_ms: UNIX_MS.checked_sub_signed(ago_ms),
+        ..target(id, false)
+    };
+    let targets = [
+        started("fast-clock", -500),
+        started("recent", 2_000),
+        started("slow-clock", 3_500),
+        started("old", 5_000),
+        target("unknown", false),
+    ];
+    let mut process = Process::new();
+    let limits = process.look(&targets, &[]);
+    let expected = targets[..3]
+        .iter()
+        .map(|target| (StartId::of(&target.id, target.born_ms), COLD_START.duration));
+    assert_eq!(limits, expected.collect::<Vec<_>>());
+    process.register = Register::new(true);
+    assert!(
+        process.look(&targets, &[]).is_empty(),
+        "the system starts for the first time"
+    );
+}
+
 /// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started:
 /// at first for the whole time of a cold start, since the next rosters may come too late.
 #[test]
@@ -114,13 +148,16 @@
     let begin = process.now;
     let mut tracker = Tracker::default();
     let cold = directory(&mut process, true);
-    for limit in process.register.update(&cold, |_| Some(&COLD_START), begin) {
+    for limit in process.register.update(&cold, |_| Some(&COLD_START), begin, UNIX_MS) {
         tracker.record_cold(limit.start, limit.rate, limit.until, begin);
     }
     let almost_warm = begin + COLD_START.duration.mul_f64(0.99);
     assert_ne!(tracker.availability(start("a"), almost_warm), Availability::Now);
     let warm = directory(&mut process, false);
-    for limit in process.register.update(&warm, |_| Some(&COLD_START), almost_warm) {
+    for limit in process
+        .register
+        .update(&warm, |_| Some(&COLD_START), almost_warm, UNIX_MS)
+    {
         tracker.record_cold(limit.start, limit.rate, limit.until, almost_warm);
     }
     assert_eq!(tracker.availability(start("a"), almost_warm), Availability::Now);
