--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -15,6 +15,9 @@
     requests_per_second: 26.0,
 };
 
+/// Time since 1970 at which the processes look at a roster.
+const UNIX_MS: u64 = 1_700_000_000_000;
+
 fn target(id: &str, is_cold: bool) -> Target {
     Target {
         is_cold,
@@ -43,7 +46,9 @@
         let evacuations: Evacuations = evacuated.iter().map(|hall| (*hall).to_owned()).collect();
         let roster = Roster::new(targets.to_vec()).with_evacuated(&evacuations);
         let directory = Directory::new(&roster, &mut self.starts);
-        let limits = self.register.update(&directory, |_| Some(&COLD_START), self.now);
+        let limits = self
+            .register
+            .update(&directory, |_| Some(&COLD_START), self.now, UNIX_MS);
         limits
             .iter()
             .map(|limit| (limit.start, limit.until.since(self.now)))
@@ -66,18 +71,98 @@
     assert!(process.look(&targets, &[]).is_empty(), "once for each start");
 }
 
-/// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started.
+/// A process without history limits the starts of its first roster that are recent, because a heartbeat that states that
+/// they are cold may still be missing; not those of the first start of the whole system, which are all recent and warm.
+/// The clocks may differ.
+#[test]
+fn recent_start_in_first_roster() {
+    let started = |id: &str, ago_ms: i64| Target {
+        born_ms: UNIX_MS.checked_sub_signed(ago_ms),
+        ..target(id, false)
+    };
+    let targets = [
+        started("fast-clock", -500),
+        started("recent", 2_000),
+        started("slow-clock", 3_500),
+        started("old", 5_000),
+        target("unknown", false),
+    ];
+    let mut process = Process::new();
+    let limits = process.look(&targets, &[]);
+    let expected = targets[..3]
+        .iter()
+        .map(|target| (StartId::of(&target.id, target.born_ms), COLD_START.duration));
+    assert_eq!(limits, expected.collect::<Vec<_>>());
+    process.register = Register::new(true);
+    assert!(
+        process.look(&targets, &[]).is_empty(),
+        "the system starts for the first time"
+    );
+}
+
+/// A target that the roster lists as cold is limited as long as it is listed, also by a process that has just started:
+/// at first for the whole time of a cold start, since the next rosters may come too late.
 #[test]
 fn listed_as_cold() {
     let mut process = Process::new();
-    for _ in 0..3 {
+    assert_eq!(
+        process.look(&[target("a", true)], &[]),
+        [(start("a"), COLD_START.duration)]
+    );
+    for _ in 0..2 {
         let limits = process.look(&[target("a", true)], &[]);
         assert_eq!(limits.len(), 1);
         assert!(limits[0].1 < COLD_START.duration, "renewed while it is listed");
     }
+    assert_eq!(
+        process.look(&[target("a", false)], &[]),
+        [(start("a"), Duration::ZERO)],
+        "warm at once when the roster says so"
+    );
     assert!(process.look(&[target("a", false)], &[]).is_empty());
 }
 
+/// A target that turns cold without a new start is limited for the whole time from its first listing on; a new start only
+/// from the time at which it appeared, as its first listing is of the same time of being cold.
+#[test]
+fn first_listing() {
+    let mut process = Process::new();
+    process.look(&[target("a", false)], &[]);
+    let times = |limits: Vec<(StartId, Duration)>| -> Vec<Duration> { limits.iter().map(|(_, time)| *time).collect() };
+    let both = [target("a", true), target("b", false)];
+    assert_eq!(times(process.look(&both, &[])), [COLD_START.duration; 2]);
+    process.now = process.now + Duration::from_secs(1);
+    let both = [target("a", true), target("b", true)];
+    let renewed = times(process.look(&both, &[]));
+    assert_eq!(renewed.len(), 2);
+    assert!(renewed.iter().all(|time| *time < COLD_START.duration), "{renewed:?}");
+}
+
+/// A process that reads one roster and then none must not send at will to a target that is listed as cold, before that
+/// target is warm. Once a roster lists it as warm, it is free at once.
+#[test]
+fn store_unavailable_after_first_roster() {
+    let mut process = Process::new();
+    let directory =
+        |process: &mut Process, is_cold| Directory::new(&Roster::new(vec![target("a", is_cold)]), &mut process.starts);
+    let begin = process.now;
+    let mut tracker = Tracker::default();
+    let cold = directory(&mut process, true);
+    for limit in process.register.update(&cold, |_| Some(&COLD_START), begin, UNIX_MS) {
+        tracker.record_cold(limit.start, limit.rate, limit.until, begin);
+    }
+    let almost_warm = begin + COLD_START.duration.mul_f64(0.99);
+    assert_ne!(tracker.availability(start("a"), almost_warm), Availability::Now);
+    let warm = directory(&mut process, false);
+    for limit in process
+        .register
+        .update(&warm, |_| Some(&COLD_START), almost_warm, UNIX_MS)
+    {
+        tracker.record_cold(limit.start, limit.rate, limit.until, almost_warm);
+    }
+    assert_eq!(tracker.availability(start("a"), almost_warm), Availability::Now);
+}
+
 /// The targets of a hall are limited from the end of its evacuation, not during it.
 #[test]
 fn returned_hall() {
@@ -94,6 +179,8 @@
         address: address(entry),
         is_linked: true,
         since_last_message: Some(Duration::ZERO),
+        since_named: None,
+        uptime: None,
     };
     let peers: Vec<Peer> = (0..entries).filter(|entry| *entry != own).map(peer).collect();
     Members::new(address(own), &peers)
