Queue: late admissions are bounded, hopeless waits end early, a retry is not refused again

Cause: at the end of its wait every request was admitted, whatever the headroom, and the wait that decides about a rejection counted requests which the new one would overtake: a standing backlog of late retries had first attempts rejected. Retries were rejected again.

Change: a waiting request is reviewed when a quarter of its objective has passed, and at the end of its wait. A first attempt that is not expected to be served in time leaves the group: the group that is then best decides, and it is rejected at once if none serves it. At the end of its wait a first attempt is admitted with late headroom, or with one of the places that late requests may take beyond it (an eighth of those that become free, two at most). A retry is rejected only if its caller would give up before the expected admission; it counts as on time by its own attempt and comes after first attempts of its tier. The expected wait counts the requests that are admitted before.

--- a/crates/sparscale_gateway/src/exchange/queueing.rs
+++ b/crates/sparscale_gateway/src/exchange/queueing.rs
@@ -18,7 +18,7 @@
 
 impl Gateway {
     /// Chooses a group for a streaming request and waits until it is admitted there, or to another group if that one is
-    /// evacuated meanwhile. None if no group serves the request.
+    /// evacuated meanwhile or has no room in time. None if no group serves the request.
     pub(crate) async fn acquire_permit(
         &self,
         job: &Job,
--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -11,7 +11,7 @@
 use sparscale_mesh::Mesh;
 use sparscale_policy::backlog::Ticket;
 use sparscale_policy::group;
-use sparscale_policy::queue::{self, Decision, Queue, Request};
+use sparscale_policy::queue::{self, Decision, Queue, Request, Review};
 use sparscale_telemetry::DECISION;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -49,7 +49,7 @@
 pub(crate) enum Error {
     /// It is rejected.
     Rejected(Refusal),
-    /// The group gets no new requests any more; another one may serve the request.
+    /// The group gets no new requests any more, or is not expected to serve this one in time; another one may.
     Displaced,
 }
 
@@ -121,12 +121,14 @@
     /// Admits a request, immediately or when headroom becomes free, or rejects it with a time to retry after.
     pub(crate) async fn acquire(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Permit, Error> {
         let ticket = (arrival.tier, self.next_ticket.fetch_add(1, Ordering::Relaxed));
-        let (admission, deadline) = {
+        let request = arrival.request();
+        let (mut admission, mut review_at) = {
             let mut queues = self.lock();
             let group_queue = self.refreshed_queue(&mut queues, arrival);
+            let in_flight = group_queue.in_flight();
             let decision = group_queue
                 .queue
-                .decide(&arrival.request(), group_queue.in_flight(), rand::random(), now());
+                .decide(ticket, &request, in_flight, rand::random(), now());
             match decision {
                 Decision::Admit => return Ok(self.permit(arrival.group, group_queue.admit())),
                 Decision::Reject {
@@ -137,32 +139,36 @@
                     let refusal = Refusal::with_retry_after(Reason::Busy, retry);
                     return Err(Error::Rejected(refusal));
                 }
-                Decision::Wait {
-                    timely_until,
-                    admit_at: deadline,
-                } => {
+                Decision::Wait { review_at } => {
                     let (sender, receiver) = oneshot::channel();
-                    group_queue.queue.enqueue(ticket, timely_until, sender);
-                    (receiver, deadline)
+                    group_queue.queue.enqueue(ticket, &request, sender);
+                    (receiver, review_at)
                 }
             }
         };
-        let guard = Guard {
+        let _guard = Guard {
             queues: self,
             group: arrival.group,
             ticket,
         };
-        let admitted = tokio::time::timeout_at(Instant::from_std(deadline), admission).await;
-        drop(guard);
-        match admitted {
-            Ok(Ok(token)) => return Ok(self.permit(arrival.group, token)),
-            Ok(Err(_displaced)) => return Err(Error::Displaced),
-            Err(_elapsed) => {}
+        loop {
+            let admitted = tokio::time::timeout_at(Instant::from_std(review_at), &mut admission).await;
+            match admitted {
+                Ok(Ok(token)) => return Ok(self.permit(arrival.group, token)),
+                Ok(Err(_displaced)) => return Err(Error::Displaced),
+                Err(_elapsed) => {}
+            }
+            let mut queues = self.lock();
+            let group_queue = self.refreshed_queue(&mut queues, arrival);
+            let in_flight = group_queue.in_flight();
+            match group_queue.queue.review(ticket, &request, in_flight, now()) {
+                // It was admitted or displaced since: the channel says which.
+                None => {}
+                Some(Review::Admit) => return Ok(self.permit(arrival.group, group_queue.admit())),
+                Some(Review::Leave) => return Err(Error::Displaced),
+                Some(Review::Wait { review_at: next }) => review_at = next,
+            }
         }
-        // The remaining time is short and a rejection would come too late: admit the request, which is late at worst.
-        let mut queues = self.lock();
-        let token = self.refreshed_queue(&mut queues, arrival).admit();
-        Ok(self.permit(arrival.group, token))
     }
 
     /// Removes all waiting requests of a group that gets no new requests any more, so that other groups serve them.
--- a/crates/sparscale_policy/src/backlog.rs
+++ b/crates/sparscale_policy/src/backlog.rs
@@ -3,9 +3,10 @@
 //! Load pattern: for some seconds, more requests arrive than the group can serve on time. If they were admitted in the
 //! order of arrival, all of them would soon be late, including those that arrive after the overload.
 //!
-//! Requests that can still be on time are admitted first, by tier and then in the order of arrival. A request that is
-//! already late loses nothing by waiting longer, so it comes after them, until its caller would take the connection
-//! for dead.
+//! Requests that can still be on time are admitted first, by tier and then in the order of arrival; of one tier, those
+//! of callers that were rejected before come after the others, since an early rejection has already cost a part of
+//! their worth. A request that is already late loses nothing by waiting longer, so it comes after them, until its
+//! caller would take the connection for dead.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -15,10 +16,32 @@
 /// Priority of a request in the backlog: its tier, then its number.
 pub type Ticket = (u8, usize);
 
+/// The properties of a request that its place in the order depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry {
+    /// Its tier and number.
+    pub ticket: Ticket,
+    /// Latest time at which it can be admitted and still be on time.
+    pub timely_until: Instant,
+    /// Whether its caller was rejected before.
+    pub is_retry: bool,
+}
+
+/// Position in the order of admission: whether the request is late, its tier, whether it is a retry, and its number.
+type Position = (bool, u8, bool, usize);
+
+impl Entry {
+    fn position(&self, now: Instant) -> Position {
+        let is_late = self.timely_until < now;
+        let (tier, number) = self.ticket;
+        (is_late, tier, self.is_retry && !is_late, number)
+    }
+}
+
 /// A request in the backlog.
 #[derive(Debug)]
 struct Waiter<T> {
-    timely_until: Instant,
+    entry: Entry,
     waiter: T,
 }
 
@@ -36,10 +59,21 @@
 }
 
 impl<T> Backlog<T> {
-    /// Adds a request that can be on time if it is admitted by `timely_until`. `waiter` is the handle by which its task
-    /// is notified of the admission.
-    pub fn insert(&mut self, ticket: Ticket, timely_until: Instant, waiter: T) {
-        self.waiting.insert(ticket, Waiter { timely_until, waiter });
+    /// Adds a request. `waiter` is the handle by which its task is notified of the admission.
+    pub fn insert(&mut self, entry: Entry, waiter: T) {
+        self.waiting.insert(entry.ticket, Waiter { entry, waiter });
+    }
+
+    /// Whether the request with `ticket` waits.
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        self.waiting.contains_key(&ticket)
+    }
+
+    /// Number of waiting requests that are admitted before `entry`.
+    pub fn count_before(&self, entry: &Entry, now: Instant) -> usize {
+        let position = entry.position(now);
+        let before = |waiter: &&Waiter<T>| waiter.entry.position(now) < position;
+        self.waiting.values().filter(before).count()
     }
 
     /// Removes a request that no longer waits.
@@ -65,15 +99,17 @@
 
     /// Removes and returns the next request that `headroom` allows.
     pub fn next(&mut self, headroom: Headroom, now: Instant) -> Option<T> {
-        let first = |late: bool| {
-            let found = self
-                .waiting
-                .iter()
-                .find(|(_, waiter)| (waiter.timely_until < now) == late);
-            found.map(|(ticket, _)| *ticket)
+        let allowed = |entry: &&Entry| {
+            let headroom = if entry.timely_until < now {
+                headroom.late
+            } else {
+                headroom.timely
+            };
+            headroom >= 1.0
         };
-        let timely = if headroom.timely >= 1.0 { first(false) } else { None };
-        let ticket = timely.or_else(|| if headroom.late >= 1.0 { first(true) } else { None })?;
+        let entries = self.waiting.values().map(|waiter| &waiter.entry);
+        let first = entries.filter(allowed).min_by_key(|entry| entry.position(now))?;
+        let ticket = first.ticket;
         self.waiting.remove(&ticket).map(|waiting| waiting.waiter)
     }
 }
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -7,17 +7,21 @@
 //! backlog makes every request that joins it late: while arrivals keep up with departures, each one is admitted only
 //! after all of its time has passed.
 //!
-//! So a first attempt that can't be on time by waiting is rejected at once. Its caller gets a retry time of its own,
-//! after those of earlier callers and spread over the places that will become free, so that the backlog stays as short
-//! as the time of the requests in it. A caller that retries has already waited, so its request may wait for as long as
-//! callers accept.
+//! So a first attempt that can't be on time by waiting is rejected at once, or soon after its arrival if the places that
+//! it waits for do not become free as expected. Its caller gets a retry time of its own, after those of earlier callers
+//! and spread over the places that will become free, so that the backlog stays as short as the time of the requests in
+//! it. A caller that retries has already waited: its request is not rejected again and may wait for as long as callers
+//! accept.
+//!
+//! At the end of its wait a first attempt is admitted only if there is headroom for late requests, or if less than a
+//! share of the places that become free went to late requests beyond the headroom.
 
 use std::time::{Duration, Instant};
 
 use sparscale_catalog::EngineProfile;
 use sparscale_wire::group;
 
-use crate::backlog::{Backlog, Ticket};
+use crate::backlog::{Backlog, Entry, Ticket};
 use crate::caller_timeout;
 use crate::headroom::{self, Headroom};
 
@@ -45,6 +49,13 @@
 const PLACES_PER_RETRY: f64 = 4.0;
 /// Time spent on earlier attempts from which a request counts as a retry.
 const MIN_RETRY_AGE: Duration = Duration::from_millis(150);
+/// Fraction of the latency objective within which a rejection is useful: its caller can still be served by a retry for
+/// more than a late response is worth. A request whose places do not become free as expected is rejected then.
+const USEFUL_REJECTION_FRACTION: f64 = 0.25;
+/// Share of the places that become free which late requests may take beyond the headroom at the end of their wait.
+const LATE_PLACE_SHARE: f64 = 0.125;
+/// Maximum number of such places that are kept for later.
+const MAX_LATE_PLACES: f64 = 2.0;
 /// Assumed residence time of a request before any has left.
 const INITIAL_RESIDENCE: Duration = Duration::from_secs(1);
 
@@ -68,6 +79,11 @@
     fn is_retry(&self) -> bool {
         self.retry_age >= MIN_RETRY_AGE
     }
+
+    /// How long it may wait for admission before its caller gives up.
+    fn max_wait(&self) -> Duration {
+        caller_timeout::max_admission_wait(self.objective, self.max_pause)
+    }
 }
 
 /// What happens to an arriving request.
@@ -77,10 +93,8 @@
     Admit,
     /// It joins the backlog.
     Wait {
-        /// Latest time at which it can be admitted and still be on time.
-        timely_until: Instant,
-        /// When it is admitted regardless of the headroom: too little of its time is left for a rejection to be useful.
-        admit_at: Instant,
+        /// When [`Queue::review`] decides about it again, if it has not been admitted by then.
+        review_at: Instant,
     },
     /// It is rejected.
     Reject {
@@ -91,6 +105,21 @@
     },
 }
 
+/// What happens to a waiting request at its review.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Review {
+    /// It is admitted, and has left the backlog.
+    Admit,
+    /// It waits until its next review.
+    Wait {
+        /// Time of that review.
+        review_at: Instant,
+    },
+    /// It has left the backlog, since this group is not expected to serve it in time. [`Queue::decide`] of the group
+    /// that is then the best one decides about it.
+    Leave,
+}
+
 /// The admission queue; `T` is the handle by which a waiting request is notified of its admission.
 #[derive(Debug)]
 pub struct Queue<T> {
@@ -102,6 +131,8 @@
     /// Recent admissions by this entry that the group leader's report may not include yet.
     unreported: Vec<Instant>,
     backlog: Backlog<T>,
+    /// Places that late requests may take beyond the headroom.
+    late_places: f64,
     /// Retry time of the next caller that is rejected.
     next_retry: Instant,
     /// This entry's share of the requests in the group by the latest report; 0 without a recent report.
@@ -121,6 +152,7 @@
             headroom: Headroom::UNLIMITED,
             unreported: Vec::new(),
             backlog: Backlog::default(),
+            late_places: MAX_LATE_PLACES,
             next_retry: now,
             share_of_requests: 0.0,
             residence: INITIAL_RESIDENCE,
@@ -155,35 +187,68 @@
     }
 
     /// Decides about `request` while `in_flight` requests of this entry are in flight. `sample` is uniform in 0..1.
-    pub fn decide(&mut self, request: &Request, in_flight: usize, sample: f64, now: Instant) -> Decision {
+    pub fn decide(
+        &mut self,
+        ticket: Ticket,
+        request: &Request,
+        in_flight: usize,
+        sample: f64,
+        now: Instant,
+    ) -> Decision {
         if self.backlog.is_empty() && self.headroom.timely >= 1.0 {
             return Decision::Admit;
         }
-        let expected = self.expected_wait(in_flight);
-        let longest = caller_timeout::max_admission_wait(request.objective, request.max_pause);
-        let timely = self.max_timely_wait(request.objective);
-        // While passes are too long for any request to be on time, only late requests are admitted: being late is then
-        // the worst that waiting can cause.
-        let is_full = self.headroom.timely.max(self.headroom.late) < 1.0;
-        let max_wait = if is_full && !request.is_retry() {
-            timely.min(longest)
-        } else {
-            longest
-        };
-        if now.saturating_duration_since(request.arrived_at) + expected > max_wait {
-            let retry = self.schedule_retry(request, in_flight, expected, sample, now);
+        let expected = self.expected_wait_of(ticket, request, in_flight, now);
+        if self.is_hopeless(request, expected, now) {
             return Decision::Reject {
                 expected_wait: expected,
-                retry_after: retry,
+                retry_after: self.schedule_retry(request, in_flight, expected, sample, now),
             };
         }
-        let timely_wait = timely.saturating_sub(request.retry_age);
         Decision::Wait {
-            timely_until: request.arrived_at + timely_wait,
-            admit_at: request.arrived_at + longest,
+            review_at: next_review(request, now),
         }
     }
 
+    /// Decides again about a request that has waited until its review; none if it no longer waits, because it has been
+    /// admitted or displaced.
+    pub fn review(&mut self, ticket: Ticket, request: &Request, in_flight: usize, now: Instant) -> Option<Review> {
+        if !self.backlog.contains(ticket) {
+            return None;
+        }
+        if now < request.arrived_at + request.max_wait() {
+            let expected = self.expected_wait_of(ticket, request, in_flight, now);
+            let is_late = self.entry(ticket, request).timely_until < now;
+            if is_late || request.is_retry() || !self.is_hopeless(request, expected, now) {
+                let review_at = next_review(request, now);
+                return Some(Review::Wait { review_at });
+            }
+        } else if request.is_retry() || self.headroom.late.max(self.late_places) >= 1.0 {
+            if self.headroom.late < 1.0 {
+                self.late_places = (self.late_places - 1.0).max(0.0);
+            }
+            self.backlog.remove(ticket);
+            return Some(Review::Admit);
+        }
+        self.backlog.remove(ticket);
+        Some(Review::Leave)
+    }
+
+    /// Whether waiting is not expected to serve the request. A retry is served late, for as long as its caller waits.
+    /// While passes are too long for any request to be on time, only late requests are admitted: being late is then the
+    /// worst that waiting can cause.
+    fn is_hopeless(&self, request: &Request, expected: Duration, now: Instant) -> bool {
+        let is_full = self.headroom.timely.max(self.headroom.late) < 1.0;
+        let max_wait = if request.is_retry() {
+            caller_timeout::stream_timeout(request.objective, request.max_pause)
+        } else if is_full {
+            self.max_timely_wait(request.objective).min(request.max_wait())
+        } else {
+            request.max_wait()
+        };
+        now.saturating_duration_since(request.arrived_at) + expected > max_wait
+    }
+
     /// Returns the delay after which a rejected caller should retry, later than the callers that were rejected before
     /// it.
     fn schedule_retry(
@@ -211,8 +276,18 @@
     }
 
     /// Adds a request to the backlog, until [`Queue::next`] returns its `waiter`.
-    pub fn enqueue(&mut self, ticket: Ticket, timely_until: Instant, waiter: T) {
-        self.backlog.insert(ticket, timely_until, waiter);
+    pub fn enqueue(&mut self, ticket: Ticket, request: &Request, waiter: T) {
+        self.backlog.insert(self.entry(ticket, request), waiter);
+    }
+
+    /// The place of a request in the order. A retry is on time if its own attempt is: its caller's early rejection has
+    /// cost a part of its worth, and a late response would cost more.
+    fn entry(&self, ticket: Ticket, request: &Request) -> Entry {
+        Entry {
+            ticket,
+            timely_until: request.arrived_at + self.max_timely_wait(request.objective),
+            is_retry: request.is_retry(),
+        }
     }
 
     /// Removes a request that no longer waits from the backlog.
@@ -240,6 +315,7 @@
     /// Counts an admitted request as ended, `residence` after its admission.
     pub fn record_end(&mut self, residence: Duration) {
         self.headroom.add(1.0);
+        self.late_places = (self.late_places + LATE_PLACE_SHARE).min(MAX_LATE_PLACES);
         self.residence = (self.residence * 9 + residence) / 10;
     }
 
@@ -252,8 +328,18 @@
 
     /// Expected time until a request that joins the backlog now is admitted: places become free as requests end.
     pub fn expected_wait(&self, in_flight: usize) -> Duration {
+        self.expected_wait_behind(self.backlog.len(), in_flight)
+    }
+
+    /// The same for a certain request, which may wait already.
+    fn expected_wait_of(&self, ticket: Ticket, request: &Request, in_flight: usize, now: Instant) -> Duration {
+        let ahead = self.backlog.count_before(&self.entry(ticket, request), now);
+        self.expected_wait_behind(ahead, in_flight)
+    }
+
+    fn expected_wait_behind(&self, ahead: usize, in_flight: usize) -> Duration {
         let headroom = self.headroom.timely.max(self.headroom.late);
-        let ahead = self.backlog.len() as f64 + 1.0 - headroom.clamp(-64.0, 0.0);
+        let ahead = ahead as f64 + 1.0 - headroom.clamp(-64.0, 0.0);
         self.residence.mul_f64(ahead / self.sharable_places(in_flight))
     }
 
@@ -296,6 +382,17 @@
     }
 }
 
+/// When to decide about a waiting request again: while a rejection is useful, and at the end of its wait.
+fn next_review(request: &Request, now: Instant) -> Instant {
+    let end = request.arrived_at + request.max_wait();
+    let useful_until = request.arrived_at + request.objective.mul_f64(USEFUL_REJECTION_FRACTION);
+    if now < useful_until && !request.is_retry() {
+        useful_until.min(end)
+    } else {
+        end
+    }
+}
+
 /// The group that a queue admits requests to.
 #[derive(Debug, Clone, Copy)]
 pub struct Group<'a> {
--- a/crates/sparscale_policy/tests/overload/main.rs
+++ b/crates/sparscale_policy/tests/overload/main.rs
@@ -59,6 +59,15 @@
         rate,
         skew,
         long_prompts,
+        immediate_retries: false,
+    }
+}
+
+/// The same load from callers that ignore their retry times.
+const fn impatient(load: Load) -> Load {
+    Load {
+        immediate_retries: true,
+        ..load
     }
 }
 
@@ -157,3 +166,25 @@
         assert!(outcomes.lost() <= 0.05, "{name}: {:.3}", outcomes.lost());
     }
 }
+
+/// Callers that ignore their retry times lose only their own requests: with bursts of 1.7 and 2.5 times the steady rate,
+/// as many requests that arrive after the burst are on time as with callers that keep to them.
+#[test]
+fn immediate_retries_harmless() {
+    let loads = [
+        ("busy", load(busy_rate, steady_skew, usual_prompts)),
+        ("busy, shifts", load(busy_rate, shifting_skew, usual_prompts)),
+        ("crowded", load(crowded_rate, steady_skew, usual_prompts)),
+        ("crowded, shifts", load(crowded_rate, shifting_skew, usual_prompts)),
+    ];
+    for (name, load) in loads {
+        let patient = Outcomes::simulate(name, load, Admission::Queue);
+        let impatient = Outcomes::simulate(&format!("{name}, impatient"), impatient(load), Admission::Queue);
+        let after = |outcomes: &Outcomes| outcomes.fraction(BURST.end + 1..SECONDS, |second| second.timely);
+        let (with, without) = (after(&impatient), after(&patient));
+        assert!(
+            with >= without - TOLERANCE,
+            "{name}: {with:.3} of those after the burst on time for {without:.3}"
+        );
+    }
+}
