Queue: of one tier, requests of workspaces with few recent admissions first

Cause: requests that can be on time were admitted by tier and then by arrival, so those of small workspaces waited behind a large one that alone causes an overload, and were rejected as often.

Late requests keep the order of arrival.

--- a/crates/sparscale_gateway/src/exchange/queueing.rs
+++ b/crates/sparscale_gateway/src/exchange/queueing.rs
@@ -5,6 +5,7 @@
 
 use rand::seq::IteratorRandom as _;
 use sparscale_catalog::RequestKind;
+use sparscale_policy::fair_share::Workspace;
 
 use super::{Gateway, Job};
 use crate::attempt_history::AttemptHistory;
@@ -61,6 +62,8 @@
             return Ok(None);
         };
         let retry_age = self.retry_age(job);
+        let workspace = job.outbound.workspace.as_ref();
+        let workspace = workspace.map_or_else(Workspace::default, |name| Workspace::named(name.as_bytes()));
         let groups = observation.value.groups_of(service);
         let groups = groups.filter(|group| !observation.value.is_evacuated_group(group.name));
         let sampled = groups.choose_multiple(&mut rand::rng(), MAX_SAMPLED_GROUPS).into_iter();
@@ -76,6 +79,7 @@
             arrived_at: job.arrived_at,
             retry_age,
             remaining: job.outbound.head.remaining,
+            workspace,
         });
         let arrivals: Vec<Arrival<'_>> = arrivals.collect();
         let Some(arrival) = self
--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -10,6 +10,7 @@
 use sparscale_catalog::{EngineProfile, Group};
 use sparscale_mesh::Mesh;
 use sparscale_policy::backlog::Ticket;
+use sparscale_policy::fair_share::Workspace;
 use sparscale_policy::group;
 use sparscale_policy::queue::{self, Decision, Queue, Request, Review};
 use sparscale_telemetry::DECISION;
@@ -42,6 +43,8 @@
     pub(crate) retry_age: Duration,
     /// How much longer the caller waits, if it sent a deadline.
     pub(crate) remaining: Option<Duration>,
+    /// Workspace of the request.
+    pub(crate) workspace: Workspace,
 }
 
 /// Why a request was not admitted to a group.
@@ -196,6 +199,7 @@
             arrived_at: Instant::now(),
             retry_age: Duration::ZERO,
             remaining: None,
+            workspace: Workspace::default(),
         };
         self.refreshed_queue(&mut queues, arrival);
     }
@@ -253,6 +257,7 @@
             max_pause: self.max_pause,
             retry_age: self.retry_age,
             remaining: self.remaining,
+            workspace: self.workspace,
         }
     }
 }
--- a/crates/sparscale_policy/src/backlog.rs
+++ b/crates/sparscale_policy/src/backlog.rs
@@ -3,16 +3,20 @@
 //! Load pattern: for some seconds, more requests arrive than the group can serve on time. If they were admitted in the
 //! order of arrival, all of them would soon be late, including those that arrive after the overload.
 //!
-//! Requests that can still be on time are admitted first, by tier and then in the order of arrival; of one tier, those
-//! of callers that were rejected before come after the others, since an early rejection has already cost a part of
-//! their worth. A request that is already late loses nothing by waiting longer, so it comes after them, until its
+//! Requests that can still be on time are admitted first: by tier, then by the recent admissions of their workspace, the
+//! fewest first, and then in the order of arrival. Of those that are equal so far, requests of callers that were
+//! rejected before come after the others, since an early rejection has already cost a part of their worth. A request that is already late loses nothing by waiting longer, so it comes after them, until its
 //! caller would take the connection for dead.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use crate::fair_share::{FairShares, Workspace};
 use crate::headroom::Headroom;
 
+/// Steps into which one recent admission of a workspace is divided for the order.
+const SHARE_RESOLUTION: f64 = 1_000.0;
+
 /// Priority of a request in the backlog: its tier, then its number.
 pub type Ticket = (u8, usize);
 
@@ -25,16 +29,22 @@
     pub timely_until: Instant,
     /// Whether its caller was rejected before.
     pub is_retry: bool,
+    /// Its workspace.
+    pub workspace: Workspace,
 }
 
-/// Position in the order of admission: whether the request is late, its tier, whether it is a retry, and its number.
-type Position = (bool, u8, bool, usize);
+/// Position in the order of admission: whether the request is late, its tier, the share of its workspace, whether it is
+/// a retry, and its number.
+type Position = (bool, u8, u32, bool, usize);
 
 impl Entry {
-    fn position(&self, now: Instant) -> Position {
-        let is_late = self.timely_until < now;
+    fn position(&self, shares: &FairShares, now: Instant) -> Position {
         let (tier, number) = self.ticket;
-        (is_late, tier, self.is_retry && !is_late, number)
+        if self.timely_until < now {
+            return (true, tier, 0, false, number);
+        }
+        let share = (shares.count(self.workspace, now) * SHARE_RESOLUTION) as u32;
+        (false, tier, share, self.is_retry, number)
     }
 }
 
@@ -49,11 +59,13 @@
 #[derive(Debug)]
 pub struct Backlog<T> {
     waiting: BTreeMap<Ticket, Waiter<T>>,
+    shares: FairShares,
 }
 impl<T> Default for Backlog<T> {
     fn default() -> Self {
         Self {
             waiting: BTreeMap::new(),
+            shares: FairShares::default(),
         }
     }
 }
@@ -71,8 +83,8 @@
 
     /// Number of waiting requests that are admitted before `entry`.
     pub fn count_before(&self, entry: &Entry, now: Instant) -> usize {
-        let position = entry.position(now);
-        let before = |waiter: &&Waiter<T>| waiter.entry.position(now) < position;
+        let position = entry.position(&self.shares, now);
+        let before = |waiter: &&Waiter<T>| waiter.entry.position(&self.shares, now) < position;
         self.waiting.values().filter(before).count()
     }
 
@@ -87,6 +99,11 @@
         waiting.into_values().map(|waiting| waiting.waiter).collect()
     }
 
+    /// Counts an admission that did not come from [`Backlog::next`].
+    pub fn record_admission(&mut self, workspace: Workspace, now: Instant) {
+        self.shares.record(workspace, now);
+    }
+
     /// Number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -108,8 +125,11 @@
             headroom >= 1.0
         };
         let entries = self.waiting.values().map(|waiter| &waiter.entry);
-        let first = entries.filter(allowed).min_by_key(|entry| entry.position(now))?;
-        let ticket = first.ticket;
+        let first = entries
+            .filter(allowed)
+            .min_by_key(|entry| entry.position(&self.shares, now))?;
+        let (ticket, workspace) = (first.ticket, first.workspace);
+        self.shares.record(workspace, now);
         self.waiting.remove(&ticket).map(|waiting| waiting.waiter)
     }
 }
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod deadlines;
 pub mod evacuation;
+pub mod fair_share;
 pub mod gate;
 pub mod group;
 pub mod headroom;
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -23,6 +23,7 @@
 
 use crate::backlog::{Backlog, Entry, Ticket};
 use crate::caller_timeout;
+use crate::fair_share::Workspace;
 use crate::headroom::{self, Headroom};
 
 /// Smallest fraction of the latency objective for which a request may wait and still count as on time.
@@ -72,6 +73,8 @@
     pub retry_age: Duration,
     /// How long its caller still waits, if the caller sent that.
     pub remaining: Option<Duration>,
+    /// Its workspace.
+    pub workspace: Workspace,
 }
 
 impl Request {
@@ -196,6 +199,7 @@
         now: Instant,
     ) -> Decision {
         if self.backlog.is_empty() && self.headroom.timely >= 1.0 {
+            self.backlog.record_admission(request.workspace, now);
             return Decision::Admit;
         }
         let expected = self.expected_wait_of(ticket, request, in_flight, now);
@@ -228,6 +232,7 @@
                 self.late_places = (self.late_places - 1.0).max(0.0);
             }
             self.backlog.remove(ticket);
+            self.backlog.record_admission(request.workspace, now);
             return Some(Review::Admit);
         }
         self.backlog.remove(ticket);
@@ -287,6 +292,7 @@
             ticket,
             timely_until: request.arrived_at + self.max_timely_wait(request.objective),
             is_retry: request.is_retry(),
+            workspace: request.workspace,
         }
     }
 
--- a/crates/sparscale_policy/tests/overload/main.rs
+++ b/crates/sparscale_policy/tests/overload/main.rs
@@ -60,6 +60,7 @@
         skew,
         long_prompts,
         immediate_retries: false,
+        large_workspace: 0.0,
     }
 }
 
--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use sparscale_catalog::EngineProfile;
 use sparscale_policy::caller_timeout;
+use sparscale_policy::fair_share::Workspace;
 use sparscale_policy::queue::{Decision, Group, Queue, Request, Review};
 use sparscale_wire::{group, rank};
 
@@ -24,6 +25,8 @@
 /// Fraction of the latency objective within which a rejection is useful to its caller: a response that is on time only
 /// by its retry then counts for more than a late one.
 const USEFUL_REJECTION_FRACTION: f64 = 0.25;
+/// Number of small workspaces beside a large one.
+const SMALL_WORKSPACES: usize = 20;
 /// Total time for which a caller waits.
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Longest allowed pause between two events of a stream.
@@ -42,6 +45,9 @@
     pub(crate) long_prompts: fn(u64) -> f64,
     /// Whether rejected callers ignore their retry time and retry after [`IMMEDIATE_RETRY_DELAY_MS`].
     pub(crate) immediate_retries: bool,
+    /// Fraction of the requests that belong to the large workspace; the others belong to [`SMALL_WORKSPACES`] small
+    /// ones. Without a large workspace, all requests belong to the same one.
+    pub(crate) large_workspace: f64,
 }
 
 /// How requests are admitted.
@@ -66,6 +72,10 @@
     pub(crate) rejected: u32,
     /// Given up by their callers, who took the connection for dead.
     pub(crate) abandoned: u32,
+    /// Of those, the requests of small workspaces that arrived, that were on time, and that ended without an answer.
+    pub(crate) small_arrived: u32,
+    pub(crate) small_timely: u32,
+    pub(crate) small_lost: u32,
 }
 
 impl Second {
@@ -78,6 +88,9 @@
             timely_retry: self.timely_retry + other.timely_retry,
             rejected: self.rejected + other.rejected,
             abandoned: self.abandoned + other.abandoned,
+            small_arrived: self.small_arrived + other.small_arrived,
+            small_timely: self.small_timely + other.small_timely,
+            small_lost: self.small_lost + other.small_lost,
         }
     }
 }
@@ -89,6 +102,8 @@
     retries: u32,
     /// Whether it was rejected soon enough for its retry to count as on time.
     rejected_soon: bool,
+    /// Number of its workspace; 0 for the large one.
+    workspace: usize,
     entry: usize,
     admitted_at: u64,
     prompt: u32,
@@ -181,12 +196,21 @@
         let long = self.random.random::<f64>() < (self.load.long_prompts)(self.now);
         let usual = self.engine.mean_prompt_tokens;
         let answer = f64::from(self.engine.mean_response_tokens) * (0.5 + self.random.random::<f64>());
-        self.seconds[(self.now / 1_000) as usize].arrived += 1;
+        let large = self.load.large_workspace;
+        let workspace = if large > 0.0 && self.random.random::<f64>() >= large {
+            self.random.random_range(1..=SMALL_WORKSPACES)
+        } else {
+            0
+        };
+        let second = &mut self.seconds[(self.now / 1_000) as usize];
+        second.arrived += 1;
+        second.small_arrived += u32::from(workspace > 0);
         self.calls.push(Call {
             first_arrival: self.now,
             attempt_arrival: self.now,
             retries: 0,
             rejected_soon: false,
+            workspace,
             entry: 0,
             admitted_at: 0,
             prompt: if long { usual * 10 } else { usual },
@@ -238,13 +262,16 @@
             max_pause: PAUSE,
             retry_age,
             remaining: DEADLINE.checked_sub(retry_age),
+            workspace: Workspace::named(&call.workspace.to_le_bytes()),
         }
     }
 
     fn reject(&mut self, index: usize, retry: Duration) {
         let call = &mut self.calls[index];
         if call.retries == MAX_RETRIES {
-            self.seconds[(call.first_arrival / 1_000) as usize].rejected += 1;
+            let second = &mut self.seconds[(call.first_arrival / 1_000) as usize];
+            second.rejected += 1;
+            second.small_lost += u32::from(call.workspace > 0);
             return;
         }
         call.retries += 1;
@@ -325,7 +352,9 @@
                 .collect();
             for index in abandoned {
                 let call = &self.calls[index];
-                self.seconds[(call.first_arrival / 1_000) as usize].abandoned += 1;
+                let second = &mut self.seconds[(call.first_arrival / 1_000) as usize];
+                second.abandoned += 1;
+                second.small_lost += u32::from(call.workspace > 0);
                 self.in_flight[call.entry] -= 1;
                 let residence = Duration::from_millis(now - call.admitted_at);
                 self.queues[call.entry].record_end(residence);
@@ -417,6 +446,7 @@
         let is_timely_retry = is_attempt_timely && call.late_pauses == 0 && call.rejected_soon;
         if is_timely {
             second.timely += 1;
+            second.small_timely += u32::from(call.workspace > 0);
         } else if is_timely_retry {
             second.timely_retry += 1;
         } else {
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -4,6 +4,7 @@
 
 use quickcheck::quickcheck;
 use sparscale_policy::caller_timeout;
+use sparscale_policy::fair_share::Workspace;
 use sparscale_policy::queue::{Decision, Group, Queue, Request, Review};
 use sparscale_samples as samples;
 use sparscale_wire::{group, rank};
@@ -63,6 +64,7 @@
         max_pause: PAUSE,
         retry_age: spent,
         remaining: REMAINING.checked_sub(spent),
+        workspace: Workspace::default(),
     }
 }
 
--- a/crates/sparscale_policy/tests/waiting_line.rs
+++ b/crates/sparscale_policy/tests/waiting_line.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use sparscale_policy::backlog::{Backlog, Entry};
+use sparscale_policy::fair_share::Workspace;
 use sparscale_policy::headroom::Headroom;
 
 /// Time from the creation of the backlog to the admissions.
@@ -27,6 +28,7 @@
             ticket: (*tier, *number),
             timely_until: until,
             is_retry: false,
+            workspace: Workspace::default(),
         };
         backlog.insert(entry, *number);
     }
@@ -78,6 +80,7 @@
             ticket: (0, number),
             timely_until: now + Duration::from_millis(until_ms),
             is_retry,
+            workspace: Workspace::default(),
         };
         backlog.insert(entry, number);
     }
@@ -85,3 +88,35 @@
     let order: Vec<usize> = std::iter::from_fn(|| backlog.next(HEADROOM, later)).collect();
     assert_eq!(order, [2, 1, 4, 3]);
 }
+
+/// Requests of a workspace with many recent admissions would hold back those of the others. The tier still comes first,
+/// and late requests, which lose nothing by waiting, keep the order of arrival.
+#[test]
+fn few_admissions_first() {
+    let now = Instant::now();
+    let (large, small) = (Workspace::named(b"large"), Workspace::named(b"small"));
+    let mut backlog = Backlog::default();
+    for _ in 0..9 {
+        backlog.record_admission(large, now);
+    }
+    backlog.record_admission(small, now);
+    let waiting = [
+        (1, 1, 1_100, large),
+        (1, 2, 1_100, small),
+        (0, 3, 1_100, large),
+        (1, 4, 900, large),
+        (1, 5, 900, small),
+    ];
+    for (tier, number, until_ms, workspace) in waiting {
+        let entry = Entry {
+            ticket: (tier, number),
+            timely_until: now + Duration::from_millis(until_ms),
+            is_retry: false,
+            workspace,
+        };
+        backlog.insert(entry, number);
+    }
+    let later = now + Duration::from_secs(1);
+    let order: Vec<usize> = std::iter::from_fn(|| backlog.next(HEADROOM, later)).collect();
+    assert_eq!(order, [3, 2, 1, 4, 5]);
+}
