Placement: a switch is made if it saves more time of passes than it costs

Cause: a fixed minimum reduction of the skew (0.08) keeps a map for seconds although a better one is near, and switches for chance when the estimate is a single window. Change: `payoff::Candidate::weigh` compares the milliseconds of passes saved over the expected time in force (to the next shift, staging subtracted) with those lost to loading (0.15) and to the hold (a quarter of the measured time from hold to release). The expected reduction is lowered by what the noise of the estimate suggests, which falls with the time since the last shift. Idle groups keep their minimum, engines with loads of 100 ms and more decide by the reduction as before. The leader gives the holds of its switches. `move` and `stay` have `gain_ms`, `cost_ms` and `in_force_ms`, `move` has `staging_ms`. `Conditions::shift_interval` is `None` in decision.rs until `Popularity` has it. Conclusion: small but lasting gains are taken; what a single noisy window suggests isn't.

--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -1,12 +1,12 @@
 //! Decides which expert map the group should use next.
 //!
-//! Demand is estimated from the expert selection counts of the ranks. A switch must reduce the skew by a minimum,
-//! because loading experts lengthens the passes of the ranks that load.
+//! Demand is estimated from the expert selection counts of the ranks. A switch must save more time of passes than it
+//! costs: loading experts lengthens the passes, and each switch holds the group.
 
 use std::time::Duration;
 
 use sparscale_catalog::ExpertLayout;
-use sparscale_place::payoff::{self, Candidate, Staging};
+use sparscale_place::payoff::{self, Balance, Candidate, Conditions, Staging};
 use sparscale_place::{Map, Popularity, Refinement, Shape, Trend, mean_skew};
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
@@ -20,16 +20,12 @@
 const SAMPLE_WINDOW: Duration = Duration::from_millis(100);
 /// Time that a switch takes besides loading and sending the map: sending orders, holding and arming.
 const SWITCH_OVERHEAD_MS: f64 = 30.0;
-/// Time within which a switch must pay off; after that the next switch follows, or demand has shifted.
-const HORIZON_MS: f64 = 900.0;
+/// Time from hold to release that is assumed until a switch has been measured.
+const DEFAULT_HOLD: Duration = Duration::from_millis(90);
+/// Weight of a new hold in the mean.
+const HOLD_MEAN_WEIGHT: f64 = 0.25;
 /// Minimum time between two log lines about keeping the current map.
 const STAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum reduction of the skew for a switch while passes take as long as streams allow.
-const MIN_SKEW_REDUCTION: f64 = 0.08;
-/// Addition to that minimum in an idle group: while passes are short a little skew delays no request, but loading does.
-const IDLE_SKEW_REDUCTION: f64 = 0.3;
-/// Share of the allowed pause between stream events up to which a pass counts as short.
-const SHORT_PASS_SHARE: f64 = 0.6;
 /// Factor by which the slowdown of a rank must change to be logged.
 const SLOWDOWN_LOG_FACTOR: f64 = 1.3;
 /// Pause between stream events that is assumed to be allowed until the catalog is known.
@@ -40,12 +36,15 @@
 pub(crate) struct Decider {
     shape: Shape,
     staging: Staging,
+    expert_work_fraction: f64,
     popularity: Popularity,
     accumulated: Vec<f64>,
     window_start: Instant,
     slowdowns: Vec<f64>,
     /// Time of the latest passes divided by the pause that streams allow.
     pressure: f64,
+    /// Mean time from hold to release of the recent switches.
+    held: Duration,
     stay_logged_at: Option<Instant>,
 }
 
@@ -69,11 +68,13 @@
                     burst_bytes: bandwidth.map_burst_bytes(),
                 },
             },
+            expert_work_fraction: experts.expert_work_fraction,
             popularity: Popularity::new(experts.set_count, experts.experts_per_set, DEMAND_HALF_LIFE),
             accumulated: vec![0.0; experts.set_count * experts.experts_per_set],
             window_start: Instant::now(),
             slowdowns: vec![1.0; ranks],
             pressure: 1.0,
+            held: DEFAULT_HOLD,
             stay_logged_at: None,
         }
     }
@@ -94,6 +95,11 @@
         self.pressure = pass.as_secs_f64() / pause.as_secs_f64().max(f64::MIN_POSITIVE);
     }
 
+    /// Records for how long a switch held the group.
+    pub(crate) fn record_hold(&mut self, held: Duration) {
+        self.held = self.held.mul_f64(1.0 - HOLD_MEAN_WEIGHT) + held.mul_f64(HOLD_MEAN_WEIGHT);
+    }
+
     /// Dimensions of the group's expert maps.
     pub(crate) fn shape(&self) -> Shape {
         self.shape
@@ -139,41 +145,44 @@
         if !self.has_demand() {
             return None;
         }
-        let Candidate {
-            refinement: best,
-            staging_ms,
-        } = payoff::best_candidate(
-            &self.popularity,
-            map,
-            self.shape,
-            &self.slowdowns,
-            &self.staging,
-            HORIZON_MS,
-        )?;
-        let slack = ((SHORT_PASS_SHARE - self.pressure) / SHORT_PASS_SHARE).clamp(0.0, 1.0);
-        let pays_off = best.skew_before - best.skew_after >= MIN_SKEW_REDUCTION + IDLE_SKEW_REDUCTION * slack;
-        if !pays_off {
-            self.log_stay(&best);
+        let best = payoff::best_candidate(&self.popularity, map, self.shape, &self.slowdowns, &self.staging)?;
+        let balance = best.weigh(&self.staging, &self.conditions());
+        if !balance.pays_off {
+            self.log_stay(&best, &balance);
+            return None;
         }
-        if pays_off {
-            log::info!(
-                target: DECISION,
-                decision = "move",
-                skew_now = best.skew_before,
-                skew_next = best.skew_after,
-                loads = best.replica_loads,
-                deepest = best.max_loads_per_rank,
-                staging_ms,
-                pressure = self.pressure,
-                samples = self.popularity.sample_count();
-                "switching to another map"
-            );
+        let refinement = best.refinement;
+        log::info!(
+            target: DECISION,
+            decision = "move",
+            skew_now = refinement.skew_before,
+            skew_next = refinement.skew_after,
+            loads = refinement.replica_loads,
+            deepest = refinement.max_loads_per_rank,
+            staging_ms = best.staging_ms,
+            gain_ms = balance.gain_ms,
+            cost_ms = balance.cost_ms,
+            in_force_ms = balance.in_force_ms,
+            pressure = self.pressure,
+            samples = self.popularity.sample_count();
+            "switching to another map"
+        );
+        Some(refinement)
+    }
+
+    /// What decides whether a switch pays off.
+    fn conditions(&self) -> Conditions {
+        Conditions {
+            shift_interval: None,
+            since_shift: SAMPLE_WINDOW * self.popularity.sample_count(),
+            held: self.held,
+            expert_work_fraction: self.expert_work_fraction,
+            pressure: self.pressure,
         }
-        pays_off.then_some(best)
     }
 
     /// Logs that the current map is kept, at most once per second, since most decisions are of this kind.
-    fn log_stay(&mut self, best: &Refinement) {
+    fn log_stay(&mut self, best: &Candidate, balance: &Balance) {
         let now = Instant::now();
         if self
             .stay_logged_at
@@ -185,9 +194,12 @@
         log::info!(
             target: DECISION,
             decision = "stay",
-            skew_now = best.skew_before,
-            skew_next = best.skew_after,
-            loads = best.replica_loads,
+            skew_now = best.refinement.skew_before,
+            skew_next = best.refinement.skew_after,
+            loads = best.refinement.replica_loads,
+            gain_ms = balance.gain_ms,
+            cost_ms = balance.cost_ms,
+            in_force_ms = balance.in_force_ms,
             samples = self.popularity.sample_count();
             "keeping the current map"
         );
--- a/crates/sparscale_conduct/src/leader.rs
+++ b/crates/sparscale_conduct/src/leader.rs
@@ -325,6 +325,9 @@
             let in_force = switch.next_map.number == number && !failed;
             log::info!(target: DECISION, decision = "map", group = self.term.group.as_str(), epoch, number, in_force, took_ms, held_ms; "map switch finished");
             self.record_switch(&switch, in_force);
+            if in_force && let (Some(decider), Some(since)) = (&mut self.decider, switch.held_since) {
+                decider.record_hold(since.elapsed());
+            }
             if switch.next_map.number == number {
                 self.current_map = Some((epoch, number, switch.next_map.map));
                 return;
