--- a/crates/sparscale_gateway/src/queues.rs
+++ b/crates/sparscale_gateway/src/queues.rs
@@ -167,7 +167,10 @@
             match group_queue.queue.review(ticket, &request, in_flight, now()) {
                 // It was admitted or displaced since: the channel says which.
                 None => {}
-                Some(Review::Admit) => return Ok(self.permit(arrival.group, group_queue.admit())),
+                Some(Review::Admit) => {
+                    group_queue.log_late_admission(&arrival);
+                    return Ok(self.permit(arrival.group, group_queue.admit()));
+                }
                 Some(Review::Leave) => return Err(Error::Displaced),
                 Some(Review::Wait { review_at: next }) => review_at = next,
             }
@@ -322,10 +325,15 @@
         }
     }
 
+    fn log_late_admission(&self, arrival: &Arrival<'_>) {
+        let headroom = self.queue.headroom();
+        log::info!(target: DECISION, decision = "admit_late", request = arrival.request_id, group = arrival.group, room = headroom.timely, late_room = headroom.late, waiting = self.queue.backlog_len(), waited_ms = arrival.arrived_at.elapsed().as_millis() as u64; "admitted at the end of its wait");
+    }
+
     fn log_refusal(&self, arrival: &Arrival<'_>, expected: Duration, retry: Duration) {
         let queue = &self.queue;
         let headroom = queue.headroom();
-        log::info!(target: DECISION, decision = "turn_back", request = arrival.request_id, group = arrival.group, load:? = queue.load_order(), load_age_ms = queue.load_age(now()).as_millis() as u64, room = headroom.timely, late_room = headroom.late, waiting = queue.backlog_len(), expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no headroom in the group");
+        log::info!(target: DECISION, decision = "turn_back", request = arrival.request_id, group = arrival.group, load:? = queue.load_order(), load_age_ms = queue.load_age(now()).as_millis() as u64, room = headroom.timely, late_room = headroom.late, waiting = queue.backlog_len(), waited_ms = arrival.arrived_at.elapsed().as_millis() as u64, expected_ms = expected.as_millis() as u64, retry_ms = retry.as_millis() as u64; "no headroom in the group");
     }
 }
 
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -53,6 +53,9 @@
 /// Fraction of the latency objective within which a rejection is useful: its caller can still be served by a retry for
 /// more than a late response is worth. A request whose places do not become free as expected is rejected then.
 const USEFUL_REJECTION_FRACTION: f64 = 0.25;
+/// Fraction of the time until the caller's deadline for which a request may wait; the remainder is for its response. A
+/// request that waited until the deadline would be rejected with no time left for a retry.
+const MAX_DEADLINE_FRACTION: f64 = 0.6;
 /// Share of the places that become free which late requests may take beyond the headroom at the end of their wait.
 const LATE_PLACE_SHARE: f64 = 0.125;
 /// Maximum number of such places that are kept for later.
@@ -85,7 +88,16 @@
 
     /// How long it may wait for admission before its caller gives up.
     fn max_wait(&self) -> Duration {
-        caller_timeout::max_admission_wait(self.objective, self.max_pause)
+        let longest = caller_timeout::max_admission_wait(self.objective, self.max_pause);
+        self.remaining.map_or(longest, |remaining| {
+            longest.min(remaining.mul_f64(MAX_DEADLINE_FRACTION))
+        })
+    }
+
+    /// When its caller gives up, counted from its arrival.
+    fn caller_timeout(&self) -> Duration {
+        let timeout = caller_timeout::stream_timeout(self.objective, self.max_pause);
+        self.remaining.map_or(timeout, |remaining| timeout.min(remaining))
     }
 }
 
@@ -245,7 +257,7 @@
     fn is_hopeless(&self, request: &Request, expected: Duration, now: Instant) -> bool {
         let is_full = self.headroom.timely.max(self.headroom.late) < 1.0;
         let max_wait = if request.is_retry() {
-            caller_timeout::stream_timeout(request.objective, request.max_pause)
+            request.caller_timeout()
         } else if is_full {
             self.max_timely_wait(request.objective).min(request.max_wait())
         } else {
--- a/crates/sparscale_policy/tests/return_order.rs
+++ b/crates/sparscale_policy/tests/return_order.rs
@@ -204,6 +204,24 @@
     assert_eq!(queue.review(last, &request, IN_FLIGHT, review_at), None);
 }
 
+/// A request whose caller has a short deadline must not wait until the caller has given up.
+#[test]
+fn wait_ends_before_deadline() {
+    let now = Instant::now();
+    let remaining = Duration::from_millis(800);
+    for spent in [Duration::ZERO, Duration::from_secs(1)] {
+        let request = Request {
+            remaining: Some(remaining),
+            ..request(now, spent)
+        };
+        let mut queue = full_queue(now);
+        queue.enqueue((0, 1), &request, 1);
+        let latest = now + remaining.mul_f64(0.75);
+        let review = queue.review((0, 1), &request, IN_FLIGHT, latest);
+        assert_eq!(review, Some(Review::Admit), "{spent:?} spent");
+    }
+}
+
 quickcheck! {
     /// However many requests are rejected, and whatever the sample: no retry delay is so long that the caller would
     /// have retried by itself, or close to zero.
