Slow readers: a caller that reads nothing is cut off, and what is held for callers is bounded and measured

Found: the HTTP library takes the next part of a response only when the parts before it are written, so a caller that reads nothing stops its target. But no time limit applied then, as a response that is not polled checks no deadline: connection, target, slot in the group and up to about 0.7 MB (a buffered start of 256 KiB, which doubles as it grows, and reads of up to 400 KB from the target; worked out by reading, not measured) stayed until the caller closed.

Change: - A connection whose socket accepts nothing for 20 s is cut off. Dropping it drops the response, so its slot and its target are released at once. Beyond 64 MiB for all callers together, those that accept nothing are cut off after 1 s. - The connection to a target reads ahead 64 KiB at most. - The send buffer of a caller's socket is set to 64 KiB (the kernel doubles it): the kernel reports progress only when a part of it is free, and with an automatic size of megabytes a slow reader would seem to stand still. - Time in which a response waits for its caller does not count towards the deadline. - Metrics `sparscale_held_response_bytes`, `sparscale_stalled_connections_total`; log line `reader_stalled`.

Conclusion: what a caller leaves unread is bounded in bytes and time. The bound in total is a shorter time, not a hard limit: each new connection may hold the buffered start of a response for a second. Targets that read slowly are as before: a request holds at most `body_bytes`, until its deadline; there is no bound for all requests together.

--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -25,7 +25,7 @@
 
 /// Bytes of a response that are buffered before any of them goes to the caller. A longer response is forwarded as it
 /// arrives.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// A request in the form that is sent to targets.
 #[derive(Debug, Clone)]
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -149,6 +149,7 @@
             callers,
             admission,
             Arc::clone(&entry.connection_counter),
+            entry.settings.stall_timeout,
             phases,
         ));
         log::info!(target: DECISION, decision = "start", name = entry.settings.name.as_str(), callers = entry.caller_address.to_string().as_str(); "entry started");
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod response_monitor;
 mod server;
 mod settings;
+mod slow_reader;
 mod stragglers;
 mod traffic_split;
 
--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) retries: Arc<Counter>,
     pub(crate) denied_retries: Arc<Counter>,
     pub(crate) resumed_streams: Arc<Counter>,
+    pub(crate) stalled_connections: Arc<Counter>,
 }
 
 impl Metrics {
@@ -46,6 +47,11 @@
                 "Streams that were resumed at another target.",
                 &[],
             ),
+            stalled_connections: registry.counter(
+                "sparscale_stalled_connections_total",
+                "Connections that were cut off because their callers read nothing.",
+                &[],
+            ),
             registry,
         }
     }
@@ -112,6 +118,10 @@
         "Entries that share the headroom of groups, including this one.",
     );
     let connections = gauge("sparscale_caller_connections", "Connections from callers.");
+    let held = gauge(
+        "sparscale_held_response_bytes",
+        "Bytes of responses that callers have not read yet.",
+    );
     let (board, mesh_status, connection_counter) = (Arc::clone(board), mesh.status(), Arc::clone(connection_counter));
     registry.before_render(move || {
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
@@ -124,6 +134,7 @@
         );
         reader_index.set(mesh_status.borrow().index as f64);
         entries.set(mesh_status.borrow().entries as f64);
+        held.set(connection_counter.held.total() as f64);
         connections.set(connection_counter.connections.load(Ordering::Relaxed) as f64);
     });
 }
--- a/crates/sparscale_gateway/src/phase.rs
+++ b/crates/sparscale_gateway/src/phase.rs
@@ -1,7 +1,10 @@
 //! Phases of an entry from serving callers to shutdown.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 
+use crate::slow_reader::HeldBytes;
+
 /// Whether the entry accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -15,8 +18,10 @@
     Closing,
 }
 
-/// Counts the open connections from callers.
+/// Counts the open connections from callers, and what is held for them.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
     pub(crate) connections: AtomicUsize,
+    /// Bytes of responses that are held for them.
+    pub(crate) held: Arc<HeldBytes>,
 }
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -29,6 +29,8 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 /// Maximum idle time of a connection that is reused; a keep-alive time of the target can shorten it.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+/// Most bytes of a response that one connection reads ahead; a response head has to fit, too.
+pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -152,7 +154,11 @@
     SockRef::from(&stream)
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
         .context(ConnectSnafu)?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .context(HandshakeSnafu)?;
     tokio::spawn(async move {
         // A request that uses the connection gets the same error; an idle connection needs no handling.
         let _ended = driver.await;
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -76,6 +76,7 @@
                 history,
                 buffered: Some(partial.buffered),
                 remainder: partial.remainder,
+                caller_time: CallerTime::default(),
                 _in_flight: in_flight,
             };
             build_response(status, headers, relay.into_body())
@@ -94,6 +95,7 @@
                 _permit: permit,
                 history,
                 timing: EventTiming::begin(),
+                caller_time: CallerTime::default(),
                 is_pinned: false,
                 is_finished: false,
             };
@@ -113,11 +115,34 @@
     _permit: Option<Permit>,
     history: AttemptHistory,
     timing: EventTiming,
+    caller_time: CallerTime,
     /// Whether the stream stays at its target even if that is slow, because it must not move to another.
     is_pinned: bool,
     is_finished: bool,
 }
 
+/// Time for which a response waited for its caller to read, which does not count towards the deadline: a caller that
+/// reads slowly but steadily gets all of it.
+#[derive(Debug, Default)]
+struct CallerTime {
+    total: Duration,
+    part_sent_at: Option<Instant>,
+}
+
+impl CallerTime {
+    /// Records that a part was handed to the connection of the caller, which now writes it.
+    fn begin(&mut self) {
+        self.part_sent_at = Some(Instant::now());
+    }
+
+    /// Records that the connection takes another part.
+    fn end(&mut self) {
+        if let Some(part_sent_at) = self.part_sent_at.take() {
+            self.total += part_sent_at.elapsed();
+        }
+    }
+}
+
 /// When the events of a stream arrived.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EventTiming {
@@ -151,7 +176,9 @@
 impl StreamRelay {
     fn into_body(self) -> Body {
         let chunks = stream::unfold(self, |mut relay| async move {
+            relay.caller_time.end();
             let chunk = relay.next().await?;
+            relay.caller_time.begin();
             Some((chunk.map(Frame::data), relay))
         });
         BodyExt::boxed_unsync(StreamBody::new(chunks))
@@ -170,7 +197,7 @@
             }
             let next = tokio::select! {
                 biased;
-                next = self.events.next(self.job.outbound.deadline) => next,
+                next = self.events.next(self.job.outbound.deadline + self.caller_time.total) => next,
                 () = self.gateway.loads.stragglers.wait_until_straggler(self.in_flight.target), if !self.is_pinned => {
                     self.abandon_straggler().await;
                     continue;
@@ -327,6 +354,7 @@
     /// Start of the body, buffered until it exceeded the limit.
     buffered: Option<Bytes>,
     remainder: RemainingBody,
+    caller_time: CallerTime,
     /// Counts the request as load of the target until dropped.
     _in_flight: InFlightGuard,
 }
@@ -334,7 +362,9 @@
 impl BodyRelay {
     fn into_body(self) -> Body {
         let chunks = stream::unfold(self, |mut relay| async move {
+            relay.caller_time.end();
             let chunk = relay.next().await?;
+            relay.caller_time.begin();
             Some((chunk.map(Frame::data), relay))
         });
         BodyExt::boxed_unsync(StreamBody::new(chunks))
@@ -344,7 +374,11 @@
         if let Some(bytes) = self.buffered.take() {
             return Some(Ok(bytes));
         }
-        let next = tokio::time::timeout_at(self.job.outbound.deadline, self.remainder.next()).await;
+        let next = tokio::time::timeout_at(
+            self.job.outbound.deadline + self.caller_time.total,
+            self.remainder.next(),
+        )
+        .await;
         match next.unwrap_or(Err(ResponseError::Timeout)) {
             Ok(Some(bytes)) => Some(Ok(bytes)),
             Ok(None) => None,
--- a/crates/sparscale_gateway/src/server.rs
+++ b/crates/sparscale_gateway/src/server.rs
@@ -15,7 +15,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use sparscale_catalog::Limits;
+use sparscale_telemetry::DECISION;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,6 +26,7 @@
 use crate::admission::Admission;
 use crate::body::Body;
 use crate::phase::{Connections, Phase};
+use crate::slow_reader::{Progress, SEND_BUFFER_BYTES};
 
 /// Delay after accepting a connection failed: usually file descriptors are exhausted, and some become free meanwhile.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -32,6 +35,9 @@
 /// Added to the idle time that callers know, so that the entry never closes a connection that a caller may still use.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Number of checks, within the time without progress after which it is cut off, whether a connection makes progress.
+const STALL_CHECKS: u32 = 8;
+
 /// What a connection currently waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Wait {
@@ -80,10 +86,11 @@
     }
 }
 
-/// A stream that reports received bytes to its [`WaitTracker`].
+/// A stream that reports received bytes to its [`WaitTracker`], and written ones to its [`Progress`].
 struct TrackedStream {
     stream: TcpStream,
     tracker: Arc<WaitTracker>,
+    progress: Arc<Progress>,
 }
 
 impl AsyncRead for TrackedStream {
@@ -99,7 +106,9 @@
 
 impl AsyncWrite for TrackedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.progress.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -119,14 +128,17 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.progress.record_write(&written);
+        written
     }
 }
 
-/// A response body that resets its [`WaitTracker`] when the response has ended.
+/// A response body that resets its [`WaitTracker`] when the response has ended, and reports its parts to [`Progress`].
 struct TrackedBody {
     body: Body,
     tracker: Arc<WaitTracker>,
+    progress: Arc<Progress>,
 }
 
 impl hyper::body::Body for TrackedBody {
@@ -137,7 +149,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && let Some(data) = frame.data_ref()
+        {
+            self.progress.record_taken(data.len());
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -160,6 +178,7 @@
     listener: TcpListener,
     admission: Arc<Admission>,
     connection_counter: Arc<Connections>,
+    stall_timeout: Duration,
     mut phase: watch::Receiver<Phase>,
 ) {
     loop {
@@ -169,7 +188,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, Arc::clone(&admission), phase.clone());
+                let connection = serve_connection(
+                    stream,
+                    Arc::clone(&admission),
+                    Arc::clone(&connection_counter),
+                    stall_timeout,
+                    phase.clone(),
+                );
                 let guard = ConnectionGuard::new(Arc::clone(&connection_counter));
                 tokio::spawn(async move {
                     let _guard = guard;
@@ -202,20 +227,35 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, admission: Arc<Admission>, mut phase: watch::Receiver<Phase>) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve_connection(
+    stream: TcpStream,
+    admission: Arc<Admission>,
+    connection_counter: Arc<Connections>,
+    stall_timeout: Duration,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let prepared = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES));
+    if let Err(error) = prepared {
         log::debug!(error = error.to_string().as_str(); "caller closed the connection immediately");
         return;
     }
     let tracker = Arc::new(WaitTracker::new());
+    let progress = Arc::new(Progress::new(Arc::clone(&connection_counter.held)));
     let limits = admission.limits();
     let service = {
         let (admission, tracker, phase) = (Arc::clone(&admission), Arc::clone(&tracker), phase.clone());
-        service_fn(move |request| respond(Arc::clone(&admission), request, Arc::clone(&tracker), *phase.borrow()))
+        let progress = Arc::clone(&progress);
+        service_fn(move |request| {
+            let (tracker, progress) = (Arc::clone(&tracker), Arc::clone(&progress));
+            respond(Arc::clone(&admission), request, tracker, progress, *phase.borrow())
+        })
     };
     let io = TokioIo::new(TrackedStream {
         stream,
         tracker: Arc::clone(&tracker),
+        progress: Arc::clone(&progress),
     });
     let serving = http1::Builder::new()
         .auto_date_header(false)
@@ -225,11 +265,19 @@
     let mut is_closing = false;
     loop {
         let deadline = tracker.deadline(&limits);
-        let next_check = deadline.unwrap_or_else(|| Instant::now() + limits.header_timeout);
+        let stall_check = Instant::now() + stall_timeout / STALL_CHECKS;
+        let next_check = deadline.map_or(stall_check, |deadline| deadline.min(stall_check));
         tokio::select! {
             // An error needs no handling: the caller sees how its connection ended.
             _ended = serving.as_mut() => return,
             () = tokio::time::sleep_until(next_check) => {
+                let timeout = connection_counter.held.stall_timeout(stall_timeout);
+                if progress.blocked_since().is_some_and(|since| since.elapsed() >= timeout) {
+                    let held = progress.held() as u64;
+                    admission.gateway.metrics.stalled_connections.increment();
+                    log::info!(target: DECISION, decision = "reader_stalled", held, after_ms = timeout.as_millis() as u64; "a caller reads nothing of its response; its connection is cut off");
+                    return;
+                }
                 if tracker.deadline(&limits).is_some_and(|deadline| deadline <= Instant::now()) {
                     serving.as_mut().graceful_shutdown();
                     if tracker.wait.load(Ordering::Relaxed) == Wait::Head as u8 {
@@ -249,6 +297,7 @@
     admission: Arc<Admission>,
     request: Request<Incoming>,
     tracker: Arc<WaitTracker>,
+    progress: Arc<Progress>,
     phase: Phase,
 ) -> Result<Response<TrackedBody>, Infallible> {
     tracker.set(Wait::Response);
@@ -257,5 +306,9 @@
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
-    Ok(response.map(|body| TrackedBody { body, tracker }))
+    Ok(response.map(|body| TrackedBody {
+        body,
+        tracker,
+        progress,
+    }))
 }
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -43,6 +43,8 @@
     pub max_observation_age: Duration,
     /// Time that each further entry waits longer than the one before it.
     pub read_delay_per_entry: Duration,
+    /// Time without progress after which the connection of a caller that does not read its response is cut off.
+    pub stall_timeout: Duration,
     /// Time after SIGTERM during which connections are still accepted, so that the load balancer can notice the stop.
     pub drain_notice_time: Duration,
     /// Time after SIGTERM during which new streams are still served; shorter than `drain_notice_time`.
--- /dev/null
+++ b/crates/sparscale_gateway/src/slow_reader.rs
@@ -0,0 +1,112 @@
+//! Bounds what the process holds for callers that read slowly or not at all.
+//!
+//! The HTTP library takes the next part of a response only once the parts before it have been written, so a connection
+//! holds the start of a response that is buffered ([`MAX_BUFFERED_BYTES`](crate::attempt::MAX_BUFFERED_BYTES), exceeded by
+//! one read), and two reads of [`MAX_READ_BUFFER_BYTES`](crate::pool::MAX_READ_BUFFER_BYTES), at most. Nothing more is
+//! read from its target then. But a response whose caller reads nothing
+//! would stay forever, with the slot in the group and the work of the target. So a connection is cut off when its caller
+//! accepts nothing for a time, and after a shorter one when the process holds too much for all of them.
+
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Send buffer that is requested for the socket of a caller; the kernel doubles it. It reports progress only once about a
+/// third of it is free, which a caller that reads 2 KiB a second achieves within 20 s.
+pub(crate) const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes held for all callers together from which on those that accept nothing are cut off sooner.
+const MAX_TOTAL_BYTES: usize = 64 << 20;
+/// Time without progress after which a connection is cut off then.
+const SHORT_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes of responses that the process holds for all callers.
+#[derive(Debug, Default)]
+pub(crate) struct HeldBytes(AtomicUsize);
+
+impl HeldBytes {
+    pub(crate) fn total(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Time without progress after which a connection is cut off, where `usual` applies while there is enough room.
+    pub(crate) fn stall_timeout(&self, usual: Duration) -> Duration {
+        if self.total() > MAX_TOTAL_BYTES {
+            usual.min(SHORT_STALL_TIMEOUT)
+        } else {
+            usual
+        }
+    }
+}
+
+/// What is held for the caller of one connection, and whether it accepts it.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    total: Arc<HeldBytes>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    held: usize,
+    /// Since when the socket has accepted nothing; none while it accepts all that is written.
+    blocked_since: Option<Instant>,
+}
+
+impl Progress {
+    /// The state of a new connection.
+    pub(crate) fn new(total: Arc<HeldBytes>) -> Self {
+        Self {
+            total,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Records a part of a response that the connection has taken.
+    pub(crate) fn record_taken(&self, bytes: usize) {
+        self.lock().held += bytes;
+        self.total.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Records the result of a write to the socket. Heads and framing count as parts of the responses, which they are short
+    /// compared with.
+    pub(crate) fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let mut state = self.lock();
+        match written {
+            Poll::Pending => {
+                state.blocked_since.get_or_insert_with(Instant::now);
+            }
+            Poll::Ready(Ok(bytes)) => {
+                let released = state.held.min(*bytes);
+                state.held -= released;
+                state.blocked_since = None;
+                self.total.0.fetch_sub(released, Ordering::Relaxed);
+            }
+            Poll::Ready(Err(_)) => {}
+        }
+    }
+
+    /// Since when the caller has accepted nothing although the connection has something to send.
+    pub(crate) fn blocked_since(&self) -> Option<Instant> {
+        self.lock().blocked_since
+    }
+
+    /// Bytes that are held for the caller.
+    pub(crate) fn held(&self) -> usize {
+        self.lock().held
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        let held = self.lock().held;
+        self.total.0.fetch_sub(held, Ordering::Relaxed);
+    }
+}
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -12,6 +12,7 @@
 use sparscale_gateway::{Allowance, Dependencies, Entry, Freshness, HeaderNames, Settings};
 use sparscale_quarantine::Strike;
 use sparscale_samples as samples;
+use sparscale_telemetry::Registry;
 use tokio::runtime::Runtime;
 
 use crate::target::Target;
@@ -93,6 +94,7 @@
     pub rosters: FakeStore<Roster>,
     pub strikes: FakeStrikeStore,
     pub clock: Arc<samples::SuspendableClock>,
+    pub registry: Arc<Registry>,
     pub runtime: Runtime,
 }
 
@@ -121,6 +123,7 @@
         },
         max_observation_age: Duration::from_millis(100),
         read_delay_per_entry: Duration::from_millis(50),
+        stall_timeout: Duration::from_secs(2),
         drain_notice_time: Duration::from_millis(300),
         drain_stream_time: Duration::from_millis(150),
         shutdown_timeout: Duration::from_secs(5),
@@ -154,6 +157,7 @@
             .build()
             .expect("a runtime");
         let clock = Arc::new(samples::SuspendableClock::default());
+        let registry = Arc::new(Registry::default());
         let parts = Dependencies {
             configuration: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
@@ -161,7 +165,7 @@
             archive: Box::new(strikes.clone()),
             clock: Arc::clone(&clock) as Arc<dyn Clock>,
             header_names: HeaderNames::defaults().expect("proper names"),
-            registry: Arc::default(),
+            registry: Arc::clone(&registry),
         };
         let entry = runtime.block_on(Entry::start(settings, parts)).expect("free ports");
         let fixture = Self {
@@ -170,6 +174,7 @@
             rosters,
             strikes,
             clock,
+            registry,
             runtime,
         };
         wait_for("the catalog and the roster", || {
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod responses;
 mod restarted_targets;
 mod shared_budget;
+mod slow_readers;
 mod stopping;
 mod streams;
 mod suspended;
