Load reports: impossible counts do not overflow

Change: added as floating-point numbers in the headroom and in the choice of a target. Measured: impossible_counts panicked before and passes now. Conclusion: fixed.

--- a/crates/sparscale_gateway/src/loads.rs
+++ b/crates/sparscale_gateway/src/loads.rs
@@ -205,7 +205,8 @@
             let own_requests = state.map_or(0, |state| state.in_flight);
             let unreported = state.map_or(0, |state| state.unreported_sends(now));
             // The report includes the requests of this entry as of the time it was made.
-            let requests = f64::from(own_requests).max(f64::from(load.running + load.queued) + unreported as f64);
+            let reported = f64::from(load.running) + f64::from(load.queued);
+            let requests = f64::from(own_requests).max(reported + unreported as f64);
             let hall_penalty = if target.hall == hall {
                 0.0
             } else {
--- a/crates/sparscale_policy/src/headroom.rs
+++ b/crates/sparscale_policy/src/headroom.rs
@@ -116,7 +116,7 @@
         .rank_loads
         .iter()
         .flatten()
-        .filter(|rank| rank.running + rank.queued > 0);
+        .filter(|rank| rank.running > 0 || rank.queued > 0);
     let slowdown = busy.map(rank::Load::slowdown).fold(1.0, f64::max);
     let pause_ms = max_pause.as_secs_f64() * 1_000.0;
     let pass_ms = |requests: f64| engine.sustained_pass_ms(requests, load.skew, slowdown);
@@ -137,7 +137,7 @@
         .rank_loads
         .iter()
         .flatten()
-        .map(|rank| f64::from(rank.running + rank.queued))
+        .map(|rank| f64::from(rank.running) + f64::from(rank.queued))
         .collect();
     if reported.is_empty() {
         return 0.0;
--- a/crates/sparscale_policy/tests/group_room.rs
+++ b/crates/sparscale_policy/tests/group_room.rs
@@ -132,3 +132,18 @@
     load.rank_loads.fill(with_slowdown(5_000));
     assert_eq!(straggler::find(&load), [0_usize; 0], "all ranks are equally slow");
 }
+
+/// A report with impossible counts must not end the entry by an overflow: the sum of both counts exceeds their type.
+#[test]
+fn impossible_counts() {
+    let mut load = group(u32::MAX, Duration::from_millis(45));
+    for rank in load.rank_loads.iter_mut().flatten() {
+        rank.queued = u32::MAX;
+    }
+    assert!(reported_requests(&load) > 8.0e9);
+    assert!(
+        capacity_at_current_skew(&load, &samples::engine(), PAUSE)
+            .timely
+            .is_finite()
+    );
+}
