--- a/crates/sparscale_belief/src/cold.rs
+++ b/crates/sparscale_belief/src/cold.rs
@@ -29,8 +29,8 @@
         }
     }
 
-    /// Returns the limits of the cold targets of `directory`; none if they were determined from it and `catalog` shortly
-    /// before, or if no service of `catalog` has cold targets.
+    /// Returns the limits of the cold targets of `directory`; none if they were determined from it and `catalog`
+    /// shortly before, or if no service of `catalog` has cold targets.
     pub(crate) fn check(
         &mut self,
         directory: &Arc<Directory>,
--- a/crates/sparscale_conduct/src/decision.rs
+++ b/crates/sparscale_conduct/src/decision.rs
@@ -51,7 +51,8 @@
 }
 
 impl Decider {
-    /// Creates a decider without any demand data for a group of `ranks` ranks; `bandwidth` is that of the leader's link.
+    /// Creates a decider without any demand data for a group of `ranks` ranks; `bandwidth` is that of the leader's
+    /// link.
     pub(crate) fn new(experts: ExpertLayout, ranks: usize, bandwidth: Bandwidth) -> Self {
         let shape = Shape {
             ranks,
--- a/crates/sparscale_gateway/src/slow_reader.rs
+++ b/crates/sparscale_gateway/src/slow_reader.rs
@@ -1,11 +1,11 @@
 //! Bounds what the process holds for callers that read slowly or not at all.
 //!
 //! The HTTP library takes the next part of a response only once the parts before it have been written, so a connection
-//! holds the start of a response that is buffered ([`MAX_BUFFERED_BYTES`](crate::attempt::MAX_BUFFERED_BYTES), exceeded by
-//! one read), and two reads of [`MAX_READ_BUFFER_BYTES`](crate::pool::MAX_READ_BUFFER_BYTES), at most. Nothing more is
-//! read from its target then. But a response whose caller reads nothing
-//! would stay forever, with the slot in the group and the work of the target. So a connection is cut off when its caller
-//! accepts nothing for a time, and after a shorter one when the process holds too much for all of them.
+//! holds the start of a response that is buffered ([`MAX_BUFFERED_BYTES`](crate::attempt::MAX_BUFFERED_BYTES), exceeded
+//! by one read), and two reads of [`MAX_READ_BUFFER_BYTES`](crate::pool::MAX_READ_BUFFER_BYTES), at most. Nothing more
+//! is read from its target then. But a response whose caller reads nothing would stay forever, with the slot in the
+//! group and the work of the target. So a connection is cut off when its caller accepts nothing for a time, and after a
+//! shorter one when the process holds too much for all of them.
 
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -15,8 +15,8 @@
 
 use tokio::time::Instant;
 
-/// Send buffer that is requested for the socket of a caller; the kernel doubles it. It reports progress only once about a
-/// third of it is free, which a caller that reads 2 KiB a second achieves within 20 s.
+/// Send buffer that is requested for the socket of a caller; the kernel doubles it. It reports progress only once about
+/// a third of it is free, which a caller that reads 2 KiB a second achieves within 20 s.
 pub(crate) const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes held for all callers together from which on those that accept nothing are cut off sooner.
 const MAX_TOTAL_BYTES: usize = 64 << 20;
@@ -71,8 +71,8 @@
         self.total.0.fetch_add(bytes, Ordering::Relaxed);
     }
 
-    /// Records the result of a write to the socket. Heads and framing count as parts of the responses, which they are short
-    /// compared with.
+    /// Records the result of a write to the socket. Heads and framing count as parts of the responses, which they are
+    /// short compared with.
     pub(crate) fn record_write(&self, written: &Poll<io::Result<usize>>) {
         let mut state = self.lock();
         match written {
--- a/crates/sparscale_gateway/tests/path/slow_readers.rs
+++ b/crates/sparscale_gateway/tests/path/slow_readers.rs
@@ -1,5 +1,5 @@
-//! Callers that read their responses slowly, or not at all: the process must not keep what they leave unread, nor the work
-//! of the target, and slow but steady ones get everything.
+//! Callers that read their responses slowly, or not at all: the process must not keep what they leave unread, nor the
+//! work of the target, and slow but steady ones get everything.
 
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
--- a/crates/sparscale_place/src/payoff.rs
+++ b/crates/sparscale_place/src/payoff.rs
@@ -1,7 +1,7 @@
 //! Which of the maps within reach of one switch is best, and whether the switch pays off.
 //!
-//! The more experts a rank loads, the more even the load is, but the later the new map becomes active. A switch pays off
-//! if the passes get shorter by more milliseconds until demand shifts again than loading and the hold cost.
+//! The more experts a rank loads, the more even the load is, but the later the new map becomes active. A switch pays
+//! off if the passes get shorter by more milliseconds until demand shifts again than loading and the hold cost.
 
 mod conditions;
 mod staging;
--- a/crates/sparscale_place/tests/demand_shifts/main.rs
+++ b/crates/sparscale_place/tests/demand_shifts/main.rs
@@ -207,8 +207,8 @@
     assert!(interval > 3 * spacing, "{interval:?}");
 }
 
-/// Guards against series of false shifts in samples so small that two of them often differ by more than any fixed limit:
-/// directly after a shift the estimate is one such sample.
+/// Guards against series of false shifts in samples so small that two of them often differ by more than any fixed
+/// limit: directly after a shift the estimate is one such sample.
 #[test]
 fn tiny_samples_have_no_series() {
     let (mut true_shifts, mut all_shifts, mut close_shifts) = (0, 0, 0);
@@ -300,8 +300,8 @@
     }
 }
 
-/// Guards against false shifts while many requests of one subject arrive at the same time: such a sample differs as much
-/// as after a small shift, but the most selected experts keep their shares.
+/// Guards against false shifts while many requests of one subject arrive at the same time: such a sample differs as
+/// much as after a small shift, but the most selected experts keep their shares.
 #[test]
 fn dominated_sample_is_no_shift() {
     for (profile, load) in profiles_and_loads() {
--- a/crates/sparscale_place/tests/switch_payoff.rs
+++ b/crates/sparscale_place/tests/switch_payoff.rs
@@ -321,8 +321,8 @@
     load_ms: f64,
     shift_ms: Option<f64>,
     drifts: bool,
-    /// Deviation of a subject's part of a window from its mean: 0.25 and 0.5 give windows at a distance of 0.04 and 0.07
-    /// from the demand.
+    /// Deviation of a subject's part of a window from its mean: 0.25 and 0.5 give windows at a distance of 0.04 and
+    /// 0.07 from the demand.
     spread: f64,
     pressure: f64,
 }
@@ -453,7 +453,8 @@
     }
 }
 
-/// Guards against switches that demand outruns: with shifts every 1.2 s and noisy windows, fewer switches lose hardly more.
+/// Guards against switches that demand outruns: with shifts every 1.2 s and noisy windows, fewer switches lose hardly
+/// more.
 #[test]
 fn short_lived_gains_left() {
     let replay = Replay {
--- a/crates/sparscale_policy/src/backlog.rs
+++ b/crates/sparscale_policy/src/backlog.rs
@@ -3,10 +3,11 @@
 //! Load pattern: for some seconds, more requests arrive than the group can serve on time. If they were admitted in the
 //! order of arrival, all of them would soon be late, including those that arrive after the overload.
 //!
-//! Requests that can still be on time are admitted first: by tier, then by the recent admissions of their workspace, the
-//! fewest first, and then in the order of arrival. Of those that are equal so far, requests of callers that were
-//! rejected before come after the others, since an early rejection has already cost a part of their worth. A request that is already late loses nothing by waiting longer, so it comes after them, until its
-//! caller would take the connection for dead.
+//! Requests that can still be on time are admitted first: by tier, then by the recent admissions of their workspace,
+//! the fewest first, and then in the order of arrival. Of those that are equal so far, requests of callers that were
+//! rejected before come after the others, since an early rejection has already cost a part of their worth. A request
+//! that is already late loses nothing by waiting longer, so it comes after them, until its caller would take the
+//! connection for dead.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
--- a/crates/sparscale_policy/src/cold.rs
+++ b/crates/sparscale_policy/src/cold.rs
@@ -61,8 +61,9 @@
     /// start, or none if they are never cold.
     ///
     /// A start in the first roster that a process reads does not count as new, because it may be of any age, unless the
-    /// roster states a time of the start that is recent at `unix_ms`. If it is listed as cold, it may be so for the whole time of a cold start, and the roster may not be readable again before
-    /// that has passed; so it counts as cold for that time unless a later roster lists it as warm.
+    /// roster states a time of the start that is recent at `unix_ms`. If it is listed as cold, it may be so for the
+    /// whole time of a cold start, and the roster may not be readable again before that has passed; so it counts as
+    /// cold for that time unless a later roster lists it as warm.
     pub fn update<'a>(
         &mut self,
         targets: &Directory,
--- a/crates/sparscale_policy/src/fair_share.rs
+++ b/crates/sparscale_policy/src/fair_share.rs
@@ -1,7 +1,7 @@
 //! Counts the recent admissions of each workspace, so that requests of workspaces with few of them are admitted first.
 //!
-//! Load pattern: one workspace sends most of the requests of an overload. In the order of arrival, the others would wait
-//! behind its requests and be rejected as often, although the group could serve all of theirs on time.
+//! Load pattern: one workspace sends most of the requests of an overload. In the order of arrival, the others would
+//! wait behind its requests and be rejected as often, although the group could serve all of theirs on time.
 //!
 //! Each entry counts its own admissions. It sees a sample of all requests, so the order of its counts is that of all
 //! admissions, without any message.
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -7,11 +7,11 @@
 //! backlog makes every request that joins it late: while arrivals keep up with departures, each one is admitted only
 //! after all of its time has passed.
 //!
-//! So a first attempt that can't be on time by waiting is rejected at once, or soon after its arrival if the places that
-//! it waits for do not become free as expected. Its caller gets a retry time of its own, after those of earlier callers
-//! and spread over the places that will become free, so that the backlog stays as short as the time of the requests in
-//! it. A caller that retries has already waited: its request is not rejected again and may wait for as long as callers
-//! accept.
+//! So a first attempt that can't be on time by waiting is rejected at once, or soon after its arrival if the places
+//! that it waits for do not become free as expected. Its caller gets a retry time of its own, after those of earlier
+//! callers and spread over the places that will become free, so that the backlog stays as short as the time of the
+//! requests in it. A caller that retries has already waited: its request is not rejected again and may wait for as long
+//! as callers accept.
 //!
 //! At the end of its wait a first attempt is admitted only if there is headroom for late requests, or if less than a
 //! share of the places that become free went to late requests beyond the headroom.
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -12,11 +12,11 @@
 //! The holders may have nothing to send, and only a response shows that the limit has ended. So an entry without a
 //! share sends a probe if no process has confirmed the limit for [`UNCONFIRMED_TIMEOUT`], one entry after the other.
 //!
-//! Bound: while every entry receives reports from all others, `n` is at most [`Limit::holder_count`] and the interval is
-//! that many over the rate, so there are at most `rate * t + holder_count` sends. While some entries are unresponsive, the
-//! others use [`PARTITION_FRACTION`] of the rate, and only entries that are linked to most of the others replace an
-//! unresponsive holder, so `n` is at most twice `holder_count`. With [`FACTOR`], [`BURST`] and the window, both cases
-//! stay within what the target tolerates: [`Limit::tolerated`].
+//! Bound: while every entry receives reports from all others, `n` is at most [`Limit::holder_count`] and the interval
+//! is that many over the rate, so there are at most `rate * t + holder_count` sends. While some entries are
+//! unresponsive, the others use [`PARTITION_FRACTION`] of the rate, and only entries that are linked to most of the
+//! others replace an unresponsive holder, so `n` is at most twice `holder_count`. With [`FACTOR`], [`BURST`] and the
+//! window, both cases stay within what the target tolerates: [`Limit::tolerated`].
 //!
 //! A cold target is limited in the same way, by the rate that the operators state for its service: when a hall returns,
 //! its targets are the emptiest of all, and every entry would choose them at once.
@@ -40,8 +40,8 @@
 const PARTITION_FRACTION: f64 = 0.6;
 /// Time without a message from an entry after which its share passes to another one.
 pub const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(12);
-/// Time without a new entry after which an entry that has just started knows the others: longer than one failed dial and
-/// the wait before the next, which take 1.7 s.
+/// Time without a new entry after which an entry that has just started knows the others: longer than one failed dial
+/// and the wait before the next, which take 1.7 s.
 pub const SETTLING_TIME: Duration = Duration::from_secs(2);
 /// The same while an entry that the settings name has given no sign of itself: longer than the longest wait between two
 /// dials and a failed dial, which take 4.5 s. The others may be linked to that entry.
@@ -198,8 +198,9 @@
 
     /// Returns whether this entry, which knows `peers`, knows the others; once it does, that is final.
     ///
-    /// It does once its view has not grown for [`SETTLING_TIME`], or [`UNCONFIRMED_SETTLING_TIME`]. An entry that restarts alone does not wait for that: if
-    /// most of the entries are linked and have run for [`ESTABLISHED_TIME`], they have already told it of the others.
+    /// It does once its view has not grown for [`SETTLING_TIME`], or [`UNCONFIRMED_SETTLING_TIME`]. An entry that
+    /// restarts alone does not wait for that: if most of the entries are linked and have run for [`ESTABLISHED_TIME`],
+    /// they have already told it of the others.
     pub fn update(&mut self, peers: &[Peer], now: Timestamp) -> bool {
         // A process that was paused has received nothing in the meantime.
         self.stable_for += now.since(self.updated_at).min(MAX_UPDATE_INTERVAL);
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -142,8 +142,8 @@
         self.members = Some(members);
     }
 
-    /// Merges the limits that a target stated. The latest rate applies, while draining is final. Returns whether this is
-    /// a change to announce.
+    /// Merges the limits that a target stated. The latest rate applies, while draining is final. Returns whether this
+    /// is a change to announce.
     pub fn merge(&mut self, notice: Notice, now: Timestamp) -> bool {
         let Notice { start, as_of, .. } = notice;
         let has_limits = notice.rate.is_some() || notice.is_draining;
@@ -210,8 +210,8 @@
         Some(until)
     }
 
-    /// Records that a target is cold until `until`, and handles `rate` from all entries together until then. A later end
-    /// replaces an earlier one; the shares stay. An end that has passed states that the target is warm.
+    /// Records that a target is cold until `until`, and handles `rate` from all entries together until then. A later
+    /// end replaces an earlier one; the shares stay. An end that has passed states that the target is warm.
     pub fn record_cold(&mut self, start: StartId, rate: Rate, until: Timestamp, now: Timestamp) {
         if until <= now {
             if let Some(state) = self.targets.get_mut(&start) {
@@ -278,8 +278,8 @@
         }
     }
 
-    /// Whether a target accepts requests from all entries together only at a limited rate, or none, leaving aside that it
-    /// may be cold: a cold target has room for requests that other entries send.
+    /// Whether a target accepts requests from all entries together only at a limited rate, or none, leaving aside that
+    /// it may be cold: a cold target has room for requests that other entries send.
     pub fn is_restricted(&self, start: StartId, now: Timestamp) -> bool {
         let is_cold = |state: &State| state.cold.as_ref().is_some_and(|cold| now < cold.until);
         let Some(state) = self.targets.get(&start) else {
@@ -338,8 +338,8 @@
         is_urgent || self.as_of.since(self.announced_as_of) >= CHANGE_INTERVAL
     }
 
-    /// Whether a notice is at least as recent as this state. Notices of one reporter are ordered by their numbers, those
-    /// of different reporters by their times.
+    /// Whether a notice is at least as recent as this state. Notices of one reporter are ordered by their numbers,
+    /// those of different reporters by their times.
     fn is_superseded_by(&self, notice: &Notice) -> bool {
         if self.origin == Origin::NONE {
             return true;
--- a/crates/sparscale_policy/tests/cold_start.rs
+++ b/crates/sparscale_policy/tests/cold_start.rs
@@ -1,5 +1,5 @@
-//! Replays in virtual time the start of many entries at the same time, while targets are cold: the entries learn of each
-//! other gradually, and have more requests than the targets handle. No cold target may get more than it tolerates.
+//! Replays in virtual time the start of many entries at the same time, while targets are cold: the entries learn of
+//! each other gradually, and have more requests than the targets handle. No cold target may get more than it tolerates.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -182,8 +182,8 @@
         }
     }
 
-    /// Establishes the links whose time has come, and sends the messages that are due. A message states the linked entries
-    /// of its sender.
+    /// Establishes the links whose time has come, and sends the messages that are due. A message states the linked
+    /// entries of its sender.
     fn exchange(&mut self) {
         let count = self.entries.len();
         let mut messages: Vec<(usize, usize)> = Vec::new();
--- a/crates/sparscale_policy/tests/cold_targets.rs
+++ b/crates/sparscale_policy/tests/cold_targets.rs
@@ -60,8 +60,8 @@
     StartId::of(id, None)
 }
 
-/// A start that appears while the process runs is limited before the roster lists it as cold; starts of the first roster
-/// are not.
+/// A start that appears while the process runs is limited before the roster lists it as cold; starts of the first
+/// roster are not.
 #[test]
 fn new_start() {
     let mut process = Process::new();
@@ -71,9 +71,9 @@
     assert!(process.look(&targets, &[]).is_empty(), "once for each start");
 }
 
-/// A process without history limits the starts of its first roster that are recent, because a heartbeat that states that
-/// they are cold may still be missing; not those of the first start of the whole system, which are all recent and warm.
-/// The clocks may differ.
+/// A process without history limits the starts of its first roster that are recent, because a heartbeat that states
+/// that they are cold may still be missing; not those of the first start of the whole system, which are all recent and
+/// warm. The clocks may differ.
 #[test]
 fn recent_start_in_first_roster() {
     let started = |id: &str, ago_ms: i64| Target {
@@ -122,8 +122,8 @@
     assert!(process.look(&[target("a", false)], &[]).is_empty());
 }
 
-/// A target that turns cold without a new start is limited for the whole time from its first listing on; a new start only
-/// from the time at which it appeared, as its first listing is of the same time of being cold.
+/// A target that turns cold without a new start is limited for the whole time from its first listing on; a new start
+/// only from the time at which it appeared, as its first listing is of the same time of being cold.
 #[test]
 fn first_listing() {
     let mut process = Process::new();
@@ -229,8 +229,8 @@
     }
 }
 
-/// A cold target with a limit of its own, or a backoff, keeps to the stricter one. It still counts as room in its group,
-/// which a restricted one does not.
+/// A cold target with a limit of its own, or a backoff, keeps to the stricter one. It still counts as room in its
+/// group, which a restricted one does not.
 #[test]
 fn other_limits_hold() {
     let now = SystemClock::default().now();
--- a/crates/sparscale_policy/tests/fair_shares.rs
+++ b/crates/sparscale_policy/tests/fair_shares.rs
@@ -1,5 +1,5 @@
-//! Shares of workspaces in the admissions under overload: a large workspace with nine tenths of the requests beside twenty
-//! small ones, played in virtual time.
+//! Shares of workspaces in the admissions under overload: a large workspace with nine tenths of the requests beside
+//! twenty small ones, played in virtual time.
 //!
 //! `cargo test --release -p sparscale_policy --test fair_shares -- --nocapture` prints one line for each load.
 
@@ -126,7 +126,8 @@
 }
 
 quickcheck! {
-    /// Whatever the order and times of admissions: the counts are the sums of decayed admissions, also across clean-ups.
+    /// Whatever the order and times of admissions: the counts are the sums of decayed admissions, also across
+    /// clean-ups.
     fn counts_add_up(gaps: Vec<(u8, u16)>) -> bool {
         let start = Instant::now();
         let mut shares = FairShares::default();
--- a/crates/sparscale_policy/tests/overload/main.rs
+++ b/crates/sparscale_policy/tests/overload/main.rs
@@ -168,8 +168,8 @@
     }
 }
 
-/// Callers that ignore their retry times lose only their own requests: with bursts of 1.7 and 2.5 times the steady rate,
-/// as many requests that arrive after the burst are on time as with callers that keep to them.
+/// Callers that ignore their retry times lose only their own requests: with bursts of 1.7 and 2.5 times the steady
+/// rate, as many requests that arrive after the burst are on time as with callers that keep to them.
 #[test]
 fn immediate_retries_harmless() {
     let loads = [
--- a/crates/sparscale_policy/tests/waiting_line.rs
+++ b/crates/sparscale_policy/tests/waiting_line.rs
@@ -69,8 +69,8 @@
     assert_eq!(admission_order(&[(1, 1, 100), (1, 2, -50)], headroom), [0_usize; 0]);
 }
 
-/// An early rejection has already cost a part of the worth of a retry, so a first attempt comes before it; a late request
-/// of any kind comes after both.
+/// An early rejection has already cost a part of the worth of a retry, so a first attempt comes before it; a late
+/// request of any kind comes after both.
 #[test]
 fn first_attempt_before_retry() {
     let now = Instant::now();
