--- a/crates/sparscale_mesh/src/lib.rs
+++ b/crates/sparscale_mesh/src/lib.rs
@@ -7,5 +7,8 @@
 mod link;
 pub mod link_clock;
 mod mesh;
+mod request;
+mod traffic;
 
-pub use mesh::{DEFAULT_ENTRIES_PER_LOAD_STEP, LOAD_INTERVAL_STEP, Mesh, Settings, Status, Traffic};
+pub use mesh::{DEFAULT_ENTRIES_PER_LOAD_STEP, LOAD_INTERVAL_STEP, Mesh, Settings, Status};
+pub use traffic::Traffic;
--- a/crates/sparscale_mesh/src/mesh.rs
+++ b/crates/sparscale_mesh/src/mesh.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
 use tokio::time::Instant;
 
 use crate::link::Link;
+use crate::request::Request;
+use crate::traffic::{Counters, Traffic};
 
 /// Interval at which missing links are dialled and unresponsive entries removed.
 const DIAL_INTERVAL: Duration = Duration::from_millis(200);
@@ -29,8 +31,6 @@
 const DIAL_DEFERRAL: Duration = Duration::from_millis(600);
 /// Timeout of opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time after which a catalog or roster that did not arrive is requested from another entry.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// An entry from which nothing was received for this long is removed, unless the settings name it. Links between
 /// regions can fail for minutes, and an entry that is only partitioned still uses its share of the common limits.
 const ENTRY_RETENTION: Duration = Duration::from_mins(10);
@@ -89,46 +89,6 @@
     discovered_at: Timestamp,
 }
 
-/// The position that was requested last from any entry, and the time of the request.
-#[derive(Debug, Default)]
-struct Request(Mutex<Option<(Position, Instant)>>);
-
-impl Request {
-    /// Records a request for `position` and returns true, unless this position or a later one was requested within
-    /// [`REQUEST_TIMEOUT`].
-    fn try_record(&self, position: Position) -> bool {
-        let now = Instant::now();
-        let mut latest = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if latest.is_some_and(|(requested, at)| requested >= position && now < at + REQUEST_TIMEOUT) {
-            return false;
-        }
-        *latest = Some((position, now));
-        true
-    }
-}
-
-/// Counters of what other processes sent to this one.
-#[derive(Debug, Default)]
-pub(crate) struct Counters {
-    pub(crate) catalogs: AtomicU64,
-    pub(crate) rosters: AtomicU64,
-    pub(crate) loads: AtomicU64,
-    pub(crate) addresses: AtomicU64,
-}
-
-/// Numbers of values that other processes sent to this one since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Traffic {
-    /// Complete catalogs.
-    pub catalogs: u64,
-    /// Complete rosters.
-    pub rosters: u64,
-    /// Load messages of groups.
-    pub loads: u64,
-    /// Addresses of entries.
-    pub addresses: u64,
-}
-
 /// The links of this process to others, and what it knows of them.
 #[derive(Debug)]
 pub struct Mesh {
--- a/crates/sparscale_place/tests/switch_payoff.rs
+++ b/crates/sparscale_place/tests/switch_payoff/main.rs
@@ -1,8 +1,12 @@
 //! A switch loads as many experts per rank as pays off: many where loads are fast, few where they are slow or where the
 //! map takes long to reach all ranks.
 
+mod demand;
+
 use std::time::{Duration, Instant};
 
+use demand::{Demand, Numbers};
+
 use sparscale_place::payoff::{Candidate, Conditions, Link, Staging, best_candidate};
 use sparscale_place::{LoadLimits, Map, Popularity, Refinement, Shape, mean_skew, refine};
 
@@ -41,112 +45,6 @@
     }
 }
 
-/// A linear congruential generator: demand differs by seed, and is the same in each run.
-struct Numbers(u64);
-
-impl Numbers {
-    fn next(&mut self) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        self.0 >> 33
-    }
-
-    fn below(&mut self, limit: usize) -> usize {
-        self.next() as usize % limit
-    }
-
-    /// Uniform from 0 to 1.
-    fn fraction(&mut self) -> f64 {
-        self.next() as f64 / (1_u64 << 31) as f64
-    }
-}
-
-/// Demand for experts as the sum of nine subjects, each of which selects some experts of each set more often.
-struct Demand {
-    shape: Shape,
-    numbers: Numbers,
-    subjects: Vec<Vec<f64>>,
-    /// Deviation of a subject's part of a window from its mean.
-    spread: f64,
-}
-
-impl Demand {
-    fn new(shape: Shape, seed: u64) -> Self {
-        let mut demand = Self {
-            shape,
-            numbers: Numbers(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) + 1),
-            subjects: Vec::new(),
-            spread: 0.25,
-        };
-        for _ in 0..9 {
-            let subject = demand.subject();
-            demand.subjects.push(subject);
-        }
-        demand
-    }
-
-    fn subject(&mut self) -> Vec<f64> {
-        let mut shares = Vec::new();
-        for _ in 0..self.shape.layers {
-            let mut set = vec![0.3; self.shape.experts];
-            for _ in 0..self.shape.experts / 9 {
-                set[self.numbers.below(self.shape.experts)] += 4.0 * self.numbers.fraction();
-            }
-            let sum: f64 = set.iter().sum();
-            shares.extend(set.into_iter().map(|share| share / sum));
-        }
-        shares
-    }
-
-    /// Replaces half of the subjects.
-    fn shift(&mut self) {
-        for index in 0..self.subjects.len() / 2 {
-            self.subjects[index] = self.subject();
-        }
-        self.subjects.rotate_left(4);
-    }
-
-    /// Moves a few hundredths of the demand to another subject.
-    fn drift(&mut self) {
-        let target = self.subject();
-        let index = self.numbers.below(self.subjects.len());
-        for (share, new) in self.subjects[index].iter_mut().zip(target) {
-            *share = *share * 0.9 + new * 0.1;
-        }
-    }
-
-    /// Selection counts of 100 ms from the running requests, whose mix of subjects varies by chance.
-    fn sample(&self, noise: &mut Numbers) -> Vec<f64> {
-        let mut counts = vec![0.0; self.shape.layers * self.shape.experts];
-        for subject in &self.subjects {
-            let weight = 40_000.0 * (1.0 - self.spread + 2.0 * self.spread * noise.fraction());
-            for (count, share) in counts.iter_mut().zip(subject) {
-                *count += share * weight * (0.9 + 0.2 * noise.fraction());
-            }
-        }
-        counts
-    }
-
-    /// Selection counts of 100 ms.
-    fn counts(&self) -> Vec<f64> {
-        let mut counts = vec![0.0; self.shape.layers * self.shape.experts];
-        for subject in &self.subjects {
-            for (count, share) in counts.iter_mut().zip(subject) {
-                *count += share * 40_000.0;
-            }
-        }
-        counts
-    }
-
-    fn popularity(&self) -> Popularity {
-        let mut popularity = Popularity::new(self.shape.layers, self.shape.experts, Duration::from_millis(1_500));
-        popularity.observe(&self.counts(), Duration::from_millis(100));
-        popularity
-    }
-}
-
 /// A map that was refined for the demand before the last shift.
 fn settled_map(demand: &Demand) -> Map {
     let mut map = Map::initial(demand.shape);
@@ -180,7 +78,6 @@
 #[test]
 fn fast_loads_go_further() {
     let mut gains = (0.0, 0.0);
-    let mut loads = 0;
     for seed in 0..4 {
         let mut demand = Demand::new(LARGE, seed);
         let map = settled_map(&demand);
@@ -193,7 +90,7 @@
             "seed {seed}: {} loads per rank, skew {:.3} to {:.3} in {:.0} ms",
             refined.max_loads_per_rank, refined.skew_before, refined.skew_after, best.staging_ms
         );
-        loads += refined.max_loads_per_rank;
+        assert!(refined.max_loads_per_rank > 2, "seed {seed}");
         assert!(
             best.staging_ms < HORIZON_MS / 2.0,
             "seed {seed}: {} ms",
@@ -203,8 +100,7 @@
         gains.0 += two.skew_before - two.skew_after;
         gains.1 += refined.skew_before - refined.skew_after;
     }
-    assert!(loads >= 12, "{loads}");
-    assert!(gains.1 > gains.0 * 1.02, "{gains:?}");
+    assert!(gains.1 > gains.0 * 1.1, "{gains:?}");
 }
 
 /// Guards against long stagings on engines whose loads are slow: they keep the best of one to
@@ -465,7 +361,7 @@
     let fixed = replay.run(Rule::Reduction(0.08));
     let payoff = replay.run(Rule::Payoff);
     assert!(payoff.switches < fixed.switches, "{payoff:?}, {fixed:?}");
-    assert!(payoff.lost_ms < fixed.lost_ms * 1.03, "{payoff:?}, {fixed:?}");
+    assert!(payoff.lost_ms < fixed.lost_ms * 1.01, "{payoff:?}, {fixed:?}");
 }
 
 /// Guards against a rule that no longer follows slow changes, for which no shifts are known, or that follows chance.
--- a/crates/sparscale_policy/src/rate_limit.rs
+++ b/crates/sparscale_policy/src/rate_limit.rs
@@ -198,9 +198,9 @@
 
     /// Returns whether this entry, which knows `peers`, knows the others; once it does, that is final.
     ///
-    /// It does once its view has not grown for [`SETTLING_TIME`], or [`UNCONFIRMED_SETTLING_TIME`]. An entry that
-    /// restarts alone does not wait for that: if most of the entries are linked and have run for [`ESTABLISHED_TIME`],
-    /// they have already told it of the others.
+    /// It does once its view has not grown for [`SETTLING_TIME`], or [`UNCONFIRMED_SETTLING_TIME`]. An entry that restarts
+    /// alone does not wait for that: if most of the entries are linked and have run for [`ESTABLISHED_TIME`], their
+    /// messages have already listed all entries.
     pub fn update(&mut self, peers: &[Peer], now: Timestamp) -> bool {
         // A process that was paused has received nothing in the meantime.
         self.stable_for += now.since(self.updated_at).min(MAX_UPDATE_INTERVAL);
--- a/crates/sparscale_policy/tests/cold_start.rs
+++ b/crates/sparscale_policy/tests/cold_start.rs
@@ -443,7 +443,7 @@
     }
 }
 
-/// An entry that restarts while the others run takes its share again as soon as they have told it of each other.
+/// An entry that restarts while the others run takes its share again once their messages have listed all entries.
 #[test]
 fn lone_restart() {
     for entries in [4, 16, 53] {
