Log: lost_answer and end name the shared parts of a prompt

Change: the entry parses the parts header; lost_answer and end list the ids of all parts but the last, which belongs to the request. No decision uses them. Conclusion: a part that is in the requests of each ended target, and in few others, now shows in the lines.

--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -354,6 +354,7 @@
             decision = "lost_answer",
             request = job.outbound.head.id_text(),
             content = job.outbound.fingerprint.log_prefix().as_str(),
+            parts:? = job.outbound.head.shared_parts,
             at = instance.target.id.as_str(),
             loss = error.name(),
             ended = terminated;
@@ -454,6 +455,7 @@
             decision = "end",
             request = job.outbound.head.id_text(),
             content = job.outbound.fingerprint.log_prefix().as_str(),
+            parts:? = job.outbound.head.shared_parts,
             route = job.route().name.as_str(),
             version = job.catalog.version(),
             outcome,
--- a/crates/sparscale_gateway/src/head.rs
+++ b/crates/sparscale_gateway/src/head.rs
@@ -21,6 +21,9 @@
     header::EXPECT,
 ];
 
+/// Most shared parts of a prompt that are considered, so that a long header costs no more memory than its own bytes.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// Token counts of a request as stated by its caller; 0 where none is stated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct TokenCounts {
@@ -60,6 +63,8 @@
     /// Id of the last event that the caller has received, to resume a stream.
     pub(crate) last_event_id: Option<u64>,
     pub(crate) token_counts: TokenCounts,
+    /// Ids of the parts of the prompt that other requests share with this one.
+    pub(crate) shared_parts: Vec<String>,
 }
 
 impl Head {
@@ -76,6 +81,7 @@
             bearer_key: text(&header::AUTHORIZATION).and_then(parse_bearer_key),
             last_event_id: number(&HeaderName::from_static("last-event-id")),
             token_counts: parse_token_counts(text(&dialect.token_counts), number(&dialect.output_guess)),
+            shared_parts: parse_shared_parts(text(&dialect.prompt_parts)),
             path: path_of(&parts.uri),
             method: parts.method,
             headers: target_headers(&headers, dialect),
@@ -108,6 +114,16 @@
     }
 }
 
+/// Parses the parts of a prompt, without the last one, which belongs to the request or to its session.
+fn parse_shared_parts(parts: Option<&str>) -> Vec<String> {
+    let Some((shared, _own)) = parts.and_then(|parts| parts.rsplit_once(',')) else {
+        return Vec::new();
+    };
+    let id_of = |part: &str| part.split(':').next().unwrap_or_default().trim().to_ascii_lowercase();
+    let ids = shared.split(',').map(id_of).filter(|id| !id.is_empty());
+    ids.take(MAX_SHARED_PARTS).collect()
+}
+
 /// Headers to forward to a target: without hop-by-hop headers, the caller's key, and headers that only the entry sets.
 fn target_headers(headers: &HeaderMap, dialect: &HeaderNames) -> HeaderMap {
     let mut forwarded = without_hop_by_hop(headers);
--- a/crates/sparscale_gateway/src/header_names.rs
+++ b/crates/sparscale_gateway/src/header_names.rs
@@ -26,6 +26,9 @@
     pub token_counts: HeaderName,
     /// Number of output tokens that the caller expects.
     pub output_guess: HeaderName,
+    /// Parts of the prompt in their order, as `ID:TOKENS` separated by commas. The last one belongs to the request or to
+    /// its session; the others are shared with other requests.
+    pub prompt_parts: HeaderName,
     /// Id of the target at fault, in a rejection that another target caused.
     pub target_at_fault: HeaderName,
     /// Headers by which targets request a rate limit, a backoff or no further requests.
@@ -46,6 +49,7 @@
             expected_weights: HeaderName::from_bytes(b"sparscale-weights")?,
             token_counts: HeaderName::from_bytes(b"sparscale-sizes")?,
             output_guess: HeaderName::from_bytes(b"sparscale-answer-guess")?,
+            prompt_parts: HeaderName::from_bytes(b"sparscale-prompt-parts")?,
             target_at_fault: HeaderName::from_bytes(b"sparscale-at-fault")?,
             backpressure: SignalHeaders::defaults(),
         })
