Test: requests that share a part of their prompt crash targets one after the other

What callers saw: streams rejected for most of 30 s, twice, while ranks crashed. Cause: strikes count against the digest of a whole request. Ten requests that differ in their body and in the last part of their prompt, at two linked entries, crash a target with each send. Measured: crashing_parts::spread_over_requests fails, 16 targets crashed, 5 allowed.

--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod bounds;
 mod crashing;
+mod crashing_parts;
 mod draining_targets;
 mod entry;
 mod evacuations;
