Queue: an entry claims the free places that other entries do not use

What callers see when the load balancer hands most of them to one entry: rejections, while the group has free places. Cause: each entry gets an equal share of the free places of a group at each load report, whatever its callers need. Of 53 entries one can admit a fifty-third of them between two reports. Change: an entry whose share did not suffice, while the next report shows at least a quarter of the capacity free, doubles its claim, up to all free places; scarce places are divided equally as before. The same division by number elsewhere: the retry slack (bounded by rule), shares of rate-limited and cold targets, the fill without load reports; not changed.

--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
+pub mod claim;
 pub mod cold;
 pub mod deadlines;
 pub mod evacuation;
--- a/crates/sparscale_policy/src/queue.rs
+++ b/crates/sparscale_policy/src/queue.rs
@@ -23,6 +23,7 @@
 
 use crate::backlog::{Backlog, Entry, Ticket};
 use crate::caller_timeout;
+use crate::claim::Claim;
 use crate::fair_share::Workspace;
 use crate::headroom::{self, Headroom};
 
@@ -146,6 +147,8 @@
     /// Recent admissions by this entry that the group leader's report may not include yet.
     unreported: Vec<Instant>,
     backlog: Backlog<T>,
+    /// How much of the headroom this entry takes.
+    claim: Claim,
     /// Places that late requests may take beyond the headroom.
     late_places: f64,
     /// Retry time of the next caller that is rejected.
@@ -167,6 +170,7 @@
             headroom: Headroom::UNLIMITED,
             unreported: Vec::new(),
             backlog: Backlog::default(),
+            claim: Claim::default(),
             late_places: MAX_LATE_PLACES,
             next_retry: now,
             share_of_requests: 0.0,
@@ -186,8 +190,11 @@
             let capacity = headroom::capacity_at_current_skew(load, group.engine, group.max_pause);
             let requests = headroom::reported_requests(load);
             self.share_of_requests = requests / entries;
+            self.claim
+                .update(capacity.timely * group.open_fraction, requests, entries);
+            let own_share = self.claim.share(entries);
             let share =
-                |capacity: f64| (capacity * group.open_fraction - requests) / entries - self.unreported.len() as f64;
+                |capacity: f64| (capacity * group.open_fraction - requests) * own_share - self.unreported.len() as f64;
             self.headroom = Headroom {
                 timely: share(capacity.timely),
                 late: share(capacity.late),
@@ -214,6 +221,7 @@
             self.backlog.record_admission(request.workspace, now);
             return Decision::Admit;
         }
+        self.claim.record_shortage();
         let expected = self.expected_wait_of(ticket, request, in_flight, now);
         if self.is_hopeless(request, expected, now) {
             return Decision::Reject {
--- a/crates/sparscale_policy/tests/fair_shares.rs
+++ b/crates/sparscale_policy/tests/fair_shares.rs
@@ -58,6 +58,8 @@
         long_prompts: usual_prompts,
         immediate_retries,
         large_workspace: LARGE,
+        entries: 4,
+        at_one_entry: |_| 0.0,
     };
     let seconds = SEEDS.flat_map(|seed| Model::new(samples::engine(), load, admission, seed).run(SECONDS));
     let sum = seconds.fold(Second::default(), |sum, second| sum.plus(&second));
--- a/crates/sparscale_policy/tests/overload/main.rs
+++ b/crates/sparscale_policy/tests/overload/main.rs
@@ -11,6 +11,8 @@
 
 /// Requests a second that the group serves on time under a steady load.
 const STEADY_RATE: f64 = 45.0;
+/// Number of entries, where a test names no other.
+const ENTRIES: usize = 4;
 /// Number of simulated seconds.
 const SECONDS: usize = 16;
 /// The seconds of the burst.
@@ -46,6 +48,11 @@
     if is_burst(ms) { STEADY_RATE * 1.7 } else { STEADY_RATE }
 }
 
+/// More than the group serves on time, throughout.
+fn brisk_rate(_: u64) -> f64 {
+    STEADY_RATE * 1.15
+}
+
 fn crowded_rate(ms: u64) -> f64 {
     if is_burst(ms) { STEADY_RATE * 2.5 } else { STEADY_RATE }
 }
@@ -54,6 +61,15 @@
     if is_burst(ms) { 0.3 } else { 0.0 }
 }
 
+const fn spread_evenly(_: u64) -> f64 {
+    0.0
+}
+
+/// During the burst, nearly all callers reach the same entry.
+fn concentrated(ms: u64) -> f64 {
+    if is_burst(ms) { 0.9 } else { 0.0 }
+}
+
 const fn load(rate: fn(u64) -> f64, skew: fn(u64) -> f64, long_prompts: fn(u64) -> f64) -> Load {
     Load {
         rate,
@@ -61,6 +77,8 @@
         long_prompts,
         immediate_retries: false,
         large_workspace: 0.0,
+        entries: ENTRIES,
+        at_one_entry: spread_evenly,
     }
 }
 
@@ -189,3 +207,30 @@
         );
     }
 }
+
+/// While most callers reach one of the entries, requests are answered at the first attempt at least three quarters as
+/// often as before, however many entries there are.
+#[test]
+fn one_busy_entry() {
+    let loads = [
+        ("calm", load(steady_rate, steady_skew, usual_prompts)),
+        ("busy", load(brisk_rate, steady_skew, usual_prompts)),
+        ("shifts", load(steady_rate, shifting_skew, usual_prompts)),
+    ];
+    for entries in [4, 16, 53, 106] {
+        for (name, load) in loads {
+            let load = Load {
+                entries,
+                at_one_entry: concentrated,
+                ..load
+            };
+            let outcomes = Outcomes::simulate(&format!("{name}, {entries} entries"), load, Admission::Queue);
+            let answered_first = |span| outcomes.fraction(span, |second| second.answered_first);
+            let (before, during) = (answered_first(0..BURST.start), answered_first(BURST));
+            assert!(
+                during >= 0.75 * before,
+                "{name}, {entries} entries: {during:.3} answered at the first attempt, {before:.3} before"
+            );
+        }
+    }
+}
--- a/crates/sparscale_policy/tests/overload/model.rs
+++ b/crates/sparscale_policy/tests/overload/model.rs
@@ -13,7 +13,6 @@
 use sparscale_wire::{group, rank};
 
 const RANKS: usize = 12;
-const ENTRIES: usize = 4;
 /// Time between two reports of the group leader.
 const REPORT_INTERVAL_MS: u64 = 50;
 /// Time from the creation of a report to its arrival at the entries.
@@ -48,6 +47,10 @@
     /// Fraction of the requests that belong to the large workspace; the others belong to [`SMALL_WORKSPACES`] small
     /// ones. Without a large workspace, all requests belong to the same one.
     pub(crate) large_workspace: f64,
+    /// Number of entries.
+    pub(crate) entries: usize,
+    /// Fraction of the first attempts that arrive at one of the entries; the others and all retries are spread evenly.
+    pub(crate) at_one_entry: fn(u64) -> f64,
 }
 
 /// How requests are admitted.
@@ -66,6 +69,8 @@
     /// The first event and all pauses were on time, counted from the first attempt.
     pub(crate) timely: u32,
     pub(crate) late: u32,
+    /// Answered at the first attempt, on time or late.
+    pub(crate) answered_first: u32,
     /// Rejected soon after its arrival, and on time counted from the attempt that was served.
     pub(crate) timely_retry: u32,
     /// Rejected for the last time.
@@ -85,6 +90,7 @@
             arrived: self.arrived + other.arrived,
             timely: self.timely + other.timely,
             late: self.late + other.late,
+            answered_first: self.answered_first + other.answered_first,
             timely_retry: self.timely_retry + other.timely_retry,
             rejected: self.rejected + other.rejected,
             abandoned: self.abandoned + other.abandoned,
@@ -154,8 +160,8 @@
             queued: vec![Vec::new(); RANKS],
             pass_end: 0,
             pass_ms: 0,
-            queues: (0..ENTRIES).map(|_| Queue::new(start)).collect(),
-            in_flight: vec![0; ENTRIES],
+            queues: (0..load.entries).map(|_| Queue::new(start)).collect(),
+            in_flight: vec![0; load.entries],
             reviews: BTreeSet::new(),
             retries: BinaryHeap::new(),
             latest_report: None,
@@ -224,7 +230,13 @@
     }
 
     fn arrive(&mut self, index: usize) {
-        let entry = self.random.random_range(0..ENTRIES);
+        let is_first = self.calls[index].retries == 0;
+        let at_one_entry = (self.load.at_one_entry)(self.now);
+        let entry = if is_first && at_one_entry > 0.0 && self.random.random::<f64>() < at_one_entry {
+            0
+        } else {
+            self.random.random_range(0..self.load.entries)
+        };
         let sample = self.random.random::<f64>();
         let call = &mut self.calls[index];
         call.entry = entry;
@@ -301,7 +313,7 @@
             max_pause: PAUSE,
             rank_count: RANKS,
             open_fraction: 1.0,
-            entry_count: ENTRIES,
+            entry_count: self.load.entries,
         };
         let now = self.start + Duration::from_millis(self.now);
         self.queues[entry].refresh(self.latest_report.as_ref(), &group, self.in_flight[entry], now);
@@ -365,7 +377,7 @@
     fn report(&mut self) {
         if self.report_in_transit.as_ref().is_some_and(|(at, _)| *at <= self.now) {
             self.latest_report = self.report_in_transit.take().map(|(_, load)| load);
-            for entry in 0..ENTRIES {
+            for entry in 0..self.load.entries {
                 self.refresh(entry);
             }
         }
@@ -443,6 +455,7 @@
         let entry = call.entry;
         let residence = Duration::from_millis(now - call.admitted_at);
         let second = &mut self.seconds[(call.first_arrival / 1_000) as usize];
+        second.answered_first += u32::from(call.retries == 0);
         let is_timely_retry = is_attempt_timely && call.late_pauses == 0 && call.rejected_soon;
         if is_timely {
             second.timely += 1;
