Own path: a message that crashes ranks is held by itself

What callers would see: ranks crash one after the other under conversations that share a message, and each counts as a new call. Cause: the same as at the gateway, the strike counts against the digest of the whole call. Change: all messages of a conversation but the last are parts of its prompt, and their strikes are records of the log. The agent numbers the ends of its target, so that calls which end together are one end (frame version 3). The scan for strikes passes all fingerprints at once.

--- a/crates/sparscale_agent/src/core.rs
+++ b/crates/sparscale_agent/src/core.rs
@@ -75,6 +75,7 @@
                 in_progress_by_entry: HashMap::new(),
                 is_draining: false,
                 is_listening: false,
+                end_count: 0,
                 is_ready: false,
                 engine_load: EngineLoad::default(),
                 throttle: Throttle::new(),
@@ -129,6 +130,8 @@
         state.is_listening = is_listening;
         if is_listening {
             state.throttle.reset();
+        } else {
+            state.end_count += 1;
         }
         log::info!(target: DECISION, decision = "target", listening = is_listening; "the target has started or stopped listening");
         self.availability_changed.send_replace(());
@@ -439,7 +442,8 @@
                 state.ledger.record_end(ledger_id(attempt.id));
                 log::warn!(attempt = attempt.id.to_string().as_str(), message = message.as_str(), ended = has_target_ended; "the target sent no complete response");
                 let failure = if has_target_ended {
-                    Failure::TargetEnded { message }
+                    let end = self.incarnation.wrapping_add(state.end_count);
+                    Failure::TargetEnded { message, end }
                 } else {
                     Failure::Unknown { message }
                 };
--- a/crates/sparscale_agent/src/core/state.rs
+++ b/crates/sparscale_agent/src/core/state.rs
@@ -33,6 +33,8 @@
     pub(super) is_draining: bool,
     /// Whether the target listened at the last check.
     pub(super) is_listening: bool,
+    /// Number of times that the target has stopped listening.
+    pub(super) end_count: u64,
     /// Whether the limits of a bundle have been set.
     pub(super) is_ready: bool,
     pub(super) engine_load: EngineLoad,
--- a/crates/sparscale_entry/src/api.rs
+++ b/crates/sparscale_entry/src/api.rs
@@ -186,6 +186,7 @@
             key: None,
             retention: Duration::ZERO,
             call: Call::Model { body },
+            shared_parts: request.shared_parts(),
             pool: Pool::Model(request.model.clone()),
             route: RouteRequest {
                 prompt_tokens: completion::prompt_tokens(&prompt),
@@ -255,6 +256,7 @@
                 content_type: content_type.to_owned(),
                 body,
             },
+            shared_parts: Vec::new(),
             pool: Pool::Service(path.service.clone()),
             route: RouteRequest {
                 response_tokens: SERVICE_TOKENS,
@@ -284,6 +286,7 @@
             key: None,
             retention: Duration::ZERO,
             call: Call::Model { body: Bytes::new() },
+            shared_parts: Vec::new(),
             pool: Pool::Service(service.clone()),
             route: RouteRequest::default(),
             limits: caller.bundle.fleet().limits.clone(),
--- a/crates/sparscale_entry/src/completion.rs
+++ b/crates/sparscale_entry/src/completion.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sparscale_quarantine::{Fingerprint, MAX_SHARED_PARTS};
 
 /// Average number of prompt bytes per token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -74,6 +75,15 @@
             .collect()
     }
 
+    /// Fingerprints of all messages but the last, which belongs to the request itself.
+    pub(crate) fn shared_parts(&self) -> Vec<Fingerprint> {
+        let shared = self.messages.split_last().map_or(&[][..], |(_own, shared)| shared);
+        let fingerprints = shared
+            .iter()
+            .map(|message| Fingerprint::of_part(message.content.as_bytes()));
+        fingerprints.take(MAX_SHARED_PARTS).collect()
+    }
+
     pub(crate) fn answer_tokens(&self) -> u32 {
         self.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS)
     }
--- a/crates/sparscale_entry/src/dispatch.rs
+++ b/crates/sparscale_entry/src/dispatch.rs
@@ -103,8 +103,8 @@
             if !matches!(outcome, SendOutcome::Responding(_)) {
                 self.record_end(&sent);
             }
-            if matches!(&outcome, SendOutcome::Failed(Failure::TargetEnded { .. })) {
-                self.quarantine.record_end(job, &sent).await;
+            if let SendOutcome::Failed(Failure::TargetEnded { end, .. }) = &outcome {
+                self.quarantine.record_end(job, &sent, *end).await;
             }
             let problem = match outcome {
                 SendOutcome::Responding(stream) => return Ok(*stream),
--- a/crates/sparscale_entry/src/job.rs
+++ b/crates/sparscale_entry/src/job.rs
@@ -7,6 +7,7 @@
 use sparscale_board::TargetKey;
 use sparscale_bundle::{Limits, Workspace};
 use sparscale_journal::BindingKey;
+use sparscale_quarantine::Fingerprint;
 use sparscale_route::Request as RouteRequest;
 use sparscale_wire::{Attempt, AttemptId, Call};
 use tokio::time::Instant;
@@ -37,6 +38,8 @@
     pub(crate) key: Option<BindingKey>,
     pub(crate) retention: Duration,
     pub(crate) call: Call,
+    /// Fingerprints of the parts of the prompt that other requests may share.
+    pub(crate) shared_parts: Vec<Fingerprint>,
     pub(crate) pool: Pool,
     pub(crate) route: RouteRequest,
     pub(crate) limits: Limits,
--- a/crates/sparscale_entry/src/quarantine.rs
+++ b/crates/sparscale_entry/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of calls that crash the targets which run them.
+//! Quarantine of calls, and of messages in prompts, that crash the targets which run them.
 //!
 //! Each such end is recorded as a strike in the log, so that all entries recognize the call and hold it back.
 
@@ -9,7 +9,7 @@
 use sparscale_clock::unix_ms;
 use sparscale_control::Journal;
 use sparscale_journal::{RecordBody, Verdict};
-use sparscale_quarantine::{Content, EndedStart, Fingerprint, Strike, StrikeSource, StrikeStatus, Tracker};
+use sparscale_quarantine::{Content, EndedStart, Fingerprint, HoldCause, Strike, StrikeSource, StrikeStatus, Tracker};
 use sparscale_telemetry::DECISION;
 use sparscale_wire::Call;
 use tokio::task::JoinHandle;
@@ -35,6 +35,8 @@
 pub(crate) struct Quarantine {
     journal: Arc<Journal>,
     register: Mutex<Tracker>,
+    /// Delays the release of held parts by a fraction of their hold.
+    release_delay: f64,
 }
 
 impl Quarantine {
@@ -42,72 +44,82 @@
         Self {
             journal,
             register: Mutex::default(),
+            release_delay: rand::random(),
         }
     }
 
     /// The problem with which a quarantined call is rejected; none if the call may run.
     pub(crate) fn rejection_of(&self, job: &Job) -> Option<Problem> {
-        let request = fingerprint(job);
-        let logged: Vec<Strike> = self.journal.with_state(|state| state.strikes_of(request).collect());
+        let content = content(job);
+        let fingerprints: Vec<Fingerprint> = content.fingerprints().collect();
+        let logged: Vec<Strike> = self
+            .journal
+            .with_state(|state| state.strikes_of(&fingerprints).collect());
         let now_ms = unix_ms();
         let hold = {
             let mut register = self.lock_register();
             for strike in logged {
                 register.merge(strike, StrikeSource::Store, now_ms);
             }
-            register.active_hold(&Content::new(request, []), 0.0, now_ms)
+            register.active_hold(&content, self.release_delay, now_ms)
         }?;
-        log::info!(target: DECISION, decision = "held", content = request.log_prefix().as_str(), ends = hold.end_count, left_ms = hold.remaining.as_millis() as u64; "the call is quarantined because targets ended while they ran it");
-        let detail = "targets ended while they ran this call; it is held back so that no more do";
+        let (detail, cause) = match hold.cause {
+            HoldCause::Request(_) => (
+                "targets ended while they ran this call; it is held back so that no more do",
+                "request",
+            ),
+            HoldCause::Part(_) => (
+                "targets ended while they ran calls that share a message with this one; it is held back so that no more do",
+                "part",
+            ),
+        };
+        log::info!(target: DECISION, decision = "held", content = content.request.log_prefix().as_str(), cause, ends = hold.end_count, left_ms = hold.remaining.as_millis() as u64; "the call is quarantined because targets ended while they ran it or others with a part of its prompt");
         let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "The call is held back", detail);
         Some(problem.retry_after(hold.remaining))
     }
 
-    /// Records that a target ended while it ran a call, and appends the strike to the log. Returns when the log has it,
-    /// at the latest after [`STRIKE_WAIT`].
-    pub(crate) async fn record_end(&self, job: &Job, sent: &SentAttempt) {
-        let request = fingerprint(job);
+    /// Records that a target ended while it ran a call, and appends the strikes to the log. `end` identifies the end at
+    /// that target. Returns when the log has the strikes, at the latest after [`STRIKE_WAIT`].
+    pub(crate) async fn record_end(&self, job: &Job, sent: &SentAttempt, end: u64) {
+        let content = content(job);
         let now_ms = unix_ms();
-        let strike = Strike {
-            request,
-            // An attempt experiences at most one end of a target, so its id identifies that end.
-            ended_start: EndedStart::of(
-                &sent.target_name,
-                Some(sent.attempt.entry_incarnation ^ sent.attempt.counter),
-            ),
+        let strike = |fingerprint| Strike {
+            request: fingerprint,
+            ended_start: EndedStart::of(&sent.target_name, Some(end)),
             at_ms: now_ms,
             status: StrikeStatus::Counted,
         };
-        let ends = {
+        let (strikes, ends) = {
             let mut register = self.lock_register();
-            register.merge(strike, StrikeSource::Local, now_ms);
-            register.end_count(&request)
+            let version = register.version();
+            for fingerprint in content.fingerprints() {
+                register.merge(strike(fingerprint), StrikeSource::Local, now_ms);
+            }
+            (register.changes_since(version).0, register.end_count(&content.request))
         };
-        log::info!(target: DECISION, decision = "strike", content = request.log_prefix().as_str(), at = sent.target_name.as_str(), ends; "a target ended while it ran a call");
-        let appended = self.append_strikes(vec![strike]);
+        log::info!(target: DECISION, decision = "strike", content = content.request.log_prefix().as_str(), at = sent.target_name.as_str(), ends, parts = content.shared_parts.len(); "a target ended while it ran a call");
+        let appended = self.append_strikes(strikes);
         let deadline = job.deadline.min(Instant::now() + STRIKE_WAIT);
         if tokio::time::timeout_at(deadline, appended).await.is_err() {
-            log::info!(target: DECISION, decision = "strike_late", content = request.log_prefix().as_str(); "continuing before the strike is in the log");
+            log::info!(target: DECISION, decision = "strike_late", content = content.request.log_prefix().as_str(); "continuing before the strikes are in the log");
         }
     }
 
-    /// Records a complete response to a call, and appends the strikes that it clears to the log.
+    /// Records a complete response to a call, and appends the strikes that it marks or clears to the log.
     pub(crate) fn record_response(&self, job: &Job) {
-        let request = fingerprint(job);
-        let cleared = {
+        let content = content(job);
+        let changed = {
             let mut register = self.lock_register();
-            if register
-                .record_response(&Content::new(request, []), unix_ms())
-                .is_empty()
-            {
-                return;
-            }
-            register.unsaved()
+            let version = register.version();
+            register.record_response(&content, unix_ms());
+            register.changes_since(version).0
         };
-        log::info!(target: DECISION, decision = "cleared", content = request.log_prefix().as_str(); "the call completed, so it did not cause the ends of targets");
-        let of_call = cleared.into_iter().filter(|strike| strike.request == request);
+        if changed.is_empty() {
+            return;
+        }
+        log::info!(target: DECISION, decision = "cleared", content = content.request.log_prefix().as_str(), strikes = changed.len(); "the call completed, so strikes against it or its parts count less");
         // The response is complete, so no caller waits for the log.
-        let _appended = self.append_strikes(of_call.collect());
+        let _appended = self.append_strikes(changed);
     }
 
     /// Appends strikes to the log in the background, with retries.
@@ -132,10 +144,11 @@
     }
 }
 
-fn fingerprint(job: &Job) -> Fingerprint {
+fn content(job: &Job) -> Content {
     let workspace = Some(job.workspace.name.as_str());
-    match &job.call {
+    let request = match &job.call {
         Call::Model { body } => Fingerprint::of("model", "", workspace, body),
         Call::Service { name, body, .. } => Fingerprint::of("service", name, workspace, body),
-    }
+    };
+    Content::new(request, job.shared_parts.iter().copied())
 }
--- a/crates/sparscale_entry/src/response_stream.rs
+++ b/crates/sparscale_entry/src/response_stream.rs
@@ -107,8 +107,8 @@
                 Ok(())
             }
             Step::Failed(failure) => {
-                if matches!(failure, Failure::TargetEnded { .. }) {
-                    self.dispatcher.quarantine.record_end(&self.job, &self.sent).await;
+                if let Failure::TargetEnded { end, .. } = &failure {
+                    self.dispatcher.quarantine.record_end(&self.job, &self.sent, *end).await;
                 }
                 Err(failure_problem(&self.job, &failure))
             }
--- a/crates/sparscale_entry/src/unserved.rs
+++ b/crates/sparscale_entry/src/unserved.rs
@@ -12,8 +12,10 @@
 pub(crate) fn failure_problem(job: &Job, failure: &Failure) -> Problem {
     match failure {
         Failure::Target { message } => Problem::failed(message),
-        Failure::Unknown { message } | Failure::TargetEnded { message } if job.repeatable => Problem::failed(message),
-        Failure::Unknown { message } | Failure::TargetEnded { message } => Problem::unknown(message),
+        Failure::Unknown { message } | Failure::TargetEnded { message, .. } if job.repeatable => {
+            Problem::failed(message)
+        }
+        Failure::Unknown { message } | Failure::TargetEnded { message, .. } => Problem::unknown(message),
     }
 }
 
--- a/crates/sparscale_fleet/src/fleet.rs
+++ b/crates/sparscale_fleet/src/fleet.rs
@@ -117,7 +117,8 @@
         self.put_boxes(&self.box_list()).await
     }
 
-    fn start_group(&mut self) -> Result<(), Error> {
+    /// Starts the process of all ranks.
+    pub fn start_group(&mut self) -> Result<(), Error> {
         let plan = &self.plan;
         let mut arguments = vec!["group".to_owned()];
         for index in 0..plan.rank_count {
@@ -322,6 +323,18 @@
             .await
     }
 
+    /// Sends the messages of a conversation without streaming, as workspace `teal`.
+    pub async fn send_conversation(&self, entry: &str, messages: &[&str]) -> Result<HttpResponse, Error> {
+        let url = format!("{}/v1/chat/completions", self.callers_url(entry));
+        let to_message = |content: &&str| json!({ "role": "user", "content": content });
+        let messages: Vec<_> = messages.iter().map(to_message).collect();
+        let body = json!({ "model": MODEL, "messages": messages, "max_tokens": 4 }).to_string();
+        let key = bearer("teal");
+        self.client
+            .send(Method::POST, &url, &[("authorization", &key)], &body)
+            .await
+    }
+
     /// Sends a streamed chat completion request.
     pub async fn stream_chat(
         &self,
--- a/crates/sparscale_fleet/tests/process/crashing_calls.rs
+++ b/crates/sparscale_fleet/tests/process/crashing_calls.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use sparscale_fleet::{Error, Fleet, Plan, eventually};
-use sparscale_standin::{CRASH_BODY, CRASH_DELAY, DELAYED_CRASH_BODY, Fault};
+use sparscale_standin::{CRASH_BODY, CRASH_DELAY, CRASH_MESSAGE, DELAYED_CRASH_BODY, Fault};
 
 const SERVICES: usize = 6;
 /// Targets that a call may crash before it is quarantined.
@@ -112,3 +112,38 @@
     );
     Ok(())
 }
+
+/// Conversations that share a message crash the ranks, and differ in their last messages. The message is quarantined on
+/// all entries, and conversations that share their other messages are served.
+#[tokio::test]
+async fn crashing_message_quarantined() -> Result<(), Error> {
+    let mut fleet = Fleet::start("crashing-message", Plan::default()).await?;
+    let sound = fleet.send_conversation("entry-0", &["instructions", "hello"]).await?;
+    assert_eq!(sound.status, StatusCode::OK, "{}", sound.text());
+    let mut crashes = 0;
+    for number in 0..6 {
+        let own_message = format!("question {number}");
+        let entry = if number % 2 == 0 { "entry-0" } else { "entry-1" };
+        let messages = ["instructions", CRASH_MESSAGE, &own_message];
+        let response = fleet.send_conversation(entry, &messages).await?;
+        if response.text().contains("held back") {
+            continue;
+        }
+        crashes += 1;
+        fleet.wait_for_exit("group").await?;
+        fleet.start_group()?;
+        fleet.wait_until_ready().await?;
+    }
+    assert!(crashes <= MAX_CRASHED_TARGETS, "the ranks crashed {crashes} times");
+    for entry in ["entry-0", "entry-1"] {
+        eventually("the entry serves conversations without the message", || async {
+            let response = fleet
+                .send_conversation(entry, &["instructions", "hello again"])
+                .await
+                .ok()?;
+            (response.status == StatusCode::OK).then_some(())
+        })
+        .await?;
+    }
+    Ok(())
+}
--- a/crates/sparscale_journal/src/state.rs
+++ b/crates/sparscale_journal/src/state.rs
@@ -195,11 +195,11 @@
         self.bindings.get(key)
     }
 
-    /// Returns the strikes against `request`: the targets that terminated while they processed it.
-    pub fn strikes_of(&self, request: Fingerprint) -> impl Iterator<Item = Strike> {
+    /// Returns the strikes against a request or the parts of its prompt: the targets that terminated meanwhile.
+    pub fn strikes_of(&self, fingerprints: &[Fingerprint]) -> impl Iterator<Item = Strike> {
         self.strikes
             .iter()
-            .filter(move |strike| strike.request == request)
+            .filter(|strike| fingerprints.contains(&strike.request))
             .copied()
     }
 
--- a/crates/sparscale_standin/src/group.rs
+++ b/crates/sparscale_standin/src/group.rs
@@ -24,6 +24,10 @@
 use crate::fault::{Fault, Faults};
 use crate::server;
 
+/// Message that terminates the process of the group as soon as it is in a prompt.
+pub const CRASH_MESSAGE: &str = "this message crashes ranks";
+/// Exit code after such a prompt.
+const CRASH_EXIT_CODE: i32 = 3;
 /// Interval at which a stalled group checks whether it can step.
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -185,6 +189,10 @@
         .iter()
         .map(|message| message.content.as_str())
         .collect();
+    if prompt.contains(CRASH_MESSAGE) {
+        log::warn!("crash requested by a prompt; exiting");
+        std::process::exit(CRASH_EXIT_CODE);
+    }
     let sequence = Sequence::new(
         header("x-request-id").unwrap_or_default().to_owned(),
         header("x-priority").and_then(|value| value.parse().ok()).unwrap_or(0),
--- a/crates/sparscale_standin/src/lib.rs
+++ b/crates/sparscale_standin/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod weights;
 
 pub use fault::{Fault, Outage};
+pub use group::CRASH_MESSAGE;
 pub use service::{CRASH_BODY, CRASH_DELAY, DELAYED_CRASH_BODY};
--- a/crates/sparscale_wire/src/frame.rs
+++ b/crates/sparscale_wire/src/frame.rs
@@ -315,6 +315,8 @@
     TargetEnded {
         /// Description of the failure.
         message: String,
+        /// Identifies the end; the same for all requests that it interrupted.
+        end: u64,
     },
 }
 
--- a/crates/sparscale_wire/src/stream.rs
+++ b/crates/sparscale_wire/src/stream.rs
@@ -11,7 +11,7 @@
 use crate::frame::Frame;
 
 /// Version of the frame format, raised with each change of the encoding: two releases run side by side in a rollout.
-const FRAME_VERSION: u8 = 2;
+const FRAME_VERSION: u8 = 3;
 /// Longest accepted frame; a longer one is rejected before its content is read.
 const MAX_FRAME_BYTES: usize = 2 << 20;
 /// QUIC error code with which a receiver stops a stream that it no longer reads.
