Soak: crashing prompt parts, one busy entry, responses that end with their connection

Change: plan parts (requests that share a part which crashes targets, at all entries, beside kills, restarts and responses that end with their connection) and plan crowded (all new connections reach one entry, callers keep none). Checks: at most three sends of a part by entries in contact after five crashes, at most half of the sound requests with the same first part held back from 6 s on, an entry that all callers reach serves at least three quarters as often as before. Conclusion: crowded has no group of ranks, so it does not exercise the queue; policy's one_busy_entry does.

--- a/crates/sparscale_soak/src/behavior.rs
+++ b/crates/sparscale_soak/src/behavior.rs
@@ -17,4 +17,6 @@
     RequestingBackoff,
     /// Runs requests and announces that it is draining.
     Draining,
+    /// Runs requests and ends its responses with their connections.
+    Undelimited,
 }
--- a/crates/sparscale_soak/src/caller.rs
+++ b/crates/sparscale_soak/src/caller.rs
@@ -1,7 +1,6 @@
 //! Callers: each sends requests to one entry, one at a time, and records the outcomes.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -19,7 +18,7 @@
 
 use crate::environment::Environment;
 use crate::event_log::{Answer, CallerRequest, Outcome, SharedEventLog};
-use crate::layout::{CALLER_TIMEOUT, HOST, INITIAL_KEY_COUNT, LATER_KEY_COUNT, ROUTES};
+use crate::layout::{CALLER_TIMEOUT, HOST, INITIAL_KEY_COUNT, LATER_KEY_COUNT, Net, ROUTES};
 use crate::platform::RouteKind;
 
 /// Time past the deadline announced in the request after which a caller records that no response came.
@@ -40,7 +39,6 @@
 /// A caller of one entry.
 pub(crate) struct Caller {
     pub(crate) entry: usize,
-    address: SocketAddr,
     connection_use: ConnectionUse,
     header_names: HeaderNames,
     event_log: Arc<SharedEventLog>,
@@ -48,6 +46,24 @@
     idle_connection: Option<SendRequest<Full<Bytes>>>,
     /// Body of all its requests; if none, each request gets a body of its own.
     pub(crate) body: Option<&'static str>,
+    /// Part of the prompts of all its requests that crashes targets.
+    pub(crate) crashing_part: Option<String>,
+    net: Net,
+    busy_entry: Arc<BusyEntry>,
+}
+
+/// The entry that all new connections of callers reach, if the load balancer in front concentrates them.
+#[derive(Debug, Default)]
+pub(crate) struct BusyEntry(Mutex<Option<usize>>);
+
+impl BusyEntry {
+    pub(crate) fn set(&self, entry: Option<usize>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = entry;
+    }
+
+    fn get(&self) -> Option<usize> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Caller {
@@ -60,13 +76,15 @@
     ) -> Self {
         Self {
             entry,
-            address: environment.net.caller_address(entry),
             connection_use,
             header_names: environment.platform.header_names(),
             event_log: Arc::clone(&environment.event_log),
             random,
             idle_connection: None,
             body: None,
+            crashing_part: None,
+            net: environment.net,
+            busy_entry: Arc::clone(&environment.busy_entry),
         }
     }
 
@@ -89,7 +107,13 @@
         let route = &ROUTES[route];
         let id = format!("{:016x}", self.random.random::<u64>());
         let sent_at = Instant::now();
-        let exchange = self.exchange(route.prefix, &id, key);
+        let busy_entry = self.busy_entry.get();
+        if busy_entry.is_some() {
+            // Callers open new connections more often, and the load balancer hands them all to one entry.
+            self.idle_connection = None;
+        }
+        let entry = busy_entry.unwrap_or(self.entry);
+        let exchange = self.exchange(entry, route.prefix, &id, key);
         let outcome = tokio::time::timeout(CALLER_TIMEOUT + CALLER_TIMEOUT_MARGIN, exchange)
             .await
             .unwrap_or(Outcome::Nothing);
@@ -99,9 +123,10 @@
         }
         self.event_log.lock().caller_requests.push(CallerRequest {
             request_id: id,
-            entry: self.entry,
+            entry,
             kind: route.kind,
             key: key.to_owned(),
+            is_crashing: self.body.is_some() || self.crashing_part.is_some(),
             sent_at,
             ended_at: Instant::now(),
             outcome: outcome.clone(),
@@ -109,8 +134,8 @@
         outcome
     }
 
-    async fn exchange(&mut self, prefix: &str, id: &str, key: &str) -> Outcome {
-        let Some(mut connection) = self.connection().await else {
+    async fn exchange(&mut self, entry: usize, prefix: &str, id: &str, key: &str) -> Outcome {
+        let Some(mut connection) = self.connection(entry).await else {
             return Outcome::Unreached;
         };
         let Ok(request) = self.request(prefix, id, key) else {
@@ -120,19 +145,19 @@
             return Outcome::Closed;
         };
         let response = read_response(response, &self.header_names).await;
-        if self.connection_use == ConnectionUse::KeepAlive && response.whole {
+        if self.connection_use == ConnectionUse::KeepAlive && response.whole && entry == self.entry {
             self.idle_connection = Some(connection);
         }
         Outcome::Answered(response)
     }
 
-    async fn connection(&mut self) -> Option<SendRequest<Full<Bytes>>> {
+    async fn connection(&mut self, entry: usize) -> Option<SendRequest<Full<Bytes>>> {
         if let Some(mut idle_connection) = self.idle_connection.take()
             && idle_connection.ready().await.is_ok()
         {
             return Some(idle_connection);
         }
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.net.caller_address(entry))).await;
         let stream = connected.ok()?.ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
@@ -148,12 +173,22 @@
             .header(AUTHORIZATION, format!("Bearer {key}"))
             .header(&self.header_names.request_id, id)
             .header(&self.header_names.deadline, CALLER_TIMEOUT.as_millis().to_string())
+            .header(
+                &self.header_names.prompt_parts,
+                prompt_parts(self.crashing_part.as_deref(), id, key),
+            )
             .body(Full::new(Bytes::from(
                 self.body.map_or_else(|| request_body(id), str::to_owned),
             )))
     }
 }
 
+/// Parts of a prompt: one that all requests with `key` share, one that crashes targets, if any, and the request's own.
+fn prompt_parts(crashing_part: Option<&str>, id: &str, key: &str) -> String {
+    let crashing_part = crashing_part.map(|part| format!("{part}:200,")).unwrap_or_default();
+    format!("of-{key}:40,{crashing_part}{id}:100")
+}
+
 /// Body of the request with this id.
 pub(crate) fn request_body(id: &str) -> String {
     format!("body of {id}")
--- a/crates/sparscale_soak/src/check.rs
+++ b/crates/sparscale_soak/src/check.rs
@@ -1,6 +1,8 @@
 //! Checks the promises of the system against what callers and targets observed.
 
 mod backpressure;
+mod crashes;
+mod crowd;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -14,8 +16,6 @@
 
 /// Time without faults after which an entry and the store count as in contact (`contact_ms` in the requirements).
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
-/// Sends that may still follow for a request under which three targets have crashed.
-const MAX_LATE_CRASH_SENDS: usize = 3;
 /// Longest time that a request may spend on a slow link.
 const MAX_TRANSIT_TIME: Duration = Duration::from_millis(400);
 /// Time past its deadline by which a final response must have arrived; the margin allows for a busy machine.
@@ -64,7 +64,8 @@
     }
     violations.extend(ran_after_revocation(event_log, bounds));
     violations.extend(exceeds_retry_budget(event_log, bounds));
-    violations.extend(excess_crash_sends(event_log));
+    violations.extend(crashes::all(event_log));
+    violations.extend(crowd::all(event_log));
     violations.extend(backpressure::all(event_log));
     let incidents = event_log.incidents.iter().map(|incident| Violation {
         promise: "process",
@@ -290,38 +291,6 @@
     })
 }
 
-/// Reports a request that crashed three targets and then reached targets more than three more times, counting only
-/// entries that were in contact for long enough to know of the crashes.
-fn excess_crash_sends(event_log: &EventLog) -> Vec<Violation> {
-    let paths: BTreeSet<&str> = event_log.crashes.iter().map(|crash| crash.path.as_str()).collect();
-    let entries: BTreeMap<&str, usize> = event_log
-        .caller_requests
-        .iter()
-        .map(|caller_request| (caller_request.request_id.as_str(), caller_request.entry))
-        .collect();
-    let check_path = |path: &str| {
-        let crashes = event_log.crashes.iter().filter(|crash| crash.path == path);
-        let known_at = crashes.clone().nth(2)?.crashed_at + CONTACT_WINDOW;
-        let late_sends = event_log.arrivals.iter().filter(|arrival| {
-            let is_late = arrival.crash_path.as_deref() == Some(path) && arrival.arrived_at > known_at;
-            let entry = entries.get(arrival.request_id.as_str());
-            is_late
-                && entry.is_some_and(|entry| {
-                    is_in_contact(&event_log.fault_periods, *entry, arrival.arrived_at, CONTACT_WINDOW)
-                })
-        });
-        let late_send_count = late_sends.count();
-        (late_send_count > MAX_LATE_CRASH_SENDS).then(|| Violation {
-            promise: "deadly",
-            details: format!(
-                "{path}: {} ended, {late_send_count} sends after three had",
-                crashes.count()
-            ),
-        })
-    };
-    paths.into_iter().filter_map(check_path).collect()
-}
-
 /// Whether no fault affected the entry or the store during `window` before `at`.
 fn is_in_contact(fault_periods: &[FaultPeriod], entry: usize, at: Instant, window: Duration) -> bool {
     !fault_periods.iter().any(|period| {
--- a/crates/sparscale_soak/src/environment.rs
+++ b/crates/sparscale_soak/src/environment.rs
@@ -9,6 +9,7 @@
 use sparscale_fleet::Process;
 use tokio::sync::Mutex;
 
+use crate::caller::BusyEntry;
 use crate::engines::Engines;
 use crate::event_log::{Incident, SharedEventLog};
 use crate::layout::{GROUP_NAME, GROUP_SERVICE, HOST, INITIAL_KEY_COUNT, Net, PEER_PORT, ROUTES, SERVICE, Size};
@@ -57,6 +58,7 @@
     pub(crate) store_proxies: Vec<Proxy>,
     pub(crate) targets: Vec<TargetHandle>,
     pub(crate) engines: Arc<Engines>,
+    pub(crate) busy_entry: Arc<BusyEntry>,
     /// The entries, then the agents.
     processes: Vec<ManagedProcess>,
     configuration: Mutex<Configuration>,
@@ -134,6 +136,7 @@
             store_proxies,
             targets,
             engines,
+            busy_entry: Arc::default(),
             processes,
             configuration: Mutex::new(configuration),
         };
--- a/crates/sparscale_soak/src/event_log.rs
+++ b/crates/sparscale_soak/src/event_log.rs
@@ -22,8 +22,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Arrival {
     pub(crate) request_id: String,
-    /// Path of a request that crashes its target; none for others.
-    pub(crate) crash_path: Option<String>,
+    /// Why the request crashes its target; none for others.
+    pub(crate) crash_cause: Option<CrashCause>,
     pub(crate) arrived_at: Instant,
     /// The start of the target that the request reached.
     pub(crate) target_start: TargetStart,
@@ -41,11 +41,19 @@
     pub(crate) started_at_ms: u64,
 }
 
+/// What crashes each target that runs it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CrashCause {
+    /// The request with this path.
+    Request(String),
+    /// Any request with this part in its prompt.
+    Part(String),
+}
+
 /// A request crashed a target.
 #[derive(Debug, Clone)]
 pub(crate) struct Crash {
-    /// Path of the request.
-    pub(crate) path: String,
+    pub(crate) cause: CrashCause,
     pub(crate) crashed_at: Instant,
 }
 
@@ -94,6 +102,8 @@
     pub(crate) entry: usize,
     pub(crate) kind: RouteKind,
     pub(crate) key: String,
+    /// Whether the request crashes its target.
+    pub(crate) is_crashing: bool,
     pub(crate) sent_at: Instant,
     pub(crate) ended_at: Instant,
     pub(crate) outcome: Outcome,
--- a/crates/sparscale_soak/src/fault.rs
+++ b/crates/sparscale_soak/src/fault.rs
@@ -68,6 +68,10 @@
     RestartAllTargets { expired: bool },
     /// A request that crashes every target that runs it reaches an entry again and again.
     CrashRequests { entry: usize, route: usize },
+    /// Requests that share a part of their prompt, which crashes every target, reach all entries again and again.
+    CrashingPart { part: u16 },
+    /// Nearly all new connections of callers reach one entry.
+    BusyEntry { entry: usize },
     /// The store is briefly unavailable and restored from a snapshot of age `snapshot_age`; `before` happens right
     /// before.
     Restore {
@@ -125,6 +129,11 @@
     Groups,
     /// Single faults, requests that crash the targets that run them, and restarts of all entries.
     Deadly,
+    /// Single faults, parts of prompts that crash targets, responses that end with their connection, and restarts of all
+    /// entries.
+    Parts,
+    /// Callers that all reach one entry, while keys change and processes get SIGHUPs.
+    Crowded,
     /// Single faults, targets that limit their rate, request a backoff or announce that they drain, and restarts of all
     /// entries.
     Pressed,
@@ -193,6 +202,34 @@
         }
     }
 
+    fn draw_parts(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let entry = random.random_range(0..size.entries);
+        match random.random_range(0..10) {
+            0..=3 => Self::CrashingPart { part: random.random() },
+            4 => Self::KillAll {
+                repeat_count: 1,
+                delay: Duration::ZERO,
+            },
+            5 => Self::Kill { entry },
+            6 | 7 => Self::TargetBehavior {
+                target: random.random_range(0..size.targets),
+                behavior: Behavior::Undelimited,
+            },
+            _ => Self::draw(random, size),
+        }
+    }
+
+    fn draw_crowded(random: &mut ChaCha8Rng, size: Size) -> Self {
+        let entry = random.random_range(0..size.entries);
+        match random.random_range(0..4) {
+            0 | 1 => Self::BusyEntry { entry },
+            2 => Self::HangUp { entry },
+            _ => Self::Revoke {
+                key: random.random_range(1..INITIAL_KEY_COUNT),
+            },
+        }
+    }
+
     fn draw_pressed(random: &mut ChaCha8Rng, size: Size) -> Self {
         let target = random.random_range(0..size.targets);
         let behavior = if random.random() {
@@ -338,6 +375,8 @@
             | Self::CrashTarget { target }
             | Self::RestartTarget { target, .. } => Resource::Target(target),
             Self::Stall | Self::ForeignRecords { .. } | Self::CrashRequests { .. } => Resource::Nothing,
+            Self::CrashingPart { .. } => Resource::CrashingPart,
+            Self::BusyEntry { .. } => Resource::Callers,
             Self::Revoke { key } => Resource::Key(key),
             Self::KillAgent { rank } | Self::FreezeAgent { rank } => Resource::Agent(rank),
             Self::KillLeader | Self::FreezeLeader | Self::KillAgents => Resource::Agents,
@@ -364,6 +403,8 @@
     Targets,
     Key(usize),
     Keys,
+    CrashingPart,
+    Callers,
     Nothing,
 }
 
@@ -427,6 +468,8 @@
             Plan::Returns => Fault::draw_returns(random, size),
             Plan::Restores => Fault::draw_restores(random, size),
             Plan::Deadly => Fault::draw_deadly(random, size),
+            Plan::Parts => Fault::draw_parts(random, size),
+            Plan::Crowded => Fault::draw_crowded(random, size),
             Plan::Groups => Fault::draw_groups(random, size),
             Plan::Pressed => Fault::draw_pressed(random, size),
         };
--- a/crates/sparscale_soak/src/injection.rs
+++ b/crates/sparscale_soak/src/injection.rs
@@ -13,7 +13,7 @@
 use crate::environment::Environment;
 use crate::event_log::{Change, FaultPeriod};
 use crate::fault::{BeforeRestore, Fault, PlannedFault};
-use crate::layout::{CRASH_BODY, INITIAL_KEY_COUNT, LATER_KEY_COUNT};
+use crate::layout::{CRASH_BODY, CRASHING_PART_PREFIX, INITIAL_KEY_COUNT, LATER_KEY_COUNT};
 use crate::proxy::Link;
 
 /// Time after which the store drops the registration of a target that stops renewing it.
@@ -36,6 +36,11 @@
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 /// Delay between two requests that crash their targets.
 const CRASH_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which requests with a crashing part are sent beyond the duration of their fault: long enough to see whether
+/// sound requests are served meanwhile.
+const CRASHING_PART_TIME: Duration = Duration::from_secs(10);
+/// Time for which callers reach one entry beyond the duration of their fault.
+const BUSY_ENTRY_TIME: Duration = Duration::from_secs(6);
 /// Time that a process of a series runs before it is killed or stopped again.
 const UPTIME_BETWEEN_RESTARTS: Duration = Duration::from_millis(900);
 /// Longest wait for a map switch, and interval at which the group is polled for one.
@@ -142,6 +147,12 @@
         }
         Fault::Restore { snapshot_age, before } => restore(environment, snapshot_age, before, duration).await,
         Fault::CrashRequests { entry, route } => send_crash_requests(environment, entry, route, duration).await,
+        Fault::CrashingPart { part } => send_crashing_part(environment, part, duration).await,
+        Fault::BusyEntry { entry } => {
+            environment.busy_entry.set(Some(entry));
+            tokio::time::sleep(duration + BUSY_ENTRY_TIME).await;
+            environment.busy_entry.set(None);
+        }
         Fault::DrainTarget { target } => drain(environment, target).await,
         Fault::DrainByHeader { target } => drain_by_header(environment, target).await,
         Fault::CrashTarget { target } => crash_target(environment, target, duration).await,
@@ -206,6 +217,22 @@
     }
 }
 
+/// Sends requests that share a crashing part, and the first part with the requests of `key-0`, to all entries in turn.
+async fn send_crashing_part(environment: &Environment, part: u16, duration: Duration) {
+    let deadline = Instant::now() + duration + CRASHING_PART_TIME;
+    let stream_routes = [2, 3];
+    for number in 0_usize.. {
+        if Instant::now() >= deadline {
+            return;
+        }
+        let entry = number % environment.size.entries;
+        let mut caller = Caller::new(environment, entry, ConnectionUse::PerRequest, ChaCha8Rng::from_os_rng());
+        caller.crashing_part = Some(format!("{CRASHING_PART_PREFIX}{part:04x}"));
+        caller.send(stream_routes[number % stream_routes.len()], "key-0").await;
+        tokio::time::sleep(CRASH_REQUEST_INTERVAL).await;
+    }
+}
+
 /// Replaces target `target` whenever it crashes and registers the new incarnation; never returns.
 pub(crate) async fn replace_after_crashes(environment: Arc<Environment>, target: usize) {
     let handle = &environment.targets[target];
--- a/crates/sparscale_soak/src/layout.rs
+++ b/crates/sparscale_soak/src/layout.rs
@@ -53,6 +53,8 @@
 pub(crate) const EVENTS_PER_STREAM: u64 = 12;
 /// Body of a request that crashes every target that runs it.
 pub(crate) const CRASH_BODY: &str = "crashes what runs it";
+/// Parts of prompts that begin so crash every target that runs a request with them.
+pub(crate) const CRASHING_PART_PREFIX: &str = "bad";
 /// Rate limit of a rate-limited target, in requests per second.
 pub(crate) const RATE_LIMIT_PER_SEC: f64 = 1.0;
 /// Backoff that a target requests.
--- a/crates/sparscale_soak/src/round.rs
+++ b/crates/sparscale_soak/src/round.rs
@@ -68,7 +68,14 @@
 pub(crate) async fn run(platform: Arc<dyn Platform>, round: Round, directory: &Path) -> Result<Report, String> {
     let net = Net::new(std::process::id(), ROUNDS_STARTED.fetch_add(1, Ordering::SeqCst));
     let bounds = match round.plan {
-        Plan::Single | Plan::Returns | Plan::Restores | Plan::Groups | Plan::Deadly | Plan::Pressed => BOUNDS,
+        Plan::Single
+        | Plan::Returns
+        | Plan::Restores
+        | Plan::Groups
+        | Plan::Deadly
+        | Plan::Parts
+        | Plan::Crowded
+        | Plan::Pressed => BOUNDS,
         Plan::Series => SERIES_BOUNDS,
     };
     let environment = Arc::new(Environment::start(platform, net, round.size, bounds, directory).await?);
--- a/crates/sparscale_soak/src/target.rs
+++ b/crates/sparscale_soak/src/target.rs
@@ -8,15 +8,16 @@
 use bytes::Bytes;
 use futures::StreamExt as _;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sparscale_gateway::HeaderNames;
 use tokio::sync::watch;
 
 use crate::behavior::Behavior;
-use crate::event_log::{Arrival, Crash, Run, SharedEventLog, TargetStart};
-use crate::layout::{BACKOFF, CRASH_BODY, EVENTS_PER_STREAM, RATE_LIMIT_PER_SEC};
+use crate::event_log::{Arrival, Crash, CrashCause, Run, SharedEventLog, TargetStart};
+use crate::layout::{BACKOFF, CRASH_BODY, CRASHING_PART_PREFIX, EVENTS_PER_STREAM, RATE_LIMIT_PER_SEC};
 use crate::server::{self, Aborted, Content};
 
 /// Time that a plain request runs, in milliseconds.
@@ -111,10 +112,10 @@
         let Ok(body) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
             return self.rejection(StatusCode::BAD_REQUEST, &id);
         };
-        let crash_path = (body == CRASH_BODY).then(|| head.uri.path().to_owned());
+        let crash_cause = self.crash_cause(&head, &body);
         self.event_log.lock().arrivals.push(Arrival {
             request_id: id.clone(),
-            crash_path: crash_path.clone(),
+            crash_cause: crash_cause.clone(),
             arrived_at: Instant::now(),
             target_start: TargetStart {
                 target: self.index,
@@ -139,9 +140,9 @@
             workspace: header_text(&head.headers, &self.header_names.workspace),
             started_at: Instant::now(),
         });
-        if let Some(path) = crash_path {
+        if let Some(cause) = crash_cause {
             let crashed_at = Instant::now();
-            self.event_log.lock().crashes.push(Crash { path, crashed_at });
+            self.event_log.lock().crashes.push(Crash { cause, crashed_at });
             self.crashes.send_modify(|crashes| *crashes += 1);
             // The proxy in front of the target resets its connections.
             return std::future::pending().await;
@@ -171,9 +172,25 @@
         if is_stream {
             insert_header(&mut response, &CONTENT_TYPE, "text/event-stream");
         }
+        if state.behavior == Behavior::Undelimited {
+            // In this version, a body without a length ends with its connection.
+            *response.version_mut() = Version::HTTP_10;
+            response = response.map(without_length);
+        }
         response
     }
 
+    /// Why a request crashes this target, if it does.
+    fn crash_cause(&self, head: &Parts, body: &[u8]) -> Option<CrashCause> {
+        if body == CRASH_BODY.as_bytes() {
+            return Some(CrashCause::Request(head.uri.path().to_owned()));
+        }
+        let parts = header_text(&head.headers, &self.header_names.prompt_parts);
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        let crashing_part = ids.find(|id| id.starts_with(CRASHING_PART_PREFIX))?;
+        Some(CrashCause::Part(crashing_part.to_owned()))
+    }
+
     fn rejection(&self, status: StatusCode, id: &str) -> Response<Content> {
         let mut response = self.response(status, id, full_body(Bytes::new()));
         insert_header(&mut response, &self.header_names.not_run, "1");
@@ -221,6 +238,11 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// The same body, whose length is not known beforehand.
+fn without_length(body: Content) -> Content {
+    StreamBody::new(body.into_data_stream().map(|data| data.map(Frame::data))).boxed_unsync()
+}
+
 fn full_body(bytes: Bytes) -> Content {
     Full::new(bytes)
         .map_err(|never: Infallible| match never {})
