Quarantine: other explanations are searched only for suspected parts

Cause: for each request with a familiar part that had any uncleared end, all tracked histories were scanned per end. Change: the scan runs only if the part is suspected without it.

--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -71,12 +71,17 @@
     fn part_hold(&self, part: &Fingerprint, content: &Content, delay: f64, now_ms: u64) -> Option<Hold> {
         let history = self.requests.get(part)?;
         let is_familiar = history.is_familiar();
-        let is_explained = |end| is_familiar && self.is_explained(part, end);
-        let deadline_ms = policy::part_hold_deadline_ms(&history.as_part(is_explained), delay)?;
+        let mut deadline_ms = policy::part_hold_deadline_ms(&history.as_part(|_| false), delay)?;
+        if is_familiar {
+            // Other explanations are searched only if the part is suspected without them.
+            let unexplained = history.as_part(|end| self.is_explained(part, end));
+            deadline_ms = policy::part_hold_deadline_ms(&unexplained, delay)?;
+        }
+        let remaining = remaining_until(deadline_ms, now_ms)?;
         Some(Hold {
             cause: HoldCause::Part(*part),
             end_count: history.uncleared_count(),
-            remaining: remaining_until(deadline_ms, now_ms)?,
+            remaining,
             is_probed: !is_familiar && self.is_other_part_suspected(history, content),
         })
     }
