--- a/crates/sparscale_belief/src/quarantine.rs
+++ b/crates/sparscale_belief/src/quarantine.rs
@@ -79,7 +79,7 @@
     pub fn record_end(&self, content: &Content, end: EndedStart) -> usize {
         let now_ms = unix_ms();
         let strike = |fingerprint| Strike {
-            request: fingerprint,
+            subject: fingerprint,
             ended_start: end,
             at_ms: now_ms,
             status: StrikeStatus::Counted,
--- a/crates/sparscale_entry/src/quarantine.rs
+++ b/crates/sparscale_entry/src/quarantine.rs
@@ -84,7 +84,7 @@
         let content = content(job);
         let now_ms = unix_ms();
         let strike = |fingerprint| Strike {
-            request: fingerprint,
+            subject: fingerprint,
             ended_start: EndedStart::of(&sent.target_name, Some(end)),
             at_ms: now_ms,
             status: StrikeStatus::Counted,
@@ -132,7 +132,7 @@
                     if matches!(&append_result, Ok(receipt) if receipt.verdict == Verdict::Accepted) {
                         break;
                     }
-                    log::info!(target: DECISION, decision = "strikes_not_kept", content = strike.request.log_prefix().as_str(); "the log did not accept a strike; retrying");
+                    log::info!(target: DECISION, decision = "strikes_not_kept", content = strike.subject.log_prefix().as_str(); "the log did not accept a strike; retrying");
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 
 mod abandon;
 mod choice;
+mod quarantine;
 mod queueing;
 mod throttling;
 
@@ -24,7 +25,6 @@
 use sparscale_policy::response_tracker::PendingResponse;
 use sparscale_policy::retry_schedule::RetrySchedule;
 use sparscale_policy::{caller_timeout, gate};
-use sparscale_quarantine::{Content, EndedStart, HoldCause};
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
@@ -332,41 +332,6 @@
         Err(Refusal::new(reason))
     }
 
-    /// The refusal of a request that is quarantined because targets terminated while running it, or others with a part
-    /// of its prompt.
-    pub(crate) fn quarantine_refusal(&self, content: &Content) -> Option<Refusal> {
-        let hold = self.board.quarantine.active_hold(content)?;
-        let (cause, fingerprint) = match hold.cause {
-            HoldCause::Request(request) => ("request", request),
-            HoldCause::Part(part) => ("part", part),
-        };
-        log::info!(target: DECISION, decision = "held", content = content.request.log_prefix().as_str(), cause, of = fingerprint.log_prefix().as_str(), ends = hold.end_count, left_ms = hold.remaining.as_millis() as u64; "request is quarantined because targets terminated while running it or others with a part of its prompt");
-        Some(Refusal::with_retry_after(Reason::Quarantined, hold.remaining))
-    }
-
-    /// Checks whether the target that did not complete its response has terminated or only the connection was lost. A
-    /// termination is recorded against the request, which may have caused it.
-    pub(crate) async fn investigate_lost_response(&self, job: &Job, instance: &Instance, error: ResponseError) {
-        let terminated =
-            error == ResponseError::ConnectionLost && self.target_client.pool.has_terminated(instance).await;
-        if terminated {
-            self.board
-                .quarantine
-                .record_end(&job.outbound.content, EndedStart::from(instance.start));
-        }
-        log::info!(
-            target: DECISION,
-            decision = "lost_answer",
-            request = job.outbound.head.id_text(),
-            content = job.outbound.content.request.log_prefix().as_str(),
-            parts:? = job.outbound.head.shared_parts,
-            at = instance.target.id.as_str(),
-            loss = error.name(),
-            ended = terminated;
-            "no complete response from the target"
-        );
-    }
-
     /// Whether the route and the retry budget allow another attempt, which is then charged to the budget.
     pub(crate) fn may_retry(&self, job: &Job, history: &AttemptHistory) -> bool {
         if history.attempted_targets.len() >= job.route().max_attempts as usize {
--- /dev/null
+++ b/crates/sparscale_gateway/src/exchange/quarantine.rs
@@ -0,0 +1,46 @@
+//! Keeps requests from targets that they, or parts of their prompts, have crashed, and records such crashes.
+
+use sparscale_catalog::Instance;
+use sparscale_quarantine::{Content, EndedStart, HoldCause};
+use sparscale_telemetry::DECISION;
+
+use super::{Gateway, Job};
+use crate::attempt::ResponseError;
+use crate::refusal::{Reason, Refusal};
+
+impl Gateway {
+    /// The refusal of a request that is quarantined because targets terminated while running it, or others with a part
+    /// of its prompt.
+    pub(crate) fn quarantine_refusal(&self, content: &Content) -> Option<Refusal> {
+        let hold = self.board.quarantine.active_hold(content)?;
+        let (cause, fingerprint) = match hold.cause {
+            HoldCause::Request(request) => ("request", request),
+            HoldCause::Part(part) => ("part", part),
+        };
+        log::info!(target: DECISION, decision = "held", content = content.request.log_prefix().as_str(), cause, of = fingerprint.log_prefix().as_str(), ends = hold.end_count, left_ms = hold.remaining.as_millis() as u64; "request is quarantined because targets terminated while running it or others with a part of its prompt");
+        Some(Refusal::with_retry_after(Reason::Quarantined, hold.remaining))
+    }
+
+    /// Checks whether the target that did not complete its response has terminated or only the connection was lost. A
+    /// termination is recorded against the request, which may have caused it.
+    pub(crate) async fn investigate_lost_response(&self, job: &Job, instance: &Instance, error: ResponseError) {
+        let terminated =
+            error == ResponseError::ConnectionLost && self.target_client.pool.has_terminated(instance).await;
+        if terminated {
+            self.board
+                .quarantine
+                .record_end(&job.outbound.content, EndedStart::from(instance.start));
+        }
+        log::info!(
+            target: DECISION,
+            decision = "lost_answer",
+            request = job.outbound.head.id_text(),
+            content = job.outbound.content.request.log_prefix().as_str(),
+            parts:? = job.outbound.head.shared_parts,
+            at = instance.target.id.as_str(),
+            loss = error.name(),
+            ended = terminated;
+            "no complete response from the target"
+        );
+    }
+}
--- a/crates/sparscale_journal/src/fold.rs
+++ b/crates/sparscale_journal/src/fold.rs
@@ -429,7 +429,7 @@
     /// Records a strike; for a known strike only the standing may change, from counting to cleared.
     fn record_strike(&mut self, strike: Strike) {
         let is_same_strike =
-            |known: &&mut Strike| (known.request, known.ended_start) == (strike.request, strike.ended_start);
+            |known: &&mut Strike| (known.subject, known.ended_start) == (strike.subject, strike.ended_start);
         if let Some(known) = self.strikes.iter_mut().find(is_same_strike) {
             known.status = known.status.max(strike.status);
             return;
--- a/crates/sparscale_journal/src/state.rs
+++ b/crates/sparscale_journal/src/state.rs
@@ -199,7 +199,7 @@
     pub fn strikes_of(&self, fingerprints: &[Fingerprint]) -> impl Iterator<Item = Strike> {
         self.strikes
             .iter()
-            .filter(|strike| fingerprints.contains(&strike.request))
+            .filter(|strike| fingerprints.contains(&strike.subject))
             .copied()
     }
 
--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -56,7 +56,7 @@
     }
 
     fn request_hold(&self, request: &Fingerprint, now_ms: u64) -> Option<Hold> {
-        let history = self.requests.get(request)?;
+        let history = self.histories.get(request)?;
         let end_count = history.uncleared_count();
         let hold = policy::request_hold(end_count, self.may_lack_strikes(now_ms).then_some(1))?;
         Some(Hold {
@@ -69,7 +69,7 @@
 
     /// The hold of `content` because of one of its parts.
     fn part_hold(&self, part: &Fingerprint, content: &Content, delay: f64, now_ms: u64) -> Option<Hold> {
-        let history = self.requests.get(part)?;
+        let history = self.histories.get(part)?;
         let is_familiar = history.is_familiar();
         let mut deadline_ms = policy::part_hold_deadline_ms(&history.as_part(|_| false), delay)?;
         if is_familiar {
@@ -88,7 +88,7 @@
 
     /// Whether another request or part is a better explanation of `end` than the familiar part `part`.
     fn is_explained(&self, part: &Fingerprint, end: EndedStart) -> bool {
-        let others = self.requests.iter().filter(|(other, _)| *other != part);
+        let others = self.histories.iter().filter(|(other, _)| *other != part);
         let mut with_end = others.filter(|(_, history)| history.ends.contains_key(&end));
         with_end.any(|(_, history)| policy::is_explanation(&history.as_part(|_| false)))
     }
@@ -96,7 +96,7 @@
     /// Whether a part that `content` lacks explains all terminations in `history`: a request without that part shows
     /// which of the two is the cause.
     fn is_other_part_suspected(&self, history: &History, content: &Content) -> bool {
-        let others = self.requests.iter().filter(|(other, other_history)| {
+        let others = self.histories.iter().filter(|(other, other_history)| {
             other.is_part() && !other_history.is_familiar() && !content.shared_parts.contains(other)
         });
         let mut ends = others.map(|(_, other_history)| &other_history.ends);
--- a/crates/sparscale_quarantine/src/strike.rs
+++ b/crates/sparscale_quarantine/src/strike.rs
@@ -96,7 +96,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Strike {
     /// The request that the target ran, or a part of its prompt.
-    pub request: Fingerprint,
+    #[serde(rename = "request")]
+    pub subject: Fingerprint,
     /// The start of the target that terminated.
     #[serde(rename = "end")]
     pub ended_start: EndedStart,
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -15,7 +15,7 @@
 /// ones may arrive again anywhere, also where the next strike is not known yet.
 const HISTORY_LOSS_CAUTION: Duration = Duration::from_mins(10);
 /// Most requests and prompt parts that are tracked, at about 200 bytes each.
-const MAX_REQUESTS: usize = 4_096;
+const MAX_SUBJECTS: usize = 4_096;
 
 /// Where a strike came from, which decides whether this process has to write it to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,7 +31,7 @@
 /// All requests that were running on targets which terminated, and the parts of their prompts.
 #[derive(Debug, Default)]
 pub struct Tracker {
-    pub(crate) requests: HashMap<Fingerprint, History>,
+    pub(crate) histories: HashMap<Fingerprint, History>,
     /// Parts with which this process has received complete responses.
     sound_parts: SoundParts,
     pub(crate) probes: HashMap<Fingerprint, Probe>,
@@ -41,8 +41,8 @@
 impl Tracker {
     /// Merges a strike at `now_ms`; returns whether it changed anything.
     pub fn merge(&mut self, strike: Strike, source: StrikeSource, now_ms: u64) -> bool {
-        self.evict_if_full(strike.request);
-        let history = self.requests.entry(strike.request).or_default();
+        self.evict_if_full(strike.subject);
+        let history = self.histories.entry(strike.subject).or_default();
         if let Some(record) = history.ends.get_mut(&strike.ended_start) {
             if source == StrikeSource::Store && strike.status == record.status {
                 record.source = StrikeSource::Store;
@@ -70,7 +70,7 @@
             changed_at_ms: now_ms,
             source,
         };
-        let record = mark_familiar(record, self.sound_parts.contains(&strike.request));
+        let record = mark_familiar(record, self.sound_parts.contains(&strike.subject));
         history.ends.insert(strike.ended_start, record);
         history.responses_since_end = 0;
         true
@@ -80,7 +80,7 @@
     /// them: strikes that were not stored yet are lost. The record spreads to other processes like a strike.
     pub fn record_history_loss(&mut self, now_ms: u64) {
         let loss = Strike {
-            request: Fingerprint::HISTORY_LOSS,
+            subject: Fingerprint::HISTORY_LOSS,
             // All processes that start in the same outage make the same record.
             ended_start: EndedStart::numbered(now_ms / millis(HISTORY_LOSS_CAUTION)),
             at_ms: now_ms,
@@ -91,13 +91,13 @@
 
     /// Whether strikes were lost so recently that the request which caused them may arrive again.
     pub(crate) fn may_lack_strikes(&self, now_ms: u64) -> bool {
-        let losses = self.requests.get(&Fingerprint::HISTORY_LOSS);
+        let losses = self.histories.get(&Fingerprint::HISTORY_LOSS);
         losses.is_some_and(|losses| losses.last_end_ms() + millis(HISTORY_LOSS_CAUTION) > now_ms)
     }
 
-    /// Number of targets that terminated under `request`, or with this part, and count against it.
-    pub fn end_count(&self, request: &Fingerprint) -> usize {
-        self.requests.get(request).map_or(0, History::uncleared_count)
+    /// Number of targets that terminated under the request or part `subject` and count against it.
+    pub fn end_count(&self, subject: &Fingerprint) -> usize {
+        self.histories.get(subject).map_or(0, History::uncleared_count)
     }
 
     /// Records a complete response to a request; returns the fingerprints whose strikes that cleared.
@@ -118,7 +118,7 @@
 
     /// Counts a complete response; returns whether that cleared strikes.
     fn count_response(&mut self, fingerprint: Fingerprint, clears: fn(u32, usize) -> bool, now_ms: u64) -> bool {
-        let Some(history) = self.requests.get_mut(&fingerprint) else {
+        let Some(history) = self.histories.get_mut(&fingerprint) else {
             return false;
         };
         history.responses_since_end = history.responses_since_end.saturating_add(1);
@@ -169,7 +169,10 @@
         for strike in strikes {
             changed |= self.merge(*strike, StrikeSource::Store, now_ms);
         }
-        let records = self.requests.values_mut().flat_map(|history| history.ends.values_mut());
+        let records = self
+            .histories
+            .values_mut()
+            .flat_map(|history| history.ends.values_mut());
         for record in records.filter(|record| record.source == StrikeSource::Peer) {
             if record.changed_at_ms + millis(margin) < queried_at_ms {
                 record.source = StrikeSource::Local;
@@ -182,16 +185,19 @@
     /// Handles a store that was restored from an older snapshot: strikes missing from its next content are written
     /// again.
     pub fn mark_stored_unconfirmed(&mut self) {
-        let records = self.requests.values_mut().flat_map(|history| history.ends.values_mut());
+        let records = self
+            .histories
+            .values_mut()
+            .flat_map(|history| history.ends.values_mut());
         for record in records.filter(|record| record.source == StrikeSource::Store) {
             record.source = StrikeSource::Peer;
         }
     }
 
-    /// Removes strikes of requests whose retention time is over, and returns them.
+    /// Removes strikes of requests and parts whose retention time is over, and returns them.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<Strike> {
-        let is_expired = |request: &Fingerprint, history: &History| {
-            let deadline_ms = if *request == Fingerprint::HISTORY_LOSS {
+        let is_expired = |subject: &Fingerprint, history: &History| {
+            let deadline_ms = if *subject == Fingerprint::HISTORY_LOSS {
                 history.last_end_ms() + millis(HISTORY_LOSS_CAUTION)
             } else {
                 history.retention_deadline_ms()
@@ -199,20 +205,20 @@
             deadline_ms <= now_ms
         };
         let dropped = self.strikes().filter(|(strike, _)| {
-            let history = self.requests.get(&strike.request);
-            history.is_some_and(|history| is_expired(&strike.request, history))
+            let history = self.histories.get(&strike.subject);
+            history.is_some_and(|history| is_expired(&strike.subject, history))
         });
         let dropped = dropped.map(|(strike, _)| strike).collect();
-        self.requests.retain(|request, history| !is_expired(request, history));
-        self.probes.retain(|part, _| self.requests.contains_key(part));
+        self.histories.retain(|subject, history| !is_expired(subject, history));
+        self.probes.retain(|part, _| self.histories.contains_key(part));
         dropped
     }
 
     fn strikes(&self) -> impl Iterator<Item = (Strike, &Record)> {
-        self.requests.iter().flat_map(|(request, history)| {
+        self.histories.iter().flat_map(|(subject, history)| {
             history.ends.iter().map(|(end, record)| {
                 let strike = Strike {
-                    request: *request,
+                    subject: *subject,
                     ended_start: *end,
                     at_ms: record.at_ms,
                     status: record.status,
@@ -222,20 +228,20 @@
         })
     }
 
-    /// Evicts requests if there is no capacity for a new one: those with the fewest terminations first, and of these
+    /// Evicts requests and parts if there is no capacity for a new one: those with the fewest terminations first, and of these
     /// the oldest. Many are evicted at once, so that the cost per request stays low during a flood of new ones.
-    fn evict_if_full(&mut self, request: Fingerprint) {
-        if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(&request) {
+    fn evict_if_full(&mut self, subject: Fingerprint) {
+        if self.histories.len() < MAX_SUBJECTS || self.histories.contains_key(&subject) {
             return;
         }
         let priority =
-            |(request, history): (&Fingerprint, &History)| (history.uncleared_count(), history.last_end_ms(), *request);
-        let is_request = |(request, _): &(&Fingerprint, &History)| **request != Fingerprint::HISTORY_LOSS;
+            |(subject, history): (&Fingerprint, &History)| (history.uncleared_count(), history.last_end_ms(), *subject);
+        let is_evictable = |(subject, _): &(&Fingerprint, &History)| **subject != Fingerprint::HISTORY_LOSS;
         let mut candidates: Vec<(usize, u64, Fingerprint)> =
-            self.requests.iter().filter(is_request).map(priority).collect();
+            self.histories.iter().filter(is_evictable).map(priority).collect();
         candidates.sort_unstable();
-        for (_, _, request) in &candidates[..MAX_REQUESTS / 8] {
-            self.requests.remove(request);
+        for (_, _, subject) in &candidates[..MAX_SUBJECTS / 8] {
+            self.histories.remove(subject);
         }
     }
 }
--- a/crates/sparscale_quarantine/tests/announcement_cost.rs
+++ b/crates/sparscale_quarantine/tests/announcement_cost.rs
@@ -23,7 +23,7 @@
 fn record_end(tracker: &mut Tracker, content: &Content, end: &str) {
     for request in content.fingerprints() {
         let strike = Strike {
-            request,
+            subject: request,
             ended_start: EndedStart::of(end, None),
             at_ms: NOW_MS,
             status: StrikeStatus::Counted,
--- a/crates/sparscale_quarantine/tests/held_parts.rs
+++ b/crates/sparscale_quarantine/tests/held_parts.rs
@@ -25,7 +25,7 @@
 fn record_end(tracker: &mut Tracker, end: u32, parts: &[&str], at_ms: u64) {
     for fingerprint in content(&format!("crashing-{end}"), parts).fingerprints() {
         let strike = Strike {
-            request: fingerprint,
+            subject: fingerprint,
             ended_start: EndedStart::of(&format!("t-{end}"), None),
             at_ms,
             status: StrikeStatus::Counted,
@@ -190,7 +190,7 @@
 #[test]
 fn status_order_irrelevant() {
     let strike = |status| Strike {
-        request: part(CALLER),
+        subject: part(CALLER),
         ended_start: EndedStart::of("t-1", None),
         at_ms: NOW_MS,
         status,
--- a/crates/sparscale_quarantine/tests/held_requests.rs
+++ b/crates/sparscale_quarantine/tests/held_requests.rs
@@ -15,7 +15,7 @@
 
 fn strike(name: &str, target: u32, at_ms: u64) -> Strike {
     Strike {
-        request: request(name),
+        subject: request(name),
         ended_start: EndedStart::of(&format!("t-{target}"), None),
         at_ms,
         status: StrikeStatus::Counted,
@@ -204,7 +204,7 @@
         let backwards = tracker_of(&strikes.rev().chain(twice).collect::<Vec<_>>());
         let sorted = |tracker: &Tracker| {
             let (mut known, _) = tracker.changes_since(0);
-            known.sort_by_key(|strike| (strike.request, strike.ended_start));
+            known.sort_by_key(|strike| (strike.subject, strike.ended_start));
             known
         };
         sorted(&forwards) == sorted(&backwards)
--- a/crates/sparscale_quarantine/tests/restored_store.rs
+++ b/crates/sparscale_quarantine/tests/restored_store.rs
@@ -10,7 +10,7 @@
 
 fn strike(content: &str, end: &str) -> Strike {
     Strike {
-        request: Fingerprint::of("POST", content, None, b""),
+        subject: Fingerprint::of("POST", content, None, b""),
         ended_start: EndedStart::of(end, Some(1)),
         at_ms: NOW_MS - 60_000,
         status: StrikeStatus::Counted,
--- a/crates/sparscale_quarantine/tests/spread_of_strikes/simulation.rs
+++ b/crates/sparscale_quarantine/tests/spread_of_strikes/simulation.rs
@@ -156,7 +156,7 @@
             self.end_count += 1;
             for fingerprint in content.fingerprints() {
                 let strike = Strike {
-                    request: fingerprint,
+                    subject: fingerprint,
                     ended_start: EndedStart::of(&format!("t-{}", self.end_count), None),
                     at_ms: now_ms,
                     status: StrikeStatus::Counted,
