--- a/crates/sparscale_gateway/tests/path/crashing_parts.rs
+++ b/crates/sparscale_gateway/tests/path/crashing_parts.rs
@@ -95,7 +95,7 @@
     assert_sound_served(&linked, "after-linked");
 }
 
-/// The part stays quarantined at an entry that only the store can tell about it, and at one that starts later.
+/// The part stays quarantined at an entry that receives strikes only from the store, and at one that starts later.
 #[test]
 fn known_after_restart() {
     let targets = model_targets(16);
--- a/crates/sparscale_quarantine/tests/held_parts.rs
+++ b/crates/sparscale_quarantine/tests/held_parts.rs
@@ -108,8 +108,8 @@
     assert!(hold(&mut observer, &[CALLER, CRASHING], NOW_MS).is_some());
 }
 
-/// Nobody has seen the caller's part before. Requests without the crashing part are tried one at a time; the first
-/// answer frees the caller's part.
+/// No process has received a response with the caller's part. Requests without the crashing part are sent one at a time;
+/// the first complete response clears the caller's part.
 #[test]
 fn unfamiliar_part_probed() {
     let mut tracker = Tracker::default();
