Review case 2: bodies of many callers kill an entry, answers are lost (LOST)

Tried: 84 callers with kept channels (the site has 101) send non-idempotent requests of 4,000,000 bytes, below body_bytes, to one entry, 12 at a time, each 100 ms. The platform kills the process once its resident memory is over memory_mb (260 MB).

Order of events: a small request on each channel is answered; the burst; the entry keeps all bodies whole (4 MB each, twice for a moment) while servers run the first ones; over 260 MB after 0.5 s; killed; the channels of the requests that servers ran end without an answer.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the cases of the review: the platform's store, a server, callers, and the order of events of each case.
 
 mod case1;
+mod case2;
 mod common;
 mod http;
 mod server;
@@ -18,6 +19,7 @@
             Err(_) => Ok(common::CANNOT_RUN),
         },
         ["case1", root, record] => case1::run(Path::new(root), Path::new(record), trouble),
+        ["case2", root, record] => case2::run(Path::new(root), Path::new(record), trouble),
         _ => {
             eprintln!("usage: review_standin CASE ROOT RECORD");
             Ok(common::CANNOT_RUN)
