Review case 3: a key that was taken away works again beside a restored store (CONFIG)

Tried: two entries run; the operator takes a key away (acknowledged); 5.5 s later the store is away for 1 s and the entry with the larger address is killed. The store comes back from a copy about 6 s old that has the key, era 1; the entry starts again; the operator writes its newest configuration again after 1.5 s.

Order of events: the new process reads the older configuration, waits 400 ms for its peers, and uses it. It dials the peer with the smaller address only 600 ms after its start, and the peer doesn't dial, as it takes its link to the killed process for live. So it learns of the newer configuration about 0.25 s too late.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod common;
 mod http;
 mod server;
@@ -20,6 +21,7 @@
         },
         ["case1", root, record] => case1::run(Path::new(root), Path::new(record), trouble),
         ["case2", root, record] => case2::run(Path::new(root), Path::new(record), trouble),
+        ["case3", root, record] => case3::run(Path::new(root), Path::new(record), trouble),
         _ => {
             eprintln!("usage: review_standin CASE ROOT RECORD");
             Ok(common::CANNOT_RUN)
