--- a/review/standin/src/case1.rs
+++ b/review/standin/src/case1.rs
@@ -57,7 +57,7 @@
         .arg(place.address(SERVER, 8_080).to_string())
         .arg(SERVER_ID)
         .arg(place.folder.join("server.log"));
-    let server = Process::start("server", &mut command, &place.folder.join("server.err"))?;
+    let server = Process::start(&mut command, &place.folder.join("server.err"))?;
     store.put("keyed.servers", SERVER_ID, &registration(place, unix_ms()));
     Ok(server)
 }
@@ -145,7 +145,9 @@
                     ));
                     if is_success && !(is_whole && is_own) {
                         broken += 1;
-                        journal.line(format!("MIXED broken: {id} is a success without the server's whole body"));
+                        journal.line(format!(
+                            "MIXED broken: {id} is a success without the server's whole body"
+                        ));
                     }
                 }
                 Outcome::Broken(error) => journal.line(format!("{id} gets no complete answer: {error}")),
--- a/review/standin/src/case2.rs
+++ b/review/standin/src/case2.rs
@@ -111,7 +111,7 @@
         let mut command = Command::new(std::env::current_exe()?);
         let log = place.folder.join("server.log");
         command.arg("server").arg(address.to_string()).arg(&id).arg(log);
-        servers.push(Process::start(&id, &mut command, &place.folder.join("server.err"))?);
+        servers.push(Process::start(&mut command, &place.folder.join("server.err"))?);
         let registration = format!(
             "{{\"service\":\"wuno96b\",\"address\":\"{address}\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":6,\
              \"state\":\"ready\",\"cold_left_ms\":0,\"call_seq\":0,\"born\":{}}}",
@@ -161,7 +161,9 @@
     let address = place.callers(ENTRY);
     let mut ends = Vec::new();
     if trouble {
-        journal.line(format!("{CALLERS} callers open channels and send a small request on each"));
+        journal.line(format!(
+            "{CALLERS} callers open channels and send a small request on each"
+        ));
         let barrier = Arc::new(Barrier::new(CALLERS + 1));
         let callers: Vec<_> = (0..CALLERS)
             .map(|number| {
--- a/review/standin/src/common.rs
+++ b/review/standin/src/common.rs
@@ -46,16 +46,16 @@
 
     pub fn line(&self, text: impl AsRef<str>) {
         let seconds = self.started_at.elapsed().as_secs_f64();
+        let line = format!("{seconds:9.3} {}\n", text.as_ref());
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{seconds:9.3} {}", text.as_ref());
-        println!("{seconds:9.3} {}", text.as_ref());
+        let _ = file.write_all(line.as_bytes());
+        print!("{line}");
     }
 }
 
 /// A process that the case started; it ends with this value.
 pub struct Process {
     pub child: Child,
-    pub name: String,
 }
 
 /// Sends a signal to a process that the case started.
@@ -66,7 +66,7 @@
 }
 
 impl Process {
-    pub fn start(name: &str, command: &mut Command, log: &Path) -> io::Result<Self> {
+    pub fn start(command: &mut Command, log: &Path) -> io::Result<Self> {
         let log = File::options().create(true).append(true).open(log)?;
         // The process ends with the case, also if the case is killed.
         unsafe {
@@ -80,10 +80,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self {
-            child,
-            name: name.to_owned(),
-        })
+        Ok(Self { child })
     }
 
     pub fn signal(&self, number: i32) {
@@ -164,7 +161,7 @@
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("SPARSCALE_CONFIG", path);
-        Process::start(&name, &mut command, &self.folder.join(format!("{name}.log")))
+        Process::start(&mut command, &self.folder.join(format!("{name}.log")))
     }
 
     /// Address for callers of an entry.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod case3;
 mod common;
 mod http;
+mod rank;
 mod server;
 mod store;
 
@@ -19,6 +20,10 @@
             Ok(address) => server::serve(address, id, log).map(|()| common::HELD),
             Err(_) => Ok(common::CANNOT_RUN),
         },
+        ["rank", address, rest @ ..] => match address.parse() {
+            Ok(address) => rank::serve(address, rest).map(|()| common::HELD),
+            Err(_) => Ok(common::CANNOT_RUN),
+        },
         ["case1", root, record] => case1::run(Path::new(root), Path::new(record), trouble),
         ["case2", root, record] => case2::run(Path::new(root), Path::new(record), trouble),
         ["case3", root, record] => case3::run(Path::new(root), Path::new(record), trouble),
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -86,7 +86,9 @@
 
 fn serve_connection(mut connection: Connection, id: &str, log: &Mutex<File>, places: &Places) -> io::Result<()> {
     let note = |text: String| {
-        let _ = writeln!(log.lock().unwrap(), "{} {text}", unix_ms());
+        // One write for each line, since several processes append to the file.
+        let line = format!("{} {text}\n", unix_ms());
+        let _ = log.lock().unwrap().write_all(line.as_bytes());
     };
     while let Some(head) = connection.read_head()? {
         connection.read_body(&head, false, |_| {})?;
@@ -141,12 +143,19 @@
         return connection.write(&message("HTTP/1.1 503 Service Unavailable", &headers, b""));
     }
     note(format!("{id} runs {request_id}"));
-    thread::sleep(if request_id.starts_with("big") { LONG_RUN } else { SHORT_RUN });
+    thread::sleep(if request_id.starts_with("big") {
+        LONG_RUN
+    } else {
+        SHORT_RUN
+    });
     places.leave();
     let body = format!("{request_id} is done\n");
     let sealed = seal(body.as_bytes());
     let headers = [("X-Request-Id", request_id), ("X-Response-Seal", sealed.as_str())];
     let written = connection.write(&message("HTTP/1.1 200 OK", &headers, body.as_bytes()));
-    note(format!("{id} has {} the answer to {request_id}", if written.is_ok() { "sent" } else { "not sent" }));
+    note(format!(
+        "{id} has {} the answer to {request_id}",
+        if written.is_ok() { "sent" } else { "not sent" }
+    ));
     written
 }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -1,5 +1,5 @@
-//! A stand-in of the platform's store: keyed topics with one partition, the calls that the entries make, and a restore
-//! from an older copy.
+//! A stand-in of the platform's store: topics, and the calls that
+//! entries and agents make.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -18,17 +18,12 @@
 #[derive(Clone, Default)]
 struct State {
     topics: BTreeMap<String, Vec<Record>>,
-    era: u64,
-    is_down: bool,
 }
 
 /// The store; clones share one state.
 #[derive(Clone, Default)]
 pub struct Store(Arc<Mutex<State>>);
 
-/// A copy of the store's records.
-pub struct Copy(BTreeMap<String, Vec<Record>>);
-
 impl Store {
     pub fn serve(&self, address: SocketAddr) -> io::Result<()> {
         let listener = TcpListener::bind(address)?;
@@ -54,22 +49,6 @@
         state.topics.entry(topic.to_owned()).or_default().push(record);
     }
 
-    pub fn copy(&self) -> Copy {
-        Copy(self.0.lock().unwrap().topics.clone())
-    }
-
-    /// While the store is down it answers 503 and does nothing.
-    pub fn set_down(&self, is_down: bool) {
-        self.0.lock().unwrap().is_down = is_down;
-    }
-
-    /// Comes back from an older copy.
-    pub fn restore(&self, copy: &Copy) {
-        let mut state = self.0.lock().unwrap();
-        state.topics = copy.0.clone();
-        state.era += 1;
-    }
-
     fn serve_connection(&self, mut connection: Connection) -> io::Result<()> {
         while let Some(head) = connection.read_head()? {
             let body = connection.read_body(&head, false, |_| {})?;
@@ -81,17 +60,13 @@
 
     fn respond(&self, head: &Head, body: &[u8]) -> Vec<u8> {
         let mut state = self.0.lock().unwrap();
-        let era = state.era.to_string();
         let answer = |status: &str, body: &[u8]| {
             message(
                 &format!("HTTP/1.1 {status}"),
-                &[("Store-Era", &era), ("Content-Type", "application/json")],
+                &[("Store-Era", "0"), ("Content-Type", "application/json")],
                 body,
             )
         };
-        if state.is_down {
-            return answer("503 Service Unavailable", b"");
-        }
         let (_, target) = head.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let parameter = |name: &str| {
@@ -101,7 +76,10 @@
                 .find(|(key, _)| *key == name)
                 .map(|(_, value)| value.to_owned())
         };
-        let topic = parameter("topic").unwrap_or_default();
+        let mut topic = parameter("topic").unwrap_or_default();
+        if !topic.starts_with("keyed.") {
+            topic = format!("{topic}/{}", parameter("part").unwrap_or_default());
+        }
         let records = state.topics.entry(topic.clone()).or_default();
         let end = records.len();
         match path {
@@ -160,6 +138,19 @@
                 let content = format!("{{\"offset\":{end},\"end\":{}}}", records.len());
                 answer("200 OK", content.as_bytes())
             }
+            // A topic without keys: one record, appended if the partition ends as expected.
+            "/api/log-append" => {
+                let expected: Option<usize> = parameter("store_revision").and_then(|text| text.parse().ok());
+                if expected.is_some_and(|expected| expected != end) {
+                    return answer("412 Precondition Failed", format!("{{\"end\":{end}}}").as_bytes());
+                }
+                records.push(Record {
+                    key: String::new(),
+                    value: body.get(4..).unwrap_or_default().to_vec(),
+                });
+                let content = format!("{{\"offset\":{end},\"end\":{}}}", end + 1);
+                answer("200 OK", content.as_bytes())
+            }
             _ => answer("404 Not Found", b""),
         }
     }
