Quarantine: a crash counts although the target is back when the entry looks

A request that crashes a target which is back at once is sent again and again; each time its target ends and others lose what runs there.

Cause: whether a target that lost a connection has terminated is the same question as at the end of a response without a length, answered in the same way: by whether nothing listens at its address at that moment. A target that is back by then, or an entry that was suspended meanwhile, gives no strike.

Change: a successor in the roster counts as a termination, at once or within five seconds of the lost connection (256 connections are followed at a time).

Conclusion: both questions are answered by which start is there, not by whether one is. Left: until the roster shows the new start, the request may be sent again.

--- a/crates/sparscale_gateway/src/exchange/quarantine.rs
+++ b/crates/sparscale_gateway/src/exchange/quarantine.rs
@@ -1,5 +1,7 @@
 //! Keeps requests from targets that they, or parts of their prompts, have crashed, and records such crashes.
 
+use std::sync::Arc;
+
 use sparscale_catalog::Instance;
 use sparscale_quarantine::{Content, EndedStart, HoldCause};
 use sparscale_telemetry::DECISION;
@@ -33,6 +35,8 @@
             self.board
                 .quarantine
                 .record_end(&job.outbound.content, EndedStart::from(instance.start));
+        } else if error == ResponseError::ConnectionLost {
+            self.follow_lost_connection(job, instance);
         }
         log::info!(
             target: DECISION,
@@ -46,4 +50,16 @@
             "no complete response from the target"
         );
     }
+
+    /// Records a termination once the roster shows it, of a target that listens after it lost a connection.
+    fn follow_lost_connection(&self, job: &Job, instance: &Instance) {
+        let processes = Arc::clone(&self.target_client.processes);
+        let board = Arc::clone(&self.board);
+        let (content, instance) = (job.outbound.content.clone(), instance.clone());
+        tokio::spawn(async move {
+            if processes.wait_replaced(&instance).await {
+                board.quarantine.record_end(&content, EndedStart::from(instance.start));
+            }
+        });
+    }
 }
--- a/crates/sparscale_gateway/src/process_monitor.rs
+++ b/crates/sparscale_gateway/src/process_monitor.rs
@@ -10,6 +10,7 @@
 use sparscale_policy::termination::{Evidence, Listener, Verdict};
 use sparscale_telemetry::DECISION;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 use crate::pool::{self, Pool};
 use crate::shared_stream::{ReceiveState, SharedStream};
@@ -26,6 +27,11 @@
     witness: Option<Arc<Witness>>,
 }
 
+/// Time after a lost connection in which a successor in the roster shows that the target terminated.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most lost connections that are followed at a time.
+const MAX_PENDING_TERMINATIONS: usize = 256;
+
 /// Observes the processes of the targets.
 #[derive(Debug)]
 pub(crate) struct ProcessMonitor {
@@ -34,6 +40,7 @@
     clock: Arc<dyn Clock>,
     witnesses: Arc<Witnesses>,
     suspensions: SuspensionDetector,
+    pending_terminations: Semaphore,
 }
 
 impl ProcessMonitor {
@@ -44,6 +51,7 @@
             clock: Arc::clone(clock),
             witnesses: Arc::new(Witnesses::new(Arc::clone(clock))),
             suspensions: SuspensionDetector::new(Arc::clone(clock)),
+            pending_terminations: Semaphore::new(MAX_PENDING_TERMINATIONS),
         }
     }
 
@@ -100,14 +108,33 @@
         verdict
     }
 
-    /// Whether the process of a target that lost a connection has terminated, that is, nothing listens at its address. A
-    /// target that does not respond may be partitioned instead.
+    /// Whether the process of a target that lost a connection has terminated: nothing listens at its address, or the
+    /// roster lists a successor. A target that does not respond may be partitioned instead.
     pub(crate) async fn has_terminated(&self, instance: &Instance) -> bool {
         let (listener, stream) = probe(instance).await;
         if let Some(stream) = stream {
             self.add_to_pool(instance, stream).await;
         }
-        listener == Listener::Refuses
+        listener == Listener::Refuses || self.is_replaced(instance)
+    }
+
+    /// Waits until the roster lists a successor of a target that lost a connection but listens: it may have restarted
+    /// before this process looked. Returns whether that happens within [`SUCCESSOR_TIMEOUT`].
+    pub(crate) async fn wait_replaced(&self, instance: &Instance) -> bool {
+        let Ok(_permit) = self.pending_terminations.try_acquire() else {
+            log::debug!(target = instance.target.id.as_str(); "too many lost connections are pending; one is not followed");
+            return false;
+        };
+        let mut targets = self.board.subscribe_targets();
+        let replaced = async {
+            while !self.is_replaced(instance) {
+                if targets.changed().await.is_err() {
+                    return false;
+                }
+            }
+            true
+        };
+        tokio::time::timeout(SUCCESSOR_TIMEOUT, replaced).await.unwrap_or(false)
     }
 
     /// Closes the witnesses of targets that are no longer listed.
--- a/crates/sparscale_gateway/tests/path/crashing.rs
+++ b/crates/sparscale_gateway/tests/path/crashing.rs
@@ -13,7 +13,8 @@
 
 use std::time::Duration;
 
-use crate::entry::{Fixture, Request, linked_settings, settings, wait_for};
+use crate::entry::{Fixture, Request, linked_settings, roster, settings, wait_for};
+use crate::restarted_targets::{publish, roster_started_at};
 use crate::target::{Arrival, Connection, Target};
 
 /// Body of a request that crashes each target which runs it.
@@ -166,3 +167,31 @@
     );
     assert_quarantined(&restarted, "/any/x", "last");
 }
+
+/// Guards against this failure: a target that crashed was back before the entry looked, so that the crash was not recorded
+/// against the request, which crashed targets without end.
+#[test]
+fn back_at_once_after_crash() {
+    let target = Target::start(|arrival, connection| {
+        if arrival.body == CRASHING_BODY.as_bytes() {
+            connection.crash_and_restart();
+        } else {
+            connection.respond(arrival, "200 OK", "good");
+        }
+    });
+    let fixture = Fixture::new(&[&target], &[]);
+    let base_roster = roster(&[&target], &[]);
+    let send = |id: &str| {
+        fixture
+            .fetch(&Request::new("POST", "/once/x", id).body(CRASHING_BODY))
+            .status
+    };
+    for start in 1..=2 {
+        assert_eq!(send(&format!("c-{start}")), 502);
+        publish(&fixture, roster_started_at(&base_roster, start * 1_000), start + 1);
+    }
+    wait_for("the quarantine of the request", || send("again") == 503);
+    let sends = target.arrivals().len();
+    assert!(sends <= MAX_CRASHED + MAX_IN_FLIGHT, "{sends} sends");
+    assert_eq!(fixture.fetch(&Request::new("GET", "/any/x", "other")).status, 200);
+}
--- a/crates/sparscale_gateway/tests/path/restarted_targets.rs
+++ b/crates/sparscale_gateway/tests/path/restarted_targets.rs
@@ -15,7 +15,7 @@
 const MAX_FIRST_REQUEST_DELAY: Duration = Duration::from_millis(200);
 
 /// The roster with all targets started at `born_ms`.
-fn roster_started_at(roster: &Roster, born_ms: u64) -> Roster {
+pub fn roster_started_at(roster: &Roster, born_ms: u64) -> Roster {
     let with_start = |target: &RosterTarget| RosterTarget {
         born_ms: Some(born_ms),
         ..target.clone()
@@ -24,7 +24,7 @@
 }
 
 /// Stores a roster and waits until the entry uses it.
-fn publish(fixture: &Fixture, roster: Roster, position: u64) {
+pub fn publish(fixture: &Fixture, roster: Roster, position: u64) {
     fixture.rosters.put(roster, position);
     wait_for("the roster", || {
         let observed = fixture.entry.board.targets();
--- a/crates/sparscale_gateway/tests/path/target.rs
+++ b/crates/sparscale_gateway/tests/path/target.rs
@@ -43,6 +43,8 @@
     Exit,
     /// Its process exits, and another one listens at its address at once.
     Restart,
+    /// It crashes, and another process listens at its address at once.
+    CrashRestart,
 }
 
 /// The target's side of one connection.
@@ -124,6 +126,11 @@
         self.ending = Ending::Restart;
     }
 
+    /// Makes the target crash, and another process listen at its address at once.
+    pub fn crash_and_restart(&mut self) {
+        self.ending = Ending::CrashRestart;
+    }
+
     /// Closes all other connections of the target in an orderly way.
     pub fn close_others(&self) {
         let open_connections = self.open_connections.lock().expect("no panic");
@@ -256,6 +263,10 @@
     /// Acts as if the process had terminated: nothing listens at the address any more, and all connections are reset.
     fn crash(&self) {
         self.stop_listening();
+        self.reset_connections();
+    }
+
+    fn reset_connections(&self) {
         for stream in std::mem::take(&mut *self.open_connections.lock().expect("no panic")).into_values() {
             let socket = socket2::SockRef::from(&stream);
             let _unsupported = socket.set_linger(Some(Duration::ZERO));
@@ -301,6 +312,7 @@
                     self.close_connections();
                 }
                 Ending::Restart => self.close_connections(),
+                Ending::CrashRestart => self.reset_connections(),
             }
             break;
         }
--- a/crates/sparscale_quarantine/src/policy.rs
+++ b/crates/sparscale_quarantine/src/policy.rs
@@ -66,8 +66,6 @@
 const MAX_FAILED_TRIALS: usize = 2;
 /// Mean time between two trials of all processes together.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time between two trials of one process.
-const MAX_TRIAL_INTERVAL: Duration = Duration::from_mins(1);
 
 /// One termination under a held part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,7 +140,7 @@
 /// Interval at which each of `processes` processes makes trials: together they make about one per [`TRIAL_INTERVAL`].
 pub fn trial_interval(processes: usize) -> Duration {
     let processes = u32::try_from(processes).unwrap_or(u32::MAX).max(1);
-    TRIAL_INTERVAL.saturating_mul(processes).min(MAX_TRIAL_INTERVAL)
+    TRIAL_INTERVAL.saturating_mul(processes)
 }
 
 /// Time from which a process lets single requests with a held part through, in milliseconds since 1970; none if it waits
