Own path: half of a service's response without a length is not a whole one

Cause: an agent took the end of the connection for the end of the response of a service, without asking whether the service's process ended with it. Streams of the own path end with a marker and are not affected.

Change: the connection that an agent opens every second to check whether its target listens is kept as a witness; a response without a length counts as lost if the witness that was open when the request was sent is closed at its end. The witness moves to a crate of its own (sparscale_witness), which the gateway uses as well.

Conclusion: the same answer on both paths. Left: without an open witness (the service closed it less than a second ago) such a response counts as complete.

--- a/crates/sparscale_agent/src/http_engine.rs
+++ b/crates/sparscale_agent/src/http_engine.rs
@@ -1,13 +1,14 @@
 //! HTTP client of the target: a model engine with chat completions, or a plain service.
 
 use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -16,6 +17,7 @@
 use sparscale_backpressure::{BackpressureSignal, SignalHeaders};
 use sparscale_place::switch::{Order, Report};
 use sparscale_wire::{Attempt, Call};
+use sparscale_witness::Witness;
 use tokio::net::TcpStream;
 
 use crate::engine::{CallError, Chunks, Engine, EngineLoad, NumberedMap, TargetResponse};
@@ -24,6 +26,8 @@
 /// Timeout of the check whether the target still listens; short, because the target is on the same box.
 const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time in which a terminating process closes the rest of its connections after the first one.
+const CLOSING_TIME: Duration = Duration::from_millis(5);
 /// Longest response of a plain service, and longest event of a streamed response.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Separator between the events of a streamed response.
@@ -37,11 +41,13 @@
 
 /// Client of one target.
 #[derive(Debug)]
-pub(crate) struct HttpEngine {
+pub struct HttpEngine {
     client: Client<HttpConnector, Full<Bytes>>,
     base_url: String,
     kind: Kind,
     header_names: SignalHeaders,
+    /// An idle connection to the target's process, from the last checks whether it listens.
+    witness: Mutex<Option<Arc<Witness>>>,
 }
 
 #[derive(Deserialize)]
@@ -73,7 +79,8 @@
 }
 
 impl HttpEngine {
-    pub(crate) fn new(base_url: &str, kind: Kind) -> Self {
+    /// Creates a client of the target at `base_url`; opens no connection.
+    pub fn new(base_url: &str, kind: Kind) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         Self {
@@ -81,6 +88,21 @@
             base_url: base_url.trim_end_matches('/').to_owned(),
             kind,
             header_names: SignalHeaders::defaults(),
+            witness: Mutex::default(),
+        }
+    }
+
+    /// The witness of the target's process, if it is open.
+    fn open_witness(&self) -> Option<Arc<Witness>> {
+        let witness = self.witness.lock().unwrap_or_else(PoisonError::into_inner);
+        witness.clone().filter(|witness| witness.is_open())
+    }
+
+    /// Uses a connection as the witness, unless there is one.
+    fn offer_witness(&self, stream: TcpStream) {
+        if self.open_witness().is_none() {
+            let mut witness = self.witness.lock().unwrap_or_else(PoisonError::into_inner);
+            *witness = Some(Arc::new(Witness::new(stream)));
         }
     }
 
@@ -130,6 +152,7 @@
 #[async_trait]
 impl Engine for HttpEngine {
     async fn call(&self, attempt: &Attempt) -> Result<TargetResponse, CallError> {
+        let witness = self.open_witness();
         let response = self.send(self.request(attempt)?).await?;
         let signal = BackpressureSignal::read(response.status(), response.headers(), &self.header_names);
         let status = response.status().as_u16();
@@ -138,11 +161,17 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
             .to_owned();
+        let is_delimited = response.body().is_end_stream()
+            || response.headers().contains_key(header::CONTENT_LENGTH)
+            || response.headers().contains_key(header::TRANSFER_ENCODING);
         let body = response.into_body();
         let chunks: Box<dyn Chunks> = if content_type.starts_with(EVENT_STREAM) {
             Box::new(EventStream::new(body))
         } else {
-            Box::new(SingleChunk { body: Some(body) })
+            Box::new(SingleChunk {
+                body: Some(body),
+                witness: witness.filter(|_| !is_delimited),
+            })
         };
         Ok(TargetResponse {
             status,
@@ -155,7 +184,14 @@
     async fn is_listening(&self) -> bool {
         let address = self.base_url.strip_prefix("http://").unwrap_or(&self.base_url);
         let connecting = tokio::time::timeout(LISTEN_CHECK_TIMEOUT, TcpStream::connect(address));
-        !matches!(connecting.await, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+        match connecting.await {
+            Ok(Ok(stream)) => {
+                self.offer_witness(stream);
+                true
+            }
+            Ok(Err(error)) => error.kind() != std::io::ErrorKind::ConnectionRefused,
+            Err(_elapsed) => true,
+        }
     }
 
     async fn cancel(&self, request: &str) -> Result<(), CallError> {
@@ -278,6 +314,17 @@
 /// Body of a response that isn't streamed; returned as a single chunk.
 struct SingleChunk {
     body: Option<Incoming>,
+    /// For a response without a length, a witness of the process to which the request was sent.
+    witness: Option<Arc<Witness>>,
+}
+
+impl SingleChunk {
+    /// Whether the process ended with the connection, so that the rest of the response may be missing.
+    async fn has_process_ended(&self) -> bool {
+        let Some(witness) = &self.witness else { return false };
+        tokio::time::sleep(CLOSING_TIME).await;
+        !witness.is_open()
+    }
 }
 
 #[async_trait]
@@ -285,6 +332,11 @@
     async fn next(&mut self) -> Option<Result<Bytes, CallError>> {
         let body = self.body.take()?;
         let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        if collected.is_ok() && self.has_process_ended().await {
+            return Some(Err(response_lost(
+                "the target's process ended with the connection of a response without a length",
+            )));
+        }
         Some(
             collected
                 .map(http_body_util::Collected::to_bytes)
--- a/crates/sparscale_agent/src/lib.rs
+++ b/crates/sparscale_agent/src/lib.rs
@@ -14,5 +14,6 @@
 mod throttle;
 
 pub use engine::{CallError, Chunks, Engine, EngineLoad, TargetResponse};
+pub use http_engine::HttpEngine;
 pub use program::{Error, command, run};
-pub use settings::{Raw, Settings};
+pub use settings::{Kind, Raw, Settings};
--- a/crates/sparscale_gateway/src/process_monitor.rs
+++ b/crates/sparscale_gateway/src/process_monitor.rs
@@ -9,13 +9,14 @@
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_policy::termination::{Evidence, Listener, Verdict};
 use sparscale_telemetry::DECISION;
+use sparscale_witness::ReceiveState;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
 use crate::pool::{self, Pool};
-use crate::shared_stream::{ReceiveState, SharedStream};
+use crate::shared_stream::SharedStream;
 use crate::suspension::SuspensionDetector;
-use crate::witness::{ProcessWatch, Witness, Witnesses};
+use crate::witness::{KnownWitness, ProcessWatch, Witnesses};
 
 /// Time in which a terminating process closes the rest of its connections after the first one.
 const CLOSING_TIME: Duration = Duration::from_millis(5);
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct PreparedWatch {
     pub(crate) sent_at: Timestamp,
-    witness: Option<Arc<Witness>>,
+    witness: Option<Arc<KnownWitness>>,
 }
 
 /// Time after a lost connection in which a successor in the roster shows that the target terminated.
--- a/crates/sparscale_gateway/src/shared_stream.rs
+++ b/crates/sparscale_gateway/src/shared_stream.rs
@@ -1,40 +1,16 @@
 //! A TCP stream whose state can be observed while an HTTP connection uses it.
 
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
+use sparscale_witness::ReceiveState;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What the kernel knows of the receiving side of a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ReceiveState {
-    /// Nothing has arrived, and the peer has not closed the connection.
-    Idle,
-    /// Bytes have arrived; the peer may have closed the connection after them.
-    Readable,
-    /// The peer has closed or reset the connection.
-    Closed,
-}
-
-impl ReceiveState {
-    /// Queries the kernel, because the readiness that the runtime caches may be older.
-    pub(crate) fn of(stream: &TcpStream) -> Self {
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(stream).peek(&mut byte) {
-            Ok(0) => Self::Closed,
-            Ok(_) => Self::Readable,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Self::Idle,
-            Err(_) => Self::Closed,
-        }
-    }
-}
-
 /// A handle of a TCP stream; the stream is closed with its last handle.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedStream(Arc<TcpStream>);
--- a/crates/sparscale_gateway/src/witness.rs
+++ b/crates/sparscale_gateway/src/witness.rs
@@ -11,11 +11,12 @@
 use sparscale_catalog::{Directory, Incarnation, Instance};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_policy::termination;
+use sparscale_witness::{ReceiveState, Witness};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::pool;
-use crate::shared_stream::{ReceiveState, SharedStream};
+use crate::shared_stream::SharedStream;
 
 /// Time until a connection is checked again on which bytes have arrived that are not read yet.
 const UNREAD_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -24,33 +25,18 @@
 /// Most targets for which a witness is kept between two responses; one file descriptor each.
 const MAX_KEPT_WITNESSES: usize = 256;
 
-/// An idle connection to one process of a target.
+/// A witness of one process of a target.
 #[derive(Debug)]
-pub(crate) struct Witness {
-    stream: TcpStream,
+pub(crate) struct KnownWitness {
+    witness: Witness,
     established_at: Timestamp,
 }
 
-impl Witness {
-    /// Whether its process still runs. Targets send nothing on a connection without a request, so one with bytes on it
-    /// is not relied on.
-    fn is_open(&self) -> bool {
-        ReceiveState::of(&self.stream) == ReceiveState::Idle
-    }
-
-    async fn wait_closed(&self) {
-        while self.is_open() {
-            // An error ends the connection, which the next check shows.
-            let _ready = self.stream.readable().await;
-        }
-    }
-}
-
 /// Witnesses of targets that send responses without a length, kept for their next responses.
 #[derive(Debug)]
 pub(crate) struct Witnesses {
     clock: Arc<dyn Clock>,
-    by_target: Mutex<HashMap<Incarnation, Arc<Witness>>>,
+    by_target: Mutex<HashMap<Incarnation, Arc<KnownWitness>>>,
 }
 
 impl Witnesses {
@@ -67,7 +53,7 @@
         self: &Arc<Self>,
         instance: &Instance,
         response: SharedStream,
-        earlier: Option<Arc<Witness>>,
+        earlier: Option<Arc<KnownWitness>>,
     ) -> ProcessWatch {
         let current: CurrentWitness = Arc::new(Mutex::new(earlier));
         let watching = maintain_witness(Arc::clone(self), instance.clone(), response, Arc::clone(&current));
@@ -92,10 +78,10 @@
     }
 
     /// The witness of a target, if it is still open.
-    pub(crate) fn find_open(&self, target: Incarnation) -> Option<Arc<Witness>> {
+    pub(crate) fn find_open(&self, target: Incarnation) -> Option<Arc<KnownWitness>> {
         let mut by_target = self.lock();
         let witness = by_target.get(&target)?;
-        if !witness.is_open() {
+        if !witness.witness.is_open() {
             by_target.remove(&target);
             return None;
         }
@@ -103,9 +89,9 @@
     }
 
     /// Keeps a connection that has just been established as a witness; if there are too many, in place of the oldest.
-    fn keep(&self, target: Incarnation, stream: TcpStream) -> Arc<Witness> {
-        let witness = Arc::new(Witness {
-            stream,
+    fn keep(&self, target: Incarnation, stream: TcpStream) -> Arc<KnownWitness> {
+        let witness = Arc::new(KnownWitness {
+            witness: Witness::new(stream),
             established_at: self.clock.now(),
         });
         let mut by_target = self.lock();
@@ -120,7 +106,7 @@
     }
 
     /// The open witness of a target, or a new one.
-    async fn obtain(&self, instance: &Instance) -> Option<Arc<Witness>> {
+    async fn obtain(&self, instance: &Instance) -> Option<Arc<KnownWitness>> {
         if let Some(witness) = self.find_open(instance.key) {
             return Some(witness);
         }
@@ -133,12 +119,12 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Incarnation, Arc<Witness>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Incarnation, Arc<KnownWitness>>> {
         self.by_target.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-type CurrentWitness = Arc<Mutex<Option<Arc<Witness>>>>;
+type CurrentWitness = Arc<Mutex<Option<Arc<KnownWitness>>>>;
 
 /// Maintains a witness while a target sends one response.
 #[derive(Debug)]
@@ -152,7 +138,7 @@
     /// State of the witness after the response has ended.
     pub(crate) fn state(&self) -> termination::Witness {
         match &*lock(&self.current) {
-            Some(witness) if witness.is_open() => termination::Witness::Open,
+            Some(known) if known.witness.is_open() => termination::Witness::Open,
             Some(_) => termination::Witness::Closed,
             None => termination::Witness::Missing,
         }
@@ -175,8 +161,8 @@
 ) {
     loop {
         let known = lock(&current).clone();
-        if let Some(witness) = known {
-            witness.wait_closed().await;
+        if let Some(known) = known {
+            known.witness.wait_closed().await;
             tokio::time::sleep(REPLACE_DELAY).await;
             if !is_continuing(&response).await {
                 return;
@@ -205,6 +191,6 @@
     }
 }
 
-fn lock(current: &Mutex<Option<Arc<Witness>>>) -> MutexGuard<'_, Option<Arc<Witness>>> {
+fn lock(current: &Mutex<Option<Arc<KnownWitness>>>) -> MutexGuard<'_, Option<Arc<KnownWitness>>> {
     current.lock().unwrap_or_else(PoisonError::into_inner)
 }
