Quarantine: sound requests are tried first for parts known as sound, too

Cause: requests with more suspected parts wait longer for a trial, and the held part was counted as one of them. A held part that is known as sound is none, so a request with the crashing part beside it counted like a sound one and could take the trial.

Change: only the other suspected parts of the request are counted.

Evidence: familiar_part_released, extended by such a request, failed before and passes; all tests of the crate pass.

Conclusion: the order of trials no longer depends on what is known of the part.

--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -156,9 +156,10 @@
     /// Whether requests like `content` are let through although no other part explains all terminations under `part`.
     fn trials(&self, part: &Fingerprint, as_part: &PartHistory, content: &Content, delay: f64, now_ms: u64) -> Probing {
         let ends = self.ends_of(part, as_part, content);
-        let is_suspected = |part: &&Fingerprint| self.histories.get(*part).is_some_and(History::is_suspected);
-        let suspected = content.shared_parts.iter().filter(is_suspected);
-        let start_ms = policy::trial_start_ms(&ends, suspected.count(), delay, self.process_count);
+        let is_suspected = |other: &&Fingerprint| self.histories.get(*other).is_some_and(History::is_suspected);
+        let others = content.shared_parts.iter().filter(|other| *other != part);
+        let other_suspects = others.filter(is_suspected).count();
+        let start_ms = policy::trial_start_ms(&ends, other_suspects, delay, self.process_count);
         match start_ms.map(|start_ms| remaining_until(start_ms, now_ms)) {
             None => Probing::Never,
             Some(Some(wait)) => Probing::After(wait),
--- a/crates/sparscale_quarantine/src/policy.rs
+++ b/crates/sparscale_quarantine/src/policy.rs
@@ -145,12 +145,12 @@
 
 /// Time from which a process lets single requests with a held part through, in milliseconds since 1970; none if it waits
 /// for the deadline of the hold. `ends` are the terminations under the part in ascending order of time,
-/// `suspected_parts` counts the suspected parts of the request, and `delay` is as for [`part_hold_deadline_ms`].
+/// `other_suspects` counts the other suspected parts of the request, and `delay` is as for [`part_hold_deadline_ms`].
 ///
 /// Load pattern: a part is in all requests of a workspace or a route, so it is in the batch of each target that
 /// terminates, whatever the cause. While no process knows it as sound, for instance after all have restarted, two
 /// terminations hold all these requests. Only a response to one of them shows that they are sound.
-pub fn trial_start_ms(ends: &[End], suspected_parts: usize, delay: f64, processes: usize) -> Option<u64> {
+pub fn trial_start_ms(ends: &[End], other_suspects: usize, delay: f64, processes: usize) -> Option<u64> {
     let last_end_ms = ends.last()?.at_ms;
     let occasions_of = |is_counted: fn(&End) -> bool, gap| {
         let counted = ends.iter().filter(|end| is_counted(end));
@@ -160,7 +160,7 @@
     if failed_trials >= MAX_FAILED_TRIALS || occasions_of(|end| !end.is_explained, SUSPECT_HOLD) > 1 {
         return None;
     }
-    let factor = suspected_parts.max(1) * (1 + failed_trials);
+    let factor = (1 + other_suspects) * (1 + failed_trials);
     let wait = TRIAL_DELAY.saturating_mul(u32::try_from(factor).unwrap_or(u32::MAX));
     let wait = wait + trial_interval(processes).mul_f64(delay);
     Some(last_end_ms.saturating_add(millis(wait)))
--- a/crates/sparscale_quarantine/tests/held_parts.rs
+++ b/crates/sparscale_quarantine/tests/held_parts.rs
@@ -261,8 +261,14 @@
         record_end(&mut tracker, end, &[CALLER], NOW_MS + u64::from(end) * 5 * SECOND_MS);
     }
     assert!(hold(&mut tracker, &[CALLER], NOW_MS + 10 * SECOND_MS).is_some());
+    record_end(&mut tracker, 3, &[CALLER, CRASHING], NOW_MS + 10 * SECOND_MS);
+    let later_ms = NOW_MS + 15 * SECOND_MS;
+    assert!(
+        hold(&mut tracker, &[CALLER, CRASHING], later_ms).is_some(),
+        "sound ones first"
+    );
     let trial = content("trial", &[CALLER]);
-    assert_eq!(tracker.active_hold(&trial, 0.0, NOW_MS + 15 * SECOND_MS), None);
+    assert_eq!(tracker.active_hold(&trial, 0.0, later_ms), None);
     tracker.record_response(&trial, NOW_MS + 17 * SECOND_MS);
     assert_eq!(hold(&mut tracker, &[CALLER], NOW_MS + 17 * SECOND_MS), None);
 }
