Responses: a target that is listed late does not cut off its responses

A target that restarted before a request was sent is listed under its earlier start until the roster arrives; a successor in the roster then counted as the end of the process that was sending.

Change: an open witness comes first, whatever the roster and the listener show: it belongs to the process that sends the response. Without one, a successor makes the end unknown (cut off, no strike).

Evidence: undelimited_responses::listed_late failed before (502) and passes; the other tests of undelimited responses and of their decision pass.

Conclusion: the roster is evidence about starts, not about the connection.

--- a/crates/sparscale_gateway/tests/path/undelimited_responses.rs
+++ b/crates/sparscale_gateway/tests/path/undelimited_responses.rs
@@ -8,7 +8,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crate::entry::{Caller, Fixture, Request, Response, wait_for};
+use crate::entry::{Caller, Fixture, Request, Response, roster, wait_for};
+use crate::restarted_targets::{publish, roster_started_at};
 use crate::target::{Arrival, Connection, Target};
 
 /// Time between the first half of a response and what the target does next, in which the entry reads the half.
@@ -165,6 +166,24 @@
     }
 }
 
+/// The target restarted before the request was sent, and the roster shows it only while the response arrives.
+#[test]
+fn listed_late() {
+    let target = Target::start(|arrival, connection| {
+        send_half(arrival, connection);
+        std::thread::sleep(4 * HALF_TIME);
+        send_rest(arrival, connection);
+    });
+    let fixture = Fixture::new(&[&target], &[]);
+    let base_roster = roster(&[&target], &[]);
+    publish(&fixture, roster_started_at(&base_roster, 1_000), 2);
+    let mut caller = Caller::open(&fixture);
+    caller.send(&request("/once/x").text());
+    wait_for("the request", || !target.arrivals().is_empty());
+    publish(&fixture, roster_started_at(&base_roster, 2_000), 3);
+    assert_whole(&caller.read_response());
+}
+
 /// All of a response arrives at once, and the target restarts while the entry is suspended: an earlier response has
 /// left a connection by which the entry notices.
 #[test]
--- a/crates/sparscale_policy/src/termination.rs
+++ b/crates/sparscale_policy/src/termination.rs
@@ -89,15 +89,20 @@
 impl Evidence {
     /// What became of the process of the target.
     pub fn verdict(&self) -> Verdict {
-        if self.listener == Listener::Refuses || self.is_replaced {
-            return Verdict::Terminated;
-        }
         match self.witness {
-            // A target may have closed idle connections in the meantime.
-            Witness::Closed if self.was_suspended => Verdict::Unknown,
-            Witness::Closed => Verdict::Terminated,
-            Witness::Missing if self.was_suspended || self.listener == Listener::Unreachable => Verdict::Unknown,
-            Witness::Open | Witness::Missing => Verdict::Running,
+            // The process may have stopped listening, or have replaced the listed one before the request was sent.
+            Witness::Open => Verdict::Running,
+            _ if self.listener == Listener::Refuses => Verdict::Terminated,
+            Witness::Closed if self.is_replaced || !self.was_suspended => Verdict::Terminated,
+            // The target may have closed idle connections in the meantime.
+            Witness::Closed => Verdict::Unknown,
+            Witness::Missing if self.is_doubtful() => Verdict::Unknown,
+            Witness::Missing => Verdict::Running,
         }
     }
+
+    /// Whether another process may listen at the address than the one that sent the response.
+    fn is_doubtful(&self) -> bool {
+        self.is_replaced || self.was_suspended || self.listener == Listener::Unreachable
+    }
 }
