Quarantine: a trial counts although its response takes longer than the next trial

Cause: only the last request let through was remembered. Streams take two seconds, about the time to the next trial, so a response mostly belonged to an earlier trial and counted as one of many: the part was freed after as many responses as it had ends, six seconds late.

Change: the last eight requests let through are remembered for each held part.

Evidence: familiar_part_released, extended by a second trial before the response, failed before and passes; all tests of the crate pass.

Conclusion: the first response to any trial frees the part.

--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -1,6 +1,7 @@
 //! Applies [`policy`] to the strikes that a process knows: which requests are held back, and which are let through to
 //! find the cause.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::content::Content;
@@ -52,15 +53,33 @@
     Every(Duration),
 }
 
-/// The request that was last let through to find out whether a part is the cause.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Probe {
-    pub(crate) request: Fingerprint,
-    sent_at_ms: u64,
-    /// Version of the tracker when it was let through.
+/// Most requests that are remembered as probes of one part: those of some seconds, in which a response arrives.
+const MAX_PROBE_REQUESTS: usize = 8;
+
+/// The requests that were last let through to find out whether a part is the cause.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Probes {
+    requests: VecDeque<Fingerprint>,
+    last_sent_at_ms: u64,
+    /// Version of the tracker when the last one was let through.
     version: u64,
 }
 
+impl Probes {
+    pub(crate) fn contains(&self, request: &Fingerprint) -> bool {
+        self.requests.contains(request)
+    }
+
+    fn push(&mut self, request: Fingerprint, now_ms: u64, version: u64) {
+        if self.requests.len() >= MAX_PROBE_REQUESTS {
+            self.requests.pop_front();
+        }
+        self.requests.push_back(request);
+        self.last_sent_at_ms = now_ms;
+        self.version = version;
+    }
+}
+
 impl Tracker {
     /// Returns the hold of a request that is active at `now_ms`; none if the request may be sent. `delay` is a number
     /// from 0 to 1 that differs between processes, see [`policy::part_hold_deadline_ms`].
@@ -227,21 +246,16 @@
         let HoldCause::Part(part) = hold.cause else {
             return Err(hold);
         };
-        let new_probe = Probe {
-            request,
-            sent_at_ms: now_ms,
-            version: self.version(),
-        };
-        if let Some(probe) = self.probes.get(&part) {
-            if probe.request == request {
-                return Ok(());
-            }
-            let next_at_ms = probe.sent_at_ms.saturating_add(millis(interval));
-            if let Some(remaining) = remaining_until(next_at_ms, now_ms) {
-                return Err(Hold { remaining, ..hold });
-            }
+        let version = self.version();
+        let probes = self.probes.entry(part).or_default();
+        if probes.contains(&request) {
+            return Ok(());
+        }
+        let next_at_ms = probes.last_sent_at_ms.saturating_add(millis(interval));
+        if let Some(remaining) = remaining_until(next_at_ms, now_ms) {
+            return Err(Hold { remaining, ..hold });
         }
-        self.probes.insert(part, new_probe);
+        probes.push(request, now_ms, version);
         self.probe_count += 1;
         Ok(())
     }
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -6,7 +6,7 @@
 use crate::content::Content;
 use crate::fingerprint::Fingerprint;
 use crate::history::{History, Record};
-use crate::hold::Probe;
+use crate::hold::Probes;
 use crate::sound_parts::SoundParts;
 use crate::strike::{EndedStart, Strike, StrikeStatus};
 use crate::{millis, policy};
@@ -34,7 +34,7 @@
     pub(crate) histories: HashMap<Fingerprint, History>,
     /// Parts with which this process has received complete responses.
     sound_parts: SoundParts,
-    pub(crate) probes: HashMap<Fingerprint, Probe>,
+    pub(crate) probes: HashMap<Fingerprint, Probes>,
     /// Number of requests let through as probes.
     pub(crate) probe_count: u64,
     /// Number of processes that receive requests, this one included.
@@ -144,7 +144,7 @@
             let is_probe = self
                 .probes
                 .get(part)
-                .is_some_and(|probe| probe.request == content.request);
+                .is_some_and(|probes| probes.contains(&content.request));
             let clears = if is_probe {
                 policy::clears_probed_part
             } else {
--- a/crates/sparscale_quarantine/tests/held_parts.rs
+++ b/crates/sparscale_quarantine/tests/held_parts.rs
@@ -269,8 +269,12 @@
     );
     let trial = content("trial", &[CALLER]);
     assert_eq!(tracker.active_hold(&trial, 0.0, later_ms), None);
+    // The response takes longer than the time to the next trial.
+    let next_trial = content("next", &[CALLER]);
+    assert_eq!(tracker.active_hold(&next_trial, 0.0, later_ms + SECOND_MS), None);
     tracker.record_response(&trial, NOW_MS + 17 * SECOND_MS);
     assert_eq!(hold(&mut tracker, &[CALLER], NOW_MS + 17 * SECOND_MS), None);
+    assert_eq!(tracker.end_count(&part(CALLER)), 0, "one response is enough");
 }
 
 /// All requests share a part that crashes targets: two more are risked in the first minute, by all processes together.
