Quarantine: the trials of an earlier hold say nothing about a later one

A part that was freed by a trial and is held again later would have been held for one to two minutes without a trial.

A termination counted as a failed trial if it was recorded after this process had let a request through, whenever that was.

Change: only requests that were let through since the part is held count.

Evidence: earlier_trials_forgotten failed before (no trial in the second hold) and passes; all tests of the crate pass.

Conclusion: what is late is measured from the hold that is decided on.

--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -193,10 +193,12 @@
         let Some(history) = self.histories.get(part) else {
             return Vec::new();
         };
-        let late_from_ms = policy::late_from_ms(as_part).unwrap_or(u64::MAX);
-        let probe = self.probes.get(part);
-        let is_late =
-            |record: &Record| record.at_ms >= late_from_ms || probe.is_some_and(|probe| record.version > probe.version);
+        let held_from_ms = policy::held_from_ms(as_part).unwrap_or(u64::MAX);
+        let probes = self.probes.get(part);
+        let probes = probes.filter(|probes| probes.last_sent_at_ms >= held_from_ms);
+        let is_late = |record: &Record| {
+            policy::is_late(record.at_ms, held_from_ms) || probes.is_some_and(|probes| record.version > probes.version)
+        };
         let late = history.uncleared().filter(|(_, record)| is_late(record));
         let late: Vec<EndedStart> = late.map(|(end, _)| *end).collect();
         let explanations: Vec<&History> = self
--- a/crates/sparscale_quarantine/src/policy.rs
+++ b/crates/sparscale_quarantine/src/policy.rs
@@ -166,15 +166,18 @@
     Some(last_end_ms.saturating_add(millis(wait)))
 }
 
-/// Time from which further terminations under a held part count as failed trials, in milliseconds since 1970; none if
-/// the part is not held.
-pub fn late_from_ms(part: &PartHistory) -> Option<u64> {
-    let held_from_ms = if part.is_familiar {
-        *occasions(&part.end_times_ms, OCCASION_TIME).get(FAMILIAR_OCCASIONS - 1)?
-    } else {
-        *part.end_times_ms.get(SUSPECT_ENDS - 1)?
-    };
-    Some(held_from_ms.saturating_add(millis(TRIAL_DELAY)))
+/// Time from which a part is held, in milliseconds since 1970; none if it is not.
+pub fn held_from_ms(part: &PartHistory) -> Option<u64> {
+    if part.is_familiar {
+        let occasions = occasions(&part.end_times_ms, OCCASION_TIME);
+        return occasions.get(FAMILIAR_OCCASIONS - 1).copied();
+    }
+    part.end_times_ms.get(SUSPECT_ENDS - 1).copied()
+}
+
+/// Whether a termination at `at_ms` under a part that is held from `held_from_ms` on counts as a failed trial.
+pub fn is_late(at_ms: u64, held_from_ms: u64) -> bool {
+    at_ms >= held_from_ms.saturating_add(millis(TRIAL_DELAY))
 }
 
 /// Whether a part that never received a complete response explains terminations of familiar parts.
--- a/crates/sparscale_quarantine/tests/held_parts.rs
+++ b/crates/sparscale_quarantine/tests/held_parts.rs
@@ -277,6 +277,25 @@
     assert_eq!(tracker.end_count(&part(CALLER)), 0, "one response is enough");
 }
 
+/// The trials of an earlier hold say nothing about a later one.
+#[test]
+fn earlier_trials_forgotten() {
+    let mut tracker = Tracker::default();
+    for (hold_number, start_ms) in [NOW_MS, NOW_MS + 60 * MINUTE_MS].into_iter().enumerate() {
+        let first_end = u32::try_from(hold_number).expect("few") * 3;
+        for end in 0..3 {
+            let at_ms = start_ms + u64::from(end) * 2 * SECOND_MS;
+            record_end(&mut tracker, first_end + end, &[CALLER], at_ms);
+        }
+        let trial = content(&format!("trial-{hold_number}"), &[CALLER]);
+        assert!(tracker.active_hold(&trial, 0.0, start_ms + 4 * SECOND_MS).is_some());
+        let held = tracker.active_hold(&trial, 0.0, start_ms + 13 * SECOND_MS);
+        assert_eq!(held, None, "trial {hold_number}");
+        tracker.record_response(&trial, start_ms + 14 * SECOND_MS);
+        assert_eq!(tracker.end_count(&part(CALLER)), 0);
+    }
+}
+
 /// All requests share a part that crashes targets: two more are risked in the first minute, by all processes together.
 #[test]
 fn few_failed_trials() {
