--- a/crates/sparscale_policy/src/termination.rs
+++ b/crates/sparscale_policy/src/termination.rs
@@ -88,7 +88,7 @@
 
 impl Evidence {
     /// What became of the process of the target.
-    pub fn verdict(&self) -> Verdict {
+    pub fn verdict(self) -> Verdict {
         match self.witness {
             // The process may have stopped listening, or have replaced the listed one before the request was sent.
             Witness::Open => Verdict::Running,
@@ -102,7 +102,7 @@
     }
 
     /// Whether another process may listen at the address than the one that sent the response.
-    fn is_doubtful(&self) -> bool {
+    fn is_doubtful(self) -> bool {
         self.is_replaced || self.was_suspended || self.listener == Listener::Unreachable
     }
 }
