Modules: types that two modules need are in modules of their own

Cause: history, hold and tracker of the quarantine imported each other in a circle, and the move of the response's body made one of attempt and response_body.

Change: StrikeSource is in source, the probes of a part in probes, the reasons for which a response is not used in response_error.

Conclusion: no behaviour changes; the circle in the quarantine is untied.

--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::pool::{Connection, Pool, connect};
 use crate::process_monitor::{PreparedWatch, ProcessMonitor};
 use crate::response_body::{RemainingBody, Watch, is_delimited};
+use crate::response_error::ResponseError;
 
 /// Bytes of a response that are buffered before any of them goes to the caller. A longer response is forwarded as it
 /// arrives.
@@ -50,36 +51,6 @@
     pub(crate) urgency: Option<u8>,
 }
 
-/// Why a response is missing or unusable.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ResponseError {
-    /// No complete response arrived on time.
-    Timeout,
-    /// The connection was lost.
-    ConnectionLost,
-    /// The process of the target terminated before it sent the rest.
-    ProcessEnded,
-    /// The response carries the id of another request.
-    RequestIdMismatch,
-    /// The response has no digest, or an encoding that was not requested.
-    Malformed,
-    /// The status guarantees that the request has not run, but the target did not confirm it.
-    UnconfirmedRejection,
-}
-
-impl ResponseError {
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::Timeout => "timeout",
-            Self::ConnectionLost => "broken",
-            Self::ProcessEnded => "process_ended",
-            Self::RequestIdMismatch => "foreign",
-            Self::Malformed => "spoiled",
-            Self::UnconfirmedRejection => "unfounded",
-        }
-    }
-}
-
 /// Outcome of sending a request to a target.
 #[derive(Debug)]
 pub(crate) enum SendOutcome {
--- a/crates/sparscale_gateway/src/event_stream.rs
+++ b/crates/sparscale_gateway/src/event_stream.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use crate::attempt::ResponseError;
 use crate::events::{Event, EventSplitter};
 use crate::response_body::RemainingBody;
+use crate::response_error::ResponseError;
 
 /// The event stream of one attempt.
 #[derive(Debug)]
--- a/crates/sparscale_gateway/src/exchange.rs
+++ b/crates/sparscale_gateway/src/exchange.rs
@@ -28,9 +28,7 @@
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
-use crate::attempt::{
-    CompleteResponse, Outbound, PartialResponse, Rejection, ResponseError, SendOutcome, TargetClient,
-};
+use crate::attempt::{CompleteResponse, Outbound, PartialResponse, Rejection, SendOutcome, TargetClient};
 use crate::attempt_history::AttemptHistory;
 use crate::attempted_targets::AttemptedTargets;
 use crate::caller_response::{CALLER_DISCONNECTED, CallerResponse, StreamResponse};
@@ -40,6 +38,7 @@
 use crate::metrics::Metrics;
 use crate::queues::Queues;
 use crate::refusal::{Reason, Refusal};
+use crate::response_error::ResponseError;
 use crate::response_monitor::ResponseMonitor;
 use crate::traffic_split::TrafficSplit;
 
--- a/crates/sparscale_gateway/src/exchange/quarantine.rs
+++ b/crates/sparscale_gateway/src/exchange/quarantine.rs
@@ -7,8 +7,8 @@
 use sparscale_telemetry::DECISION;
 
 use super::{Gateway, Job};
-use crate::attempt::ResponseError;
 use crate::refusal::{Reason, Refusal};
+use crate::response_error::ResponseError;
 
 impl Gateway {
     /// The refusal of a request that is quarantined because targets terminated while running it, or others with a part
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod request_body;
 mod respond;
 mod response_body;
+mod response_error;
 mod response_monitor;
 mod server;
 mod settings;
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -13,7 +13,6 @@
 use sparscale_telemetry::DECISION;
 use tokio::time::Instant;
 
-use crate::attempt::ResponseError;
 use crate::attempt_history::AttemptHistory;
 use crate::body::Body;
 use crate::caller_response::{CALLER_DISCONNECTED, CallerResponse};
@@ -23,6 +22,7 @@
 use crate::loads::InFlightGuard;
 use crate::queues::Permit;
 use crate::response_body::RemainingBody;
+use crate::response_error::ResponseError;
 use crate::response_monitor::UnresponsiveTarget;
 
 impl Gateway {
--- a/crates/sparscale_gateway/src/response_body.rs
+++ b/crates/sparscale_gateway/src/response_body.rs
@@ -1,4 +1,4 @@
-//! Reads the body of a response, and tells its regular end from a response that was cut off.
+//! Reads the body of a response, and distinguishes its regular end from a response that was cut off.
 
 use std::sync::Arc;
 
@@ -10,9 +10,9 @@
 use sparscale_clock::Timestamp;
 use sparscale_policy::termination::Verdict;
 
-use crate::attempt::ResponseError;
 use crate::pool::{Connection, Pool};
 use crate::process_monitor::ProcessMonitor;
+use crate::response_error::ResponseError;
 use crate::witness::ProcessWatch;
 
 /// The remaining body of a response, and the connection that it arrives on.
--- a/crates/sparscale_quarantine/src/history.rs
+++ b/crates/sparscale_quarantine/src/history.rs
@@ -5,8 +5,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::millis;
 use crate::policy::{self, PartHistory};
+use crate::source::StrikeSource;
 use crate::strike::{EndedStart, Strike, StrikeStatus};
-use crate::tracker::StrikeSource;
 
 /// Most terminations that are kept for one request or part.
 const MAX_ENDS: usize = 16;
--- a/crates/sparscale_quarantine/src/hold.rs
+++ b/crates/sparscale_quarantine/src/hold.rs
@@ -1,7 +1,6 @@
 //! Applies [`policy`] to the strikes that a process knows: which requests are held back, and which are let through to
 //! find the cause.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::content::Content;
@@ -53,33 +52,6 @@
     Every(Duration),
 }
 
-/// Most requests that are remembered as probes of one part: those of some seconds, in which a response arrives.
-const MAX_PROBE_REQUESTS: usize = 8;
-
-/// The requests that were last let through to find out whether a part is the cause.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Probes {
-    requests: VecDeque<Fingerprint>,
-    last_sent_at_ms: u64,
-    /// Version of the tracker when the last one was let through.
-    version: u64,
-}
-
-impl Probes {
-    pub(crate) fn contains(&self, request: &Fingerprint) -> bool {
-        self.requests.contains(request)
-    }
-
-    fn push(&mut self, request: Fingerprint, now_ms: u64, version: u64) {
-        if self.requests.len() >= MAX_PROBE_REQUESTS {
-            self.requests.pop_front();
-        }
-        self.requests.push_back(request);
-        self.last_sent_at_ms = now_ms;
-        self.version = version;
-    }
-}
-
 impl Tracker {
     /// Returns the hold of a request that is active at `now_ms`; none if the request may be sent. `delay` is a number
     /// from 0 to 1 that differs between processes, see [`policy::part_hold_deadline_ms`].
--- a/crates/sparscale_quarantine/src/lib.rs
+++ b/crates/sparscale_quarantine/src/lib.rs
@@ -15,15 +15,18 @@
 mod history;
 mod hold;
 pub mod policy;
+mod probes;
 mod sound_parts;
+mod source;
 mod strike;
 mod tracker;
 
 pub use content::{Content, MAX_SHARED_PARTS};
 pub use fingerprint::{Fingerprint, ParseError};
 pub use hold::{Hold, HoldCause};
+pub use source::StrikeSource;
 pub use strike::{EndedStart, Strike, StrikeStatus};
-pub use tracker::{StrikeSource, Tracker};
+pub use tracker::Tracker;
 
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/sparscale_quarantine/src/tracker.rs
+++ b/crates/sparscale_quarantine/src/tracker.rs
@@ -6,8 +6,9 @@
 use crate::content::Content;
 use crate::fingerprint::Fingerprint;
 use crate::history::{History, Record};
-use crate::hold::Probes;
+use crate::probes::Probes;
 use crate::sound_parts::SoundParts;
+use crate::source::StrikeSource;
 use crate::strike::{EndedStart, Strike, StrikeStatus};
 use crate::{millis, policy};
 
@@ -17,17 +18,6 @@
 /// Most requests and prompt parts that are tracked, at about 200 bytes each.
 const MAX_SUBJECTS: usize = 4_096;
 
-/// Where a strike came from, which decides whether this process has to write it to the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StrikeSource {
-    /// Observed by this process, which has to write it to the store.
-    Local,
-    /// Received from a peer; the process that observed it writes it to the store.
-    Peer,
-    /// Read from the store, or written to it.
-    Store,
-}
-
 /// All requests that were running on targets which terminated, and the parts of their prompts.
 #[derive(Debug)]
 pub struct Tracker {
