Tests: crowds of callers that do not behave, against whole entry processes

These tests play such crowds against a real entry with a stub store and three stub targets: whole bodies, bodies stopped short, large and tiny chunks, lengths far over the limit, unknown keys, half heads, unread responses, silent connections, all mixed, at ten times the size, repeated, at the addresses beside the callers' one, while the entry drains, while targets or the store are away, and at two entries.

--- a/crates/sparscale_soak/src/environment.rs
+++ b/crates/sparscale_soak/src/environment.rs
@@ -209,6 +209,13 @@
         Ok(())
     }
 
+    /// Id of a process; none if it has ended.
+    pub(crate) async fn process_id(&self, index: usize) -> Option<u32> {
+        let mut process = self.processes[index].process.lock().await;
+        let process = process.as_mut()?;
+        process.exit_status().is_none().then(|| process.id())
+    }
+
     /// Sends a signal to a process, if it runs.
     pub(crate) async fn signal(&self, index: usize, signal: Signal) {
         let process = self.processes[index].process.lock().await;
--- a/crates/sparscale_soak/src/lib.rs
+++ b/crates/sparscale_soak/src/lib.rs
@@ -23,6 +23,7 @@
 mod round;
 mod server;
 mod store;
+mod system;
 mod target;
 
 pub use command::run;
@@ -34,3 +35,4 @@
     AgentConfig, Bounds, Configuration, EntryConfig, Membership, Platform, Registration, Route, RouteKind,
 };
 pub use records::{Record, Records};
+pub use system::{EntryAddresses, System};
