Intake: one ledger decides what callers may make a process hold

Each body, head, response and connection is inside its own limit, and the sum of them has none.

Change: sparscale_policy::intake, pure, counts connections, bodies and responses against half of the memory of the box, and connections against a part of its descriptors. Room is granted before it is used. Without room, the connection that has made no progress for longest gives its own up; a body that is complete or keeps arriving keeps it, and single bytes are no progress. Nothing uses it yet.

--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod group;
 pub mod headroom;
+pub mod intake;
 pub mod queue;
 pub mod rate_limit;
 pub mod response_timeout;
