Readiness and metrics: connections are bounded, and heads have a size and a time

What callers saw: with 512 descriptors, 700 silent connections to the metrics or the readiness address left no descriptor for anyone: an ordinary request got no answer within a minute.

Cause: both listeners accepted without a count, had no time for a head, and the HTTP library's own limit of 400 KB for one. When descriptors ran out they retried at once.

Change: both accept through the intake, as agents do for their metrics: at most 64 connections each, fewer on small machines; the one that has been idle for longest is closed for a new one. A head has 8 KiB and 3 s.

Conclusion: a crowd at an address for checks costs 64 connections at most, and the checks themselves are served, as each opens a connection or uses one that is not the oldest.

--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt as _;
 use sparscale_belief::{Archive, Board, Source, read_configuration, read_roster, read_strikes, reader};
 use sparscale_catalog::Group;
+use sparscale_intake::{Intake, Listener, Port};
 use sparscale_mesh::{self as mesh, Mesh};
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
@@ -69,7 +70,7 @@
         let board = Board::new(Arc::clone(&parts.clock)).with_first_start(settings.is_first_start);
         let board = Arc::new(board);
         let callers = listen(settings.caller_address).await?;
-        let ready = listen(settings.ready_address).await?;
+        let ready = listen_for_checks(settings.ready_address, parts.intake).await?;
         let mesh = start_mesh(&settings, &board)?;
         let read_schedule = Arc::new(reader::Schedule::new(
             settings.max_observation_age,
@@ -135,7 +136,7 @@
         let (phase, phases) = watch::channel(Phase::Serving);
         let entry = Self {
             caller_address: callers.local_addr().context(AddressSnafu)?,
-            ready_address: ready.local_addr().context(AddressSnafu)?,
+            ready_address: ready.local_address().context(AddressSnafu)?,
             peer_address: mesh.address(),
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
@@ -184,6 +185,11 @@
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
 
+async fn listen_for_checks(address: SocketAddr, intake: Arc<Intake>) -> Result<Listener, Error> {
+    let listener = Listener::bind(address, intake, Port::Readiness).await;
+    listener.context(ListenSnafu { address })
+}
+
 fn start_mesh(settings: &Settings, board: &Arc<Board>) -> Result<Arc<Mesh>, Error> {
     let endpoint = Endpoint::bind_with_max_streams(
         settings.peer_address,
--- a/crates/sparscale_gateway/src/readiness.rs
+++ b/crates/sparscale_gateway/src/readiness.rs
@@ -1,40 +1,23 @@
 //! Readiness check: lets the load balancer in front query whether this entry accepts callers.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use sparscale_belief::Board;
-use tokio::net::TcpListener;
+use sparscale_intake::{Listener, serve_small};
 use tokio::sync::watch;
 
 use crate::phase::Phase;
 
 /// Responds to every request at `listener`; never returns.
-pub(crate) async fn serve(listener: TcpListener, board: Arc<Board>, phase: watch::Receiver<Phase>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let (board, phase) = (Arc::clone(&board), phase.clone());
-        let service = service_fn(move |_request: Request<Incoming>| {
-            let is_ready = *phase.borrow() == Phase::Serving && board.catalog().is_some() && board.targets().is_some();
-            async move { Ok::<_, Infallible>(response(is_ready)) }
-        });
-        tokio::spawn(async move {
-            // The load balancer repeats a check whose connection is lost.
-            let _ended = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+pub(crate) async fn serve(listener: Listener, board: Arc<Board>, phase: watch::Receiver<Phase>) {
+    serve_small(listener, move || {
+        let is_ready = *phase.borrow() == Phase::Serving && board.catalog().is_some() && board.targets().is_some();
+        response(is_ready)
+    })
+    .await;
 }
 
 fn response(is_ready: bool) -> Response<Full<Bytes>> {
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use sparscale_belief::{Archive, Source};
 use sparscale_catalog::{Configuration, Roster};
 use sparscale_clock::Clock;
+use sparscale_intake::Intake;
 use sparscale_policy::budget::Allowance;
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::Registry;
@@ -65,6 +66,8 @@
     pub archive: Box<dyn Archive>,
     /// Clock for deadlines and for the age of the observed state; counts suspended time.
     pub clock: Arc<dyn Clock>,
+    /// Counts what callers make the process hold.
+    pub intake: Arc<Intake>,
     /// Header names.
     pub header_names: HeaderNames,
     /// Registry of the process's metrics.
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -10,6 +10,7 @@
 use sparscale_catalog::{Catalog, Configuration, Document, Roster, Target as RosterTarget, TargetStatus};
 use sparscale_clock::Clock;
 use sparscale_gateway::{Allowance, Dependencies, Entry, Freshness, HeaderNames, Settings};
+use sparscale_intake::Intake;
 use sparscale_quarantine::Strike;
 use sparscale_samples as samples;
 use sparscale_telemetry::Registry;
@@ -170,6 +171,7 @@
             strikes: Box::new(strikes.clone()),
             archive: Box::new(strikes.clone()),
             clock: Arc::clone(&clock) as Arc<dyn Clock>,
+            intake: Intake::new(sparscale_intake::capacity(256_000_000, 4_096), &registry),
             header_names: HeaderNames::defaults().expect("proper names"),
             registry: Arc::clone(&registry),
         };
--- a/crates/sparscale_intake/src/lib.rs
+++ b/crates/sparscale_intake/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod connection;
 mod listener;
+mod metrics_server;
 mod small_server;
 
 pub use connection::{Connection, Intake, Reservation};
 pub use listener::Listener;
+pub use metrics_server::serve_metrics;
 pub use small_server::serve_small;
 pub use sparscale_policy::intake::{Activity, Capacity, Owner, Port};
 
--- a/crates/sparscale_telemetry/src/lib.rs
+++ b/crates/sparscale_telemetry/src/lib.rs
@@ -3,14 +3,12 @@
 //! Log lines are JSON on standard output. Every routing or placement decision is one line with the log target
 //! [`DECISION`]. The lines of dropshot, which logs through slog, are written to the same log.
 
-mod exposition;
 mod metrics;
 mod registry;
 mod run_program;
 mod signals;
 mod writer;
 
-pub use exposition::expose_metrics;
 pub use metrics::Metrics;
 pub use registry::{Counter, Gauge, Histogram, Registry};
 pub use run_program::{run_logged, run_service};
