Callers: bodies and connections stay within one budget, and the head decides first

What callers saw: 200 callers with bodies of legal size took an entry to 886 MB (260 allowed), whichever way they sent them: whole (1,339 MB), stopped one byte short, in chunks of 64 KiB, over the limit in chunks (451 MB), or without a valid key (888 MB). 40 callers with 200,000 chunks of one byte took 317 MB. 2,000 callers took 1,765 MB.

Cause: read_body held up to body_bytes for each request, whatever the others held, before anyone looked at the key or the route; a chunk of one byte cost its handle and kept the read buffer alive that it came in; the parts were then copied into one more buffer. Connections were accepted without a count.

Change: the head decides first (size, route, key, announced length), and a caller that expects 100-continue gets that decision. Room is reserved before a body is read, the whole length if it is announced, else segment by segment, and released with the body's last handle. Parts are copied into segments of one size. Without room a body gets 503 and Retry-After at once, and one that has stopped arriving for a second gets 408 in favour of others; neither has run. The rest of a refused body is discarded, up to the size limit and for 5 s at most, so that the refusal arrives; the connection closes if that was not all of it. A body that is still arriving at the route's timeout gets 408. What a caller sends beside stays in a receive buffer of 16 KiB. At the limit of connections the one without progress for longest is closed.

Conclusion: the sum is bounded, not each request.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -2,14 +2,16 @@
 //!
 //! Limits, route, key and deadline are checked here, before a request reaches a queue or a target.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use sparscale_belief::{Board, MAX_HISTORY_WAIT};
 use sparscale_catalog::{Access, Catalog, Limits};
 use sparscale_clock::Timestamp;
+use sparscale_intake::{Connection, Owner};
 use sparscale_quarantine::{Content, Fingerprint};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
@@ -21,7 +23,8 @@
 use crate::head::{Head, head_bytes};
 use crate::phase::Phase;
 use crate::refusal::{Reason, Refusal};
-use crate::request_body::read_body;
+use crate::request_body::{self, RequestBody};
+use crate::request_span::RequestSpan;
 
 /// `Retry-After` of a rejection for missing or outdated state of this entry.
 const INCOMPLETE_STATE_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -56,28 +59,57 @@
             .unwrap_or_default()
     }
 
-    /// Reads, checks and serves one request.
-    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Checks, reads and serves one request.
+    pub(crate) async fn handle(&self, request: Request<Incoming>, span: &Arc<RequestSpan>) -> Response<Body> {
         let arrived_at = Instant::now();
-        let (parts, incoming) = request.into_parts();
+        let (parts, mut incoming) = request.into_parts();
         let limits = self.limits();
-        let head_too_long = head_bytes(&parts) > limits.max_header_bytes;
+        let head_bytes = head_bytes(&parts);
+        let waits_for_decision = parts.headers.contains_key(http::header::EXPECT);
         let head = Head::new(parts, &self.gateway.target_client.header_names);
-        let refusal = match read_body(incoming, &limits).await {
-            Ok(_) if head_too_long => Refusal::new(Reason::HeadTooLong),
-            Ok(body) => match self.admit(&head, arrived_at) {
-                Ok(admitted) => {
-                    let job = admitted.into_job(head, body, arrived_at);
-                    match self.gateway.quarantine_refusal(&job.outbound.content) {
-                        Some(refusal) => return self.reject(&job.outbound.head, refusal),
-                        None => return self.gateway.serve(job).await,
-                    }
+        let read = if head_bytes > limits.max_header_bytes {
+            Err(Refusal::new(Reason::HeadTooLong))
+        } else {
+            self.read_admitted(&head, &mut incoming, &limits, &span.connection, arrived_at)
+                .await
+        };
+        let job = match read {
+            Ok((grant, body)) => grant.into_job(head, body, arrived_at),
+            Err(refusal) => {
+                // A caller that waits for the decision has not sent the body.
+                if !incoming.is_end_stream() && !waits_for_decision {
+                    Arc::clone(span).discard(incoming, limits.max_body_bytes);
                 }
-                Err(refusal) => refusal,
-            },
-            Err(refusal) => refusal,
+                return self.reject(&head, refusal);
+            }
         };
-        self.reject(&head, refusal)
+        match self.gateway.quarantine_refusal(&job.outbound.content) {
+            Some(refusal) => self.reject(&job.outbound.head, refusal),
+            None => self.gateway.serve(job).await,
+        }
+    }
+
+    /// Decides about a request by its head, before its body costs anything, and again once the body has arrived.
+    async fn read_admitted(
+        &self,
+        head: &Head,
+        incoming: &mut Incoming,
+        limits: &Limits,
+        connection: &Arc<Connection>,
+        arrived_at: Instant,
+    ) -> Result<(Grant, RequestBody), Refusal> {
+        let grant = self.admit(head, arrived_at)?;
+        if incoming.is_end_stream() {
+            return Ok((grant, RequestBody::default()));
+        }
+        let reader = request_body::Reader {
+            connection,
+            owner: grant.owner(),
+            limits,
+            deadline: grant.deadline,
+        };
+        let body = reader.read(incoming).await?;
+        Ok((self.admit(head, arrived_at)?, body))
     }
 
     fn reject(&self, head: &Head, refusal: Refusal) -> Response<Body> {
@@ -150,9 +182,19 @@
 }
 
 impl Grant {
-    fn into_job(self, head: Head, body: bytes::Bytes, arrived_at: Instant) -> Job {
+    /// Whose room the body takes.
+    fn owner(&self) -> Owner {
+        self.workspace.as_ref().map_or(Owner::Public, |workspace| {
+            let mut hasher = DefaultHasher::new();
+            workspace.hash(&mut hasher);
+            Owner::Workspace(hasher.finish())
+        })
+    }
+
+    fn into_job(self, head: Head, body: RequestBody, arrived_at: Instant) -> Job {
         let workspace = self.workspace.as_deref();
-        let fingerprint = Fingerprint::of(head.method.as_str(), head.path.as_str(), workspace, &body);
+        let (method, path) = (head.method.as_str(), head.path.as_str());
+        let fingerprint = Fingerprint::of_segments(method, path, workspace, body.as_slice());
         let shared_parts = head.shared_parts.iter().map(|id| Fingerprint::of_part(id.as_bytes()));
         let content = Content::new(fingerprint, shared_parts);
         Job {
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::response::Parts;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use sparscale_backpressure::{BackpressureSignal, ParsedHeader};
 use sparscale_belief::Board;
@@ -21,8 +21,9 @@
 
 use crate::head::{Head, without_hop_by_hop};
 use crate::header_names::HeaderNames;
-use crate::pool::{Connection, Pool, connect};
+use crate::pool::{self, Pool, connect};
 use crate::process_monitor::{PreparedWatch, ProcessMonitor};
+use crate::request_body::{RequestBody, Segments};
 use crate::response_body::{RemainingBody, Watch, is_delimited};
 use crate::response_error::ResponseError;
 
@@ -34,7 +35,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Outbound {
     pub(crate) head: Head,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     /// Identifies the request and the shared parts of its prompt; equal for each retry.
     pub(crate) content: Content,
     pub(crate) workspace: Option<HeaderValue>,
@@ -136,7 +137,7 @@
             .unwrap_or(SendOutcome::ResponseLost(ResponseError::Timeout))
     }
 
-    async fn connection(&self, instance: &Instance, outbound: &Outbound) -> Result<Connection, crate::pool::Error> {
+    async fn connection(&self, instance: &Instance, outbound: &Outbound) -> Result<pool::Connection, pool::Error> {
         let max_idle = if outbound.retryable {
             Duration::MAX
         } else {
@@ -148,7 +149,7 @@
         }
     }
 
-    async fn exchange(&self, instance: &Instance, outbound: &Outbound, connection: Connection) -> SendOutcome {
+    async fn exchange(&self, instance: &Instance, outbound: &Outbound, connection: pool::Connection) -> SendOutcome {
         let target = &instance.target;
         let mut connection = connection;
         let prepared = self.processes.prepare(instance);
@@ -180,8 +181,8 @@
         }
     }
 
-    fn request(&self, target: &Target, outbound: &Outbound) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(outbound.body.clone()));
+    fn request(&self, target: &Target, outbound: &Outbound) -> Request<Segments> {
+        let mut request = Request::new(outbound.body.segments());
         *request.method_mut() = outbound.head.method.clone();
         *request.uri_mut() = http::Uri::from(outbound.head.path.clone());
         let mut headers = outbound.head.headers.clone();
@@ -271,7 +272,7 @@
         instance: &Instance,
         parts: Parts,
         incoming: Incoming,
-        connection: Connection,
+        connection: pool::Connection,
         prepared: PreparedWatch,
     ) -> SendOutcome {
         let mut remainder = self.remaining_body(instance, &parts, incoming, connection, prepared);
@@ -312,7 +313,7 @@
         instance: &Instance,
         parts: &Parts,
         incoming: Incoming,
-        connection: Connection,
+        connection: pool::Connection,
         prepared: PreparedWatch,
     ) -> RemainingBody {
         let watch = || Watch {
@@ -334,7 +335,7 @@
     async fn return_connection(
         &self,
         target: Incarnation,
-        connection: Connection,
+        connection: pool::Connection,
         incoming: Incoming,
         headers: &HeaderMap,
     ) {
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -15,7 +15,6 @@
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
 use sparscale_wire::{Endpoint, Identity, MAX_LONG_LIVED_STREAMS, Role};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -25,7 +24,7 @@
 use crate::gate::Gates;
 use crate::loads::Loads;
 use crate::metrics::{Metrics, register_gauges};
-use crate::phase::{Connections, Phase};
+use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::process_monitor::ProcessMonitor;
 use crate::queues::Queues;
@@ -61,7 +60,7 @@
     pub mesh: Arc<Mesh>,
     settings: Settings,
     phase: watch::Sender<Phase>,
-    connection_counter: Arc<Connections>,
+    intake: Arc<Intake>,
 }
 
 impl Entry {
@@ -69,8 +68,8 @@
     pub async fn start(settings: Settings, parts: Dependencies) -> Result<Self, Error> {
         let board = Board::new(Arc::clone(&parts.clock)).with_first_start(settings.is_first_start);
         let board = Arc::new(board);
-        let callers = listen(settings.caller_address).await?;
-        let ready = listen_for_checks(settings.ready_address, parts.intake).await?;
+        let callers = listen(settings.caller_address, &parts.intake, Port::Callers).await?;
+        let ready = listen(settings.ready_address, &parts.intake, Port::Readiness).await?;
         let mesh = start_mesh(&settings, &board)?;
         let read_schedule = Arc::new(reader::Schedule::new(
             settings.max_observation_age,
@@ -120,8 +119,7 @@
             deadlines: Mutex::default(),
             retry_schedules: Mutex::default(),
         });
-        let connection_counter = Arc::new(Connections::default());
-        register_gauges(&registry, &board, &mesh, &connection_counter);
+        register_gauges(&registry, &board, &mesh, &parts.intake);
         tokio::spawn(follow_group_loads(Arc::clone(&gateway)));
         let read_schedules = [read_schedule, strikes_schedule];
         tokio::spawn(follow_mesh_status(
@@ -135,13 +133,13 @@
         tokio::spawn(async move { processes.run().await });
         let (phase, phases) = watch::channel(Phase::Serving);
         let entry = Self {
-            caller_address: callers.local_addr().context(AddressSnafu)?,
+            caller_address: callers.local_address().context(AddressSnafu)?,
             ready_address: ready.local_address().context(AddressSnafu)?,
             peer_address: mesh.address(),
             board: Arc::clone(&board),
             mesh: Arc::clone(&mesh),
             phase,
-            connection_counter,
+            intake: parts.intake,
             settings,
         };
         tokio::spawn(readiness::serve(ready, board, phases.clone()));
@@ -151,13 +149,7 @@
             freshness,
             phases: phases.clone(),
         });
-        tokio::spawn(server::serve(
-            callers,
-            admission,
-            Arc::clone(&entry.connection_counter),
-            entry.settings.stall_timeout,
-            phases,
-        ));
+        tokio::spawn(server::serve(callers, admission, entry.settings.stall_timeout, phases));
         log::info!(target: DECISION, decision = "start", name = entry.settings.name.as_str(), callers = entry.caller_address.to_string().as_str(); "entry started");
         Ok(entry)
     }
@@ -166,7 +158,7 @@
     /// have ended or the grace period is over.
     pub async fn stop(&self) {
         let stop_requested_at = Instant::now();
-        let connections = || self.connection_counter.connections.load(Ordering::Relaxed);
+        let connections = || self.intake.connections(Port::Callers);
         self.phase.send_replace(Phase::Draining);
         log::info!(target: DECISION, decision = "stop", connections = connections(); "stop requested; draining connections");
         let stream_time = self.settings.drain_stream_time;
@@ -181,12 +173,8 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
-}
-
-async fn listen_for_checks(address: SocketAddr, intake: Arc<Intake>) -> Result<Listener, Error> {
-    let listener = Listener::bind(address, intake, Port::Readiness).await;
+async fn listen(address: SocketAddr, intake: &Arc<Intake>, port: Port) -> Result<Listener, Error> {
+    let listener = Listener::bind(address, Arc::clone(intake), port).await;
     listener.context(ListenSnafu { address })
 }
 
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod readiness;
 mod refusal;
 mod request_body;
+mod request_span;
 mod respond;
 mod response_body;
 mod response_error;
@@ -38,6 +39,7 @@
 mod stragglers;
 mod suspension;
 mod traffic_split;
+mod wait_tracker;
 mod witness;
 
 pub use admission::Freshness;
--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -1,15 +1,14 @@
 //! Metrics of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use sparscale_belief::Board;
 use sparscale_catalog::RequestKind;
+use sparscale_intake::{Intake, Port};
 use sparscale_mesh::Mesh;
 use sparscale_telemetry::{Counter, Histogram, Registry};
 
-use crate::phase::Connections;
 use crate::refusal::Reason;
 
 /// Metrics that are updated by requests.
@@ -93,12 +92,7 @@
 }
 
 /// Registers the gauges, which read their values from the components of the entry.
-pub(crate) fn register_gauges(
-    registry: &Arc<Registry>,
-    board: &Arc<Board>,
-    mesh: &Arc<Mesh>,
-    connection_counter: &Arc<Connections>,
-) {
+pub(crate) fn register_gauges(registry: &Arc<Registry>, board: &Arc<Board>, mesh: &Arc<Mesh>, intake: &Arc<Intake>) {
     let gauge = |name, help| registry.gauge(name, help, &[]);
     let catalog_age = gauge(
         "sparscale_catalog_age_seconds",
@@ -118,11 +112,15 @@
         "Entries that share the headroom of groups, including this one.",
     );
     let connections = gauge("sparscale_caller_connections", "Connections from callers.");
-    let held = gauge(
+    let held_responses = gauge(
         "sparscale_held_response_bytes",
         "Bytes of responses that callers have not read yet.",
     );
-    let (board, mesh_status, connection_counter) = (Arc::clone(board), mesh.status(), Arc::clone(connection_counter));
+    let held = gauge(
+        "sparscale_held_bytes",
+        "Bytes counted for callers: connections, request bodies and responses.",
+    );
+    let (board, mesh_status, intake) = (Arc::clone(board), mesh.status(), Arc::clone(intake));
     registry.before_render(move || {
         let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
         catalog_age.set(seconds(board.catalog_age()));
@@ -134,7 +132,8 @@
         );
         reader_index.set(mesh_status.borrow().index as f64);
         entries.set(mesh_status.borrow().entries as f64);
-        held.set(connection_counter.held.total() as f64);
-        connections.set(connection_counter.connections.load(Ordering::Relaxed) as f64);
+        held_responses.set(intake.held_responses() as f64);
+        held.set(intake.held() as f64);
+        connections.set(intake.connections(Port::Callers) as f64);
     });
 }
--- a/crates/sparscale_gateway/src/phase.rs
+++ b/crates/sparscale_gateway/src/phase.rs
@@ -1,10 +1,5 @@
 //! Phases of an entry from serving callers to shutdown.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-
-use crate::slow_reader::HeldBytes;
-
 /// Whether the entry accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -17,11 +12,3 @@
     /// Idle connections are closed, and no new ones are accepted.
     Closing,
 }
-
-/// Counts the open connections from callers, and what is held for them.
-#[derive(Debug, Default)]
-pub(crate) struct Connections {
-    pub(crate) connections: AtomicUsize,
-    /// Bytes of responses that are held for them.
-    pub(crate) held: Arc<HeldBytes>,
-}
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -6,9 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt as _, Snafu};
@@ -18,6 +16,7 @@
 use sparscale_policy::budget;
 use tokio::net::TcpStream;
 
+use crate::request_body::Segments;
 use crate::shared_stream::SharedStream;
 
 /// Maximum time to open a connection: several round trips inside a region. If an overloaded target drops the SYN
@@ -60,7 +59,7 @@
 /// A connection in use by one request.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<Segments>,
     pub(crate) stream: SharedStream,
     /// Whether no request has been sent on it yet.
     pub(crate) is_new: bool,
@@ -68,7 +67,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Segments>,
     stream: SharedStream,
     idle_since: Timestamp,
     /// Idle time after which the target may close it.
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -26,8 +26,12 @@
     BodyTooLong,
     /// The body did not arrive on time.
     BodyTimeout,
+    /// The body stopped arriving, and others needed its room.
+    BodyStalled,
     /// The body could not be read.
     BodyUnreadable,
+    /// The process has no room for the body.
+    NoRoom,
     /// No target of the service accepts requests.
     NoTarget,
     /// The operators evacuate the halls of all targets of the service.
@@ -67,7 +71,9 @@
             Self::HeadTooLong => "head_too_long",
             Self::BodyTooLong => "body_too_long",
             Self::BodyTimeout => "body_late",
+            Self::BodyStalled => "body_stalled",
             Self::BodyUnreadable => "body_broken",
+            Self::NoRoom => "no_room",
             Self::NoTarget => "no_target",
             Self::Evacuated => "evacuated",
             Self::Busy => "busy",
@@ -91,10 +97,11 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTimeout | Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Self::BodyUnreadable => StatusCode::BAD_REQUEST,
             Self::Busy => StatusCode::TOO_MANY_REQUESTS,
             Self::NoCatalog
+            | Self::NoRoom
             | Self::StaleCatalog
             | Self::NoTarget
             | Self::Evacuated
--- a/crates/sparscale_gateway/src/slow_reader.rs
+++ b/crates/sparscale_gateway/src/slow_reader.rs
@@ -8,44 +8,32 @@
 //! shorter one when the process holds too much for all of them.
 
 use std::io;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
 
+use sparscale_intake::Connection;
 use tokio::time::Instant;
 
 /// Send buffer that is requested for the socket of a caller; the kernel doubles it. It reports progress only once about
 /// a third of it is free, which a caller that reads 2 KiB a second achieves within 20 s.
 pub(crate) const SEND_BUFFER_BYTES: usize = 64 << 10;
-/// Bytes held for all callers together from which on those that accept nothing are cut off sooner.
-const MAX_TOTAL_BYTES: usize = 64 << 20;
-/// Time without progress after which a connection is cut off then.
+/// Time without progress after which a connection is cut off when the process holds too much for all callers.
 const SHORT_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes of responses that the process holds for all callers.
-#[derive(Debug, Default)]
-pub(crate) struct HeldBytes(AtomicUsize);
-
-impl HeldBytes {
-    pub(crate) fn total(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    /// Time without progress after which a connection is cut off, where `usual` applies while there is enough room.
-    pub(crate) fn stall_timeout(&self, usual: Duration) -> Duration {
-        if self.total() > MAX_TOTAL_BYTES {
-            usual.min(SHORT_STALL_TIMEOUT)
-        } else {
-            usual
-        }
+/// Time without progress after which `connection` is cut off, where `usual` applies while there is enough room.
+pub(crate) fn stall_timeout(connection: &Connection, usual: Duration) -> Duration {
+    if connection.intake().is_pressed() {
+        usual.min(SHORT_STALL_TIMEOUT)
+    } else {
+        usual
     }
 }
 
 /// What is held for the caller of one connection, and whether it accepts it.
 #[derive(Debug)]
 pub(crate) struct Progress {
-    total: Arc<HeldBytes>,
+    connection: Arc<Connection>,
     state: Mutex<State>,
 }
 
@@ -58,9 +46,9 @@
 
 impl Progress {
     /// The state of a new connection.
-    pub(crate) fn new(total: Arc<HeldBytes>) -> Self {
+    pub(crate) fn new(connection: Arc<Connection>) -> Self {
         Self {
-            total,
+            connection,
             state: Mutex::default(),
         }
     }
@@ -68,7 +56,7 @@
     /// Records a part of a response that the connection has taken.
     pub(crate) fn record_taken(&self, bytes: usize) {
         self.lock().held += bytes;
-        self.total.0.fetch_add(bytes, Ordering::Relaxed);
+        self.connection.record_response(bytes);
     }
 
     /// Records the result of a write to the socket. Heads and framing count as parts of the responses, which they are
@@ -77,13 +65,18 @@
         let mut state = self.lock();
         match written {
             Poll::Pending => {
-                state.blocked_since.get_or_insert_with(Instant::now);
+                if state.blocked_since.is_none() {
+                    state.blocked_since = Some(Instant::now());
+                    self.connection.set_unread(true);
+                }
             }
             Poll::Ready(Ok(bytes)) => {
                 let released = state.held.min(*bytes);
                 state.held -= released;
-                state.blocked_since = None;
-                self.total.0.fetch_sub(released, Ordering::Relaxed);
+                self.connection.release_response(released);
+                if state.blocked_since.take().is_some() {
+                    self.connection.set_unread(false);
+                }
             }
             Poll::Ready(Err(_)) => {}
         }
@@ -103,10 +96,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Drop for Progress {
-    fn drop(&mut self) {
-        let held = self.lock().held;
-        self.total.0.fetch_sub(held, Ordering::Relaxed);
-    }
-}
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -152,11 +152,42 @@
         )
     }
 
+    /// Starts an entry that holds at most what `intake` allows.
+    pub fn with_intake(
+        settings: Settings,
+        document: Document,
+        plain: &[&Target],
+        intake: Arc<Intake>,
+        registry: Arc<Registry>,
+    ) -> Self {
+        Self::with_parts(
+            settings,
+            FakeStore::new(catalog(document), 1),
+            FakeStore::new(roster(plain, &[]), 1),
+            FakeStrikeStore::default(),
+            intake,
+            registry,
+        )
+    }
+
     fn with_store(
         settings: Settings,
         catalogs: FakeStore<Configuration>,
         rosters: FakeStore<Roster>,
         strikes: FakeStrikeStore,
+    ) -> Self {
+        let registry = Arc::new(Registry::default());
+        let intake = Intake::new(sparscale_intake::capacity(256_000_000, 4_096), &registry);
+        Self::with_parts(settings, catalogs, rosters, strikes, intake, registry)
+    }
+
+    fn with_parts(
+        settings: Settings,
+        catalogs: FakeStore<Configuration>,
+        rosters: FakeStore<Roster>,
+        strikes: FakeStrikeStore,
+        intake: Arc<Intake>,
+        registry: Arc<Registry>,
     ) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -164,14 +195,13 @@
             .build()
             .expect("a runtime");
         let clock = Arc::new(samples::SuspendableClock::default());
-        let registry = Arc::new(Registry::default());
         let parts = Dependencies {
             configuration: Box::new(catalogs.clone()),
             roster: Box::new(rosters.clone()),
             strikes: Box::new(strikes.clone()),
             archive: Box::new(strikes.clone()),
             clock: Arc::clone(&clock) as Arc<dyn Clock>,
-            intake: Intake::new(sparscale_intake::capacity(256_000_000, 4_096), &registry),
+            intake,
             header_names: HeaderNames::defaults().expect("proper names"),
             registry: Arc::clone(&registry),
         };
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -10,6 +10,7 @@
 mod groups;
 mod observations;
 mod rate_limits;
+mod refused_bodies;
 mod requested_backoffs;
 mod requests;
 mod responses;
--- a/crates/sparscale_quarantine/src/fingerprint.rs
+++ b/crates/sparscale_quarantine/src/fingerprint.rs
@@ -35,8 +35,17 @@
     /// Computes the fingerprint of a request; `path` includes the query, `workspace` is `None` for a request without
     /// one.
     pub fn of(method: &str, path: &str, workspace: Option<&str>, body: &[u8]) -> Self {
-        let workspace = workspace.unwrap_or_default();
-        Self::of_fields(&[method.as_bytes(), path.as_bytes(), workspace.as_bytes(), body])
+        Self::of_segments(method, path, workspace, &[body])
+    }
+
+    /// Computes the same fingerprint for a body in several segments.
+    pub fn of_segments(method: &str, path: &str, workspace: Option<&str>, body: &[impl AsRef<[u8]>]) -> Self {
+        let mut hasher = Sha256::new();
+        for field in [method, path, workspace.unwrap_or_default()] {
+            update_field(&mut hasher, &[field]);
+        }
+        update_field(&mut hasher, body);
+        Self::truncate(hasher)
     }
 
     /// Computes the fingerprint of a prompt part, which is the same for all requests that share the part.
@@ -54,10 +63,12 @@
     fn of_fields(fields: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
         for field in fields {
-            // The length prefix makes the encoding unambiguous: bytes cannot move from one field to the next.
-            hasher.update((field.len() as u64).to_be_bytes());
-            hasher.update(field);
+            update_field(&mut hasher, &[field]);
         }
+        Self::truncate(hasher)
+    }
+
+    fn truncate(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut bytes = [0; LENGTH_BYTES];
         bytes.copy_from_slice(&digest[..LENGTH_BYTES]);
@@ -72,6 +83,16 @@
     }
 }
 
+/// Adds a field to the digest. The length prefix makes the encoding unambiguous: bytes cannot move from one field to the
+/// next.
+fn update_field(hasher: &mut Sha256, segments: &[impl AsRef<[u8]>]) {
+    let length: usize = segments.iter().map(|segment| segment.as_ref().len()).sum();
+    hasher.update((length as u64).to_be_bytes());
+    for segment in segments {
+        hasher.update(segment);
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = ParseError;
 
