Responses: what is buffered for callers has room in the same budget

Cause: each response was buffered up to 256 KiB before its caller got any of it, and each connection to a target read 64 KiB ahead, with a receive buffer that the kernel grows to megabytes. The sum was only looked at once the connection had taken a response, with a limit of its own beside the bodies'.

Change: beyond 16 KiB a response reserves room in the budget. Without room it is forwarded as it arrives, and a long one waits for room before more of it is read; callers that read nothing for a second make room. Connections to targets read 32 KiB ahead and ask for a receive buffer of 32 KiB.

Conclusion: bodies, responses and connections are one sum.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -74,7 +74,7 @@
                 .await
         };
         let job = match read {
-            Ok((grant, body)) => grant.into_job(head, body, arrived_at),
+            Ok((grant, body)) => grant.into_job(head, body, Arc::clone(&span.connection), arrived_at),
             Err(refusal) => {
                 // A caller that waits for the decision has not sent the body.
                 if !incoming.is_end_stream() && !waits_for_decision {
@@ -191,7 +191,7 @@
         })
     }
 
-    fn into_job(self, head: Head, body: RequestBody, arrived_at: Instant) -> Job {
+    fn into_job(self, head: Head, body: RequestBody, connection: Arc<Connection>, arrived_at: Instant) -> Job {
         let workspace = self.workspace.as_deref();
         let (method, path) = (head.method.as_str(), head.path.as_str());
         let fingerprint = Fingerprint::of_segments(method, path, workspace, body.as_slice());
@@ -201,6 +201,7 @@
             outbound: Outbound {
                 head,
                 body,
+                connection,
                 content,
                 workspace: workspace.and_then(workspace_header),
                 deadline: self.deadline,
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use sparscale_belief::Board;
 use sparscale_catalog::{Incarnation, Instance, Target};
 use sparscale_clock::{Clock, Timestamp};
+use sparscale_intake::Connection;
 use sparscale_quarantine::Content;
 use tokio::time::Instant;
 
@@ -26,6 +27,7 @@
 use crate::request_body::{RequestBody, Segments};
 use crate::response_body::{RemainingBody, Watch, is_delimited};
 use crate::response_error::ResponseError;
+use crate::response_room::ResponseRoom;
 
 /// Bytes of a response that are buffered before any of them goes to the caller. A longer response is forwarded as it
 /// arrives.
@@ -36,6 +38,8 @@
 pub(crate) struct Outbound {
     pub(crate) head: Head,
     pub(crate) body: RequestBody,
+    /// The connection of the caller.
+    pub(crate) connection: Arc<Connection>,
     /// Identifies the request and the shared parts of its prompt; equal for each retry.
     pub(crate) content: Content,
     pub(crate) workspace: Option<HeaderValue>,
@@ -96,6 +100,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Released once the connection of the caller has taken the body, and counts it.
+    pub(crate) _room: ResponseRoom,
 }
 
 /// A response whose body is still arriving.
@@ -106,6 +112,7 @@
     /// Start of the body, buffered so far.
     pub(crate) buffered: Bytes,
     pub(crate) remainder: RemainingBody,
+    pub(crate) room: ResponseRoom,
 }
 
 /// HTTP client for requests to targets.
@@ -177,7 +184,11 @@
                     .await;
                 SendOutcome::Rejected(rejection)
             }
-            ResponseClass::Usable => self.collect(instance, parts, incoming, connection, prepared).await,
+            ResponseClass::Usable => {
+                let room = ResponseRoom::new(Arc::clone(&outbound.connection));
+                self.collect(instance, parts, incoming, connection, prepared, room)
+                    .await
+            }
         }
     }
 
@@ -274,6 +285,7 @@
         incoming: Incoming,
         connection: pool::Connection,
         prepared: PreparedWatch,
+        mut room: ResponseRoom,
     ) -> SendOutcome {
         let mut remainder = self.remaining_body(instance, &parts, incoming, connection, prepared);
         let headers = caller_headers(&parts.headers);
@@ -285,6 +297,7 @@
                 headers,
                 buffered,
                 remainder,
+                room,
             }));
         }
         let mut buffered = BytesMut::new();
@@ -294,18 +307,25 @@
                 Ok(None) => break,
                 Err(error) => return SendOutcome::ResponseLost(error),
             }
-            if buffered.len() > MAX_BUFFERED_BYTES {
+            // Without room, the rest is read only as fast as the caller reads.
+            if buffered.len() > MAX_BUFFERED_BYTES || !room.reserve(buffered.len()) {
                 let buffered = buffered.freeze();
                 return SendOutcome::Partial(Box::new(PartialResponse {
                     status,
                     headers,
                     buffered,
                     remainder,
+                    room,
                 }));
             }
         }
         let body = buffered.freeze();
-        SendOutcome::Complete(CompleteResponse { status, headers, body })
+        SendOutcome::Complete(CompleteResponse {
+            status,
+            headers,
+            body,
+            _room: room,
+        })
     }
 
     fn remaining_body(
--- a/crates/sparscale_gateway/src/lib.rs
+++ b/crates/sparscale_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod response_body;
 mod response_error;
 mod response_monitor;
+mod response_room;
 mod server;
 mod settings;
 mod shared_stream;
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -31,7 +31,10 @@
 /// Maximum idle time of a connection that is reused; a keep-alive time of the target can shorten it.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Most bytes of a response that one connection reads ahead; a response head has to fit, too.
-pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+pub(crate) const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+/// Receive buffer that is requested for the socket of a target; the kernel doubles it. A response whose caller reads
+/// nothing fills it.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -154,8 +157,10 @@
         .map_err(|_elapsed| Error::Timeout)?
         .context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
-    SockRef::from(&stream)
+    let socket = SockRef::from(&stream);
+    socket
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+        .and_then(|()| socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES))
         .context(ConnectSnafu)?;
     Ok(stream)
 }
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -24,6 +24,7 @@
 use crate::response_body::RemainingBody;
 use crate::response_error::ResponseError;
 use crate::response_monitor::UnresponsiveTarget;
+use crate::response_room::ResponseRoom;
 
 impl Gateway {
     /// Serves a request that has passed all checks.
@@ -77,6 +78,7 @@
                 history,
                 buffered: Some(partial.buffered),
                 remainder: partial.remainder,
+                room: partial.room,
                 caller_time: CallerTime::default(),
                 _in_flight: in_flight,
             };
@@ -355,6 +357,7 @@
     /// Start of the body, buffered until it exceeded the limit.
     buffered: Option<Bytes>,
     remainder: RemainingBody,
+    room: ResponseRoom,
     caller_time: CallerTime,
     /// Counts the request as load of the target until dropped.
     _in_flight: InFlightGuard,
@@ -375,11 +378,12 @@
         if let Some(bytes) = self.buffered.take() {
             return Some(Ok(bytes));
         }
-        let next = tokio::time::timeout_at(
-            self.job.outbound.deadline + self.caller_time.total,
-            self.remainder.next(),
-        )
-        .await;
+        let (room, remainder) = (&mut self.room, &mut self.remainder);
+        let next = async {
+            room.wait_for_relay().await;
+            remainder.next().await
+        };
+        let next = tokio::time::timeout_at(self.job.outbound.deadline + self.caller_time.total, next).await;
         match next.unwrap_or(Err(ResponseError::Timeout)) {
             Ok(Some(bytes)) => Some(Ok(bytes)),
             Ok(None) => None,
