Intake: the server for callers moves out of the gateway

Cause: the own path's entry has the same fault as the gateway had, and its server, of dropshot, accepts connections by itself: there is no way to count or close them. A second copy of the gateway's server would be a twin.

Change: the server for connections of callers, with its timeouts, the spans of requests, slow readers and the reading of bodies, moves to sparscale_intake and knows no gateway: a Handler responds, and BodyError says why a body was not read. No behaviour changes.

--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -2,7 +2,6 @@
 //!
 //! Limits, route, key and deadline are checked here, before a request reaches a queue or a target.
 
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,20 +10,18 @@
 use sparscale_belief::{Board, MAX_HISTORY_WAIT};
 use sparscale_catalog::{Access, Catalog, Limits};
 use sparscale_clock::Timestamp;
-use sparscale_intake::{Connection, Owner};
+use sparscale_intake::{
+    Body, BodyError, BodyReader, Connection, Handler, Owner, Phase, RequestBody, RequestSpan, STALL_TIME,
+};
 use sparscale_quarantine::{Content, Fingerprint};
 use sparscale_telemetry::DECISION;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::attempt::Outbound;
-use crate::body::Body;
 use crate::exchange::{Gateway, Job, workspace_header};
 use crate::head::{Head, head_bytes};
-use crate::phase::Phase;
 use crate::refusal::{Reason, Refusal};
-use crate::request_body::{self, RequestBody};
-use crate::request_span::RequestSpan;
 
 /// `Retry-After` of a rejection for missing or outdated state of this entry.
 const INCOMPLETE_STATE_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -50,9 +47,9 @@
     pub(crate) phases: watch::Receiver<Phase>,
 }
 
-impl Admission {
+impl Handler for Admission {
     /// Current limits for requests from callers.
-    pub(crate) fn limits(&self) -> Limits {
+    fn limits(&self) -> Limits {
         let catalog = self.gateway.board.catalog();
         catalog
             .map(|observation| *observation.value.limits())
@@ -60,7 +57,7 @@
     }
 
     /// Checks, reads and serves one request.
-    pub(crate) async fn handle(&self, request: Request<Incoming>, span: &Arc<RequestSpan>) -> Response<Body> {
+    async fn handle(&self, request: Request<Incoming>, span: &Arc<RequestSpan>) -> Response<Body> {
         let arrived_at = Instant::now();
         let (parts, mut incoming) = request.into_parts();
         let limits = self.limits();
@@ -70,11 +67,11 @@
         let read = if head_bytes > limits.max_header_bytes {
             Err(Refusal::new(Reason::HeadTooLong))
         } else {
-            self.read_admitted(&head, &mut incoming, &limits, &span.connection, arrived_at)
+            self.read_admitted(&head, &mut incoming, &limits, span.connection(), arrived_at)
                 .await
         };
         let job = match read {
-            Ok((grant, body)) => grant.into_job(head, body, Arc::clone(&span.connection), arrived_at),
+            Ok((grant, body)) => grant.into_job(head, body, Arc::clone(span.connection()), arrived_at),
             Err(refusal) => {
                 // A caller that waits for the decision has not sent the body.
                 if !incoming.is_end_stream() && !waits_for_decision {
@@ -88,7 +85,9 @@
             None => self.gateway.serve(job).await,
         }
     }
+}
 
+impl Admission {
     /// Decides about a request by its head, before its body costs anything, and again once the body has arrived.
     async fn read_admitted(
         &self,
@@ -102,13 +101,13 @@
         if incoming.is_end_stream() {
             return Ok((grant, RequestBody::default()));
         }
-        let reader = request_body::Reader {
+        let reader = BodyReader {
             connection,
             owner: grant.owner(),
             limits,
             deadline: grant.deadline,
         };
-        let body = reader.read(incoming).await?;
+        let body = reader.read(incoming).await.map_err(body_refusal)?;
         Ok((self.admit(head, arrived_at)?, body))
     }
 
@@ -170,6 +169,17 @@
     }
 }
 
+/// The refusal of a request whose body was not read.
+fn body_refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLong => Refusal::new(Reason::BodyTooLong),
+        BodyError::NoRoom => Refusal::with_retry_after(Reason::NoRoom, STALL_TIME),
+        BodyError::Stalled => Refusal::with_retry_after(Reason::BodyStalled, STALL_TIME),
+        BodyError::Late => Refusal::retry_immediately(Reason::BodyTimeout),
+        BodyError::Unreadable => Refusal::new(Reason::BodyUnreadable),
+    }
+}
+
 /// What the catalog says about an admitted request.
 struct Grant {
     catalog: Arc<Catalog>,
@@ -184,11 +194,7 @@
 impl Grant {
     /// Whose room the body takes.
     fn owner(&self) -> Owner {
-        self.workspace.as_ref().map_or(Owner::Public, |workspace| {
-            let mut hasher = DefaultHasher::new();
-            workspace.hash(&mut hasher);
-            Owner::Workspace(hasher.finish())
-        })
+        self.workspace.as_deref().map_or(Owner::Public, Owner::of_workspace)
     }
 
     fn into_job(self, head: Head, body: RequestBody, connection: Arc<Connection>, arrived_at: Instant) -> Job {
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -16,7 +16,7 @@
 use sparscale_belief::Board;
 use sparscale_catalog::{Incarnation, Instance, Target};
 use sparscale_clock::{Clock, Timestamp};
-use sparscale_intake::Connection;
+use sparscale_intake::{Connection, RequestBody, Segments};
 use sparscale_quarantine::Content;
 use tokio::time::Instant;
 
@@ -24,7 +24,6 @@
 use crate::header_names::HeaderNames;
 use crate::pool::{self, Pool, connect};
 use crate::process_monitor::{PreparedWatch, ProcessMonitor};
-use crate::request_body::{RequestBody, Segments};
 use crate::response_body::{RemainingBody, Watch, is_delimited};
 use crate::response_error::ResponseError;
 use crate::response_room::ResponseRoom;
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -10,7 +10,7 @@
 use snafu::ResultExt as _;
 use sparscale_belief::{Archive, Board, Source, read_configuration, read_roster, read_strikes, reader};
 use sparscale_catalog::Group;
-use sparscale_intake::{Intake, Listener, Port};
+use sparscale_intake::{Intake, Listener, Phase, Port};
 use sparscale_mesh::{self as mesh, Mesh};
 use sparscale_quarantine::Strike;
 use sparscale_telemetry::DECISION;
@@ -24,13 +24,11 @@
 use crate::gate::Gates;
 use crate::loads::Loads;
 use crate::metrics::{Metrics, register_gauges};
-use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::process_monitor::ProcessMonitor;
 use crate::queues::Queues;
 use crate::readiness;
 use crate::response_monitor::ResponseMonitor;
-use crate::server;
 use crate::settings::{AddressSnafu, Dependencies, Error, ListenSnafu, PeersSnafu, Settings};
 use crate::traffic_split::TrafficSplit;
 
@@ -149,7 +147,12 @@
             freshness,
             phases: phases.clone(),
         });
-        tokio::spawn(server::serve(callers, admission, entry.settings.stall_timeout, phases));
+        tokio::spawn(sparscale_intake::serve(
+            callers,
+            admission,
+            entry.settings.stall_timeout,
+            phases,
+        ));
         log::info!(target: DECISION, decision = "start", name = entry.settings.name.as_str(), callers = entry.caller_address.to_string().as_str(); "entry started");
         Ok(entry)
     }
--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -20,7 +20,6 @@
     pub(crate) retries: Arc<Counter>,
     pub(crate) denied_retries: Arc<Counter>,
     pub(crate) resumed_streams: Arc<Counter>,
-    pub(crate) stalled_connections: Arc<Counter>,
 }
 
 impl Metrics {
@@ -46,11 +45,6 @@
                 "Streams that were resumed at another target.",
                 &[],
             ),
-            stalled_connections: registry.counter(
-                "sparscale_stalled_connections_total",
-                "Connections that were cut off because their callers read nothing.",
-                &[],
-            ),
             registry,
         }
     }
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -16,8 +16,8 @@
 use sparscale_policy::budget;
 use tokio::net::TcpStream;
 
-use crate::request_body::Segments;
 use crate::shared_stream::SharedStream;
+use sparscale_intake::Segments;
 
 /// Maximum time to open a connection: several round trips inside a region. If an overloaded target drops the SYN
 /// packet, it is retransmitted only after a second, which is too late to wait for.
--- a/crates/sparscale_gateway/src/readiness.rs
+++ b/crates/sparscale_gateway/src/readiness.rs
@@ -9,7 +9,7 @@
 use sparscale_intake::{Listener, serve_small};
 use tokio::sync::watch;
 
-use crate::phase::Phase;
+use sparscale_intake::Phase;
 
 /// Responds to every request at `listener`; never returns.
 pub(crate) async fn serve(listener: Listener, board: Arc<Board>, phase: watch::Receiver<Phase>) {
--- a/crates/sparscale_gateway/src/refusal.rs
+++ b/crates/sparscale_gateway/src/refusal.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 
-use crate::body::Body;
+use sparscale_intake::Body;
 
 /// Why a request was not served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sparscale_gateway/src/respond.rs
+++ b/crates/sparscale_gateway/src/respond.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 
 use crate::attempt_history::AttemptHistory;
-use crate::body::Body;
 use crate::caller_response::{CALLER_DISCONNECTED, CallerResponse};
 use crate::event_stream::{EventStream, join_buffered};
 use crate::events::Event;
@@ -25,6 +24,7 @@
 use crate::response_error::ResponseError;
 use crate::response_monitor::UnresponsiveTarget;
 use crate::response_room::ResponseRoom;
+use sparscale_intake::Body;
 
 impl Gateway {
     /// Serves a request that has passed all checks.
--- a/crates/sparscale_intake/src/connection.rs
+++ b/crates/sparscale_intake/src/connection.rs
@@ -27,6 +27,7 @@
     evicted: Arc<Counter>,
     denied: Arc<Counter>,
     turned_away: Arc<Counter>,
+    stalled: Arc<Counter>,
 }
 
 impl Intake {
@@ -49,6 +50,11 @@
                     "Request bodies for which there was no room.",
                     &[],
                 ),
+                stalled: registry.counter(
+                    "sparscale_stalled_connections_total",
+                    "Connections that were cut off because their callers read nothing.",
+                    &[],
+                ),
                 turned_away: registry.counter(
                     "sparscale_turned_away_connections_total",
                     "Connections that were closed at once because all others were in use.",
@@ -106,6 +112,11 @@
         })
     }
 
+    /// Records a connection that is cut off because its caller reads nothing.
+    pub(crate) fn record_stalled(&self) {
+        self.metrics.stalled.increment();
+    }
+
     fn evict(&self, state: &mut State, victim: Account, shortage: &str) {
         let Some(eviction) = state.evictions.get(&victim) else {
             return;
--- a/crates/sparscale_gateway/src/phase.rs
+++ b/crates/sparscale_intake/src/phase.rs
@@ -1,6 +1,6 @@
-//! Phases of an entry from serving callers to shutdown.
+//! Phases of a process from serving callers to shutdown.
 
-/// Whether the entry accepts callers.
+/// Whether the process accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// Callers are served normally.
--- a/crates/sparscale_gateway/src/request_body.rs
+++ b/crates/sparscale_intake/src/request_body.rs
@@ -9,11 +9,10 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use sparscale_catalog::Limits;
-use sparscale_intake::{Activity, Connection, Owner, Reservation};
-use sparscale_policy::intake::STALL_TIME;
+use sparscale_policy::intake::{Activity, Owner};
 use tokio::time::Instant;
 
-use crate::refusal::{Reason, Refusal};
+use crate::connection::{Connection, Reservation};
 
 /// Size of a segment, in bytes. Segments of one size leave no gaps in the heap that others do not fit in.
 const SEGMENT_BYTES: usize = 32 << 10;
@@ -22,25 +21,50 @@
 /// Bytes after which the arrival of a body is recorded.
 const RECORD_INTERVAL_BYTES: usize = 1 << 10;
 
+/// Why a body was not read. None of these requests has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    TooLong,
+    /// There is no room. Bodies that stop arriving make room within [`STALL_TIME`](crate::STALL_TIME).
+    NoRoom,
+    /// It stopped arriving, and others needed its room.
+    Stalled,
+    /// It did not arrive on time.
+    Late,
+    /// Its framing is broken, or the caller closed the connection.
+    Unreadable,
+}
+
 /// A complete body in segments, whose room is released with its last handle.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct RequestBody(Arc<Content>);
+pub struct RequestBody(Arc<Content>);
 
 #[derive(Debug, Default)]
 struct Content {
     segments: Vec<Bytes>,
     bytes: usize,
-    _reservation: Option<Reservation>,
+    reservation: Option<Reservation>,
 }
 
 impl RequestBody {
     /// The segments of the body.
-    pub(crate) fn as_slice(&self) -> &[Bytes] {
+    pub fn as_slice(&self) -> &[Bytes] {
         &self.0.segments
     }
 
+    /// The body in one piece, whose room is released with its last handle.
+    pub fn into_contiguous(self) -> Bytes {
+        let bytes = self.0.segments.concat();
+        let reservation = Arc::into_inner(self.0).and_then(|content| content.reservation);
+        Bytes::from_owner(Contiguous {
+            bytes,
+            _reservation: reservation,
+        })
+    }
+
     /// The body as it is sent to a target.
-    pub(crate) fn segments(&self) -> Segments {
+    pub fn segments(&self) -> Segments {
         Segments {
             content: Arc::clone(&self.0),
             sent: 0,
@@ -49,9 +73,21 @@
     }
 }
 
+/// A body in one piece.
+struct Contiguous {
+    bytes: Vec<u8>,
+    _reservation: Option<Reservation>,
+}
+
+impl AsRef<[u8]> for Contiguous {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A body on its way to a target.
 #[derive(Debug)]
-pub(crate) struct Segments {
+pub struct Segments {
     content: Arc<Content>,
     /// Number of segments that were sent.
     sent: usize,
@@ -83,26 +119,29 @@
 
 /// How the body of one request is read.
 #[derive(Debug)]
-pub(crate) struct Reader<'a> {
-    pub(crate) connection: &'a Arc<Connection>,
-    pub(crate) owner: Owner,
-    pub(crate) limits: &'a Limits,
+pub struct BodyReader<'a> {
+    /// Connection that it arrives on.
+    pub connection: &'a Arc<Connection>,
+    /// Whose room it takes.
+    pub owner: Owner,
+    /// Limits of requests.
+    pub limits: &'a Limits,
     /// When the request times out.
-    pub(crate) deadline: Instant,
+    pub deadline: Instant,
 }
 
-impl Reader<'_> {
+impl BodyReader<'_> {
     /// Reads a complete body. Fails if it exceeds the size limit, if there is no room, or if it stops arriving.
-    pub(crate) async fn read(&self, incoming: &mut Incoming) -> Result<RequestBody, Refusal> {
+    pub async fn read(&self, incoming: &mut Incoming) -> Result<RequestBody, BodyError> {
         self.connection.set_activity(Activity::Body);
         let mut buffer = self.reserve(incoming.size_hint())?;
         let mut unrecorded = 0;
         while let Some(data) = self.next_part(incoming).await? {
             if buffer.bytes + data.len() > self.max_bytes() {
-                return Err(Refusal::new(Reason::BodyTooLong));
+                return Err(BodyError::TooLong);
             }
             if !buffer.append(&data) {
-                return Err(no_room());
+                return Err(BodyError::NoRoom);
             }
             unrecorded += data.len();
             if unrecorded >= RECORD_INTERVAL_BYTES {
@@ -115,14 +154,14 @@
     }
 
     /// Reserves room for a body with an announced length, or for the first segment of another one.
-    fn reserve(&self, size: SizeHint) -> Result<Buffer, Refusal> {
+    fn reserve(&self, size: SizeHint) -> Result<Buffer, BodyError> {
         if size.lower() > self.max_bytes() as u64 {
-            return Err(Refusal::new(Reason::BodyTooLong));
+            return Err(BodyError::TooLong);
         }
         let announced = size.exact().map(|bytes| bytes as usize);
         let first_bytes = announced.unwrap_or(FIRST_SEGMENT_BYTES);
         let reservation = self.connection.reserve_body(self.owner, first_bytes);
-        let reservation = reservation.ok_or_else(no_room)?;
+        let reservation = reservation.ok_or(BodyError::NoRoom)?;
         Ok(Buffer::new(reservation, announced))
     }
 
@@ -132,18 +171,18 @@
         self.limits.max_body_bytes.min(capacity.max_body())
     }
 
-    async fn next_part(&self, incoming: &mut Incoming) -> Result<Option<Bytes>, Refusal> {
+    async fn next_part(&self, incoming: &mut Incoming) -> Result<Option<Bytes>, BodyError> {
         loop {
             let deadline = self.deadline.min(Instant::now() + self.limits.header_timeout);
             let frame = tokio::select! {
                 biased;
-                () = self.connection.evicted() => return Err(Refusal::with_retry_after(Reason::BodyStalled, STALL_TIME)),
+                () = self.connection.evicted() => return Err(BodyError::Stalled),
                 frame = tokio::time::timeout_at(deadline, incoming.frame()) => frame,
             };
-            let Some(frame) = frame.map_err(|_elapsed| Refusal::retry_immediately(Reason::BodyTimeout))? else {
+            let Some(frame) = frame.map_err(|_elapsed| BodyError::Late)? else {
                 return Ok(None);
             };
-            let frame = frame.map_err(|_broken| Refusal::new(Reason::BodyUnreadable))?;
+            let frame = frame.map_err(|_broken| BodyError::Unreadable)?;
             // Trailers are not forwarded.
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
@@ -152,11 +191,6 @@
     }
 }
 
-/// A refusal for lack of room: bodies that stop arriving make room within [`STALL_TIME`].
-fn no_room() -> Refusal {
-    Refusal::with_retry_after(Reason::NoRoom, STALL_TIME)
-}
-
 /// A body that is arriving. Its parts are copied into segments: a part keeps the whole read buffer alive that it came in.
 #[derive(Debug)]
 struct Buffer {
@@ -223,7 +257,7 @@
         RequestBody(Arc::new(Content {
             segments: self.full,
             bytes: self.bytes,
-            _reservation: Some(self.reservation),
+            reservation: Some(self.reservation),
         }))
     }
 }
--- a/crates/sparscale_gateway/src/request_span.rs
+++ b/crates/sparscale_intake/src/request_span.rs
@@ -5,8 +5,9 @@
 
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use sparscale_intake::{Activity, Connection};
+use sparscale_policy::intake::Activity;
 
+use crate::connection::Connection;
 use crate::wait_tracker::{Wait, WaitTracker};
 
 /// Time for which the rest of a refused body is discarded.
@@ -15,8 +16,8 @@
 /// A request in progress on a connection, from its head until the response has been taken by the connection and the body
 /// was read or given up.
 #[derive(Debug)]
-pub(crate) struct RequestSpan {
-    pub(crate) connection: Arc<Connection>,
+pub struct RequestSpan {
+    connection: Arc<Connection>,
     tracker: Arc<WaitTracker>,
 }
 
@@ -28,10 +29,15 @@
         Arc::new(Self { connection, tracker })
     }
 
+    /// The connection of the request.
+    pub fn connection(&self) -> &Arc<Connection> {
+        &self.connection
+    }
+
     /// Discards the rest of a refused body, up to `max_bytes`: closing a connection with unread bytes resets it, and the
     /// caller may lose the refusal. Nothing of the rest can be taken for another request, as the connection closes if it
     /// is not read to its end.
-    pub(crate) fn discard(self: Arc<Self>, mut rest: Incoming, max_bytes: usize) {
+    pub fn discard(self: Arc<Self>, mut rest: Incoming, max_bytes: usize) {
         self.connection.set_activity(Activity::Discard);
         tokio::spawn(async move {
             let discarding = async {
--- a/crates/sparscale_gateway/src/server.rs
+++ b/crates/sparscale_intake/src/server.rs
@@ -15,15 +15,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use sparscale_intake::{Activity, Connection, Listener};
+use sparscale_catalog::Limits;
+use sparscale_policy::intake::Activity;
 use sparscale_telemetry::DECISION;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::admission::Admission;
 use crate::body::Body;
+use crate::connection::Connection;
+use crate::listener::Listener;
 use crate::phase::Phase;
 use crate::request_span::RequestSpan;
 use crate::slow_reader::{Progress, SEND_BUFFER_BYTES, stall_timeout};
@@ -116,10 +118,24 @@
     }
 }
 
-/// Serves callers at `listener` until the phase is [`Phase::Closing`].
-pub(crate) async fn serve(
+/// Responds to the requests of callers.
+pub trait Handler: Send + Sync + 'static {
+    /// Limits of a new connection.
+    fn limits(&self) -> Limits;
+
+    /// Responds to a request, whose body has not been read. A refused one has to [discard](RequestSpan::discard) it.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        span: &Arc<RequestSpan>,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Serves callers at `listener` until the phase is [`Phase::Closing`]. A caller that reads nothing of its response for
+/// `stall_timeout` is cut off.
+pub async fn serve<H: Handler>(
     listener: Listener,
-    admission: Arc<Admission>,
+    handler: Arc<H>,
     stall_timeout: Duration,
     mut phase: watch::Receiver<Phase>,
 ) {
@@ -130,7 +146,7 @@
         };
         let connection = ServedConnection {
             connection: Arc::new(connection),
-            admission: Arc::clone(&admission),
+            handler: Arc::clone(&handler),
             usual_stall_timeout: stall_timeout,
             phase: phase.clone(),
         };
@@ -139,14 +155,14 @@
 }
 
 /// Serves one connection of a caller.
-struct ServedConnection {
+struct ServedConnection<H> {
     connection: Arc<Connection>,
-    admission: Arc<Admission>,
+    handler: Arc<H>,
     usual_stall_timeout: Duration,
     phase: watch::Receiver<Phase>,
 }
 
-impl ServedConnection {
+impl<H: Handler> ServedConnection<H> {
     async fn serve(self, stream: TcpStream) {
         let prepared = stream
             .set_nodelay(true)
@@ -157,15 +173,15 @@
         }
         let tracker = Arc::new(WaitTracker::new());
         let progress = Arc::new(Progress::new(Arc::clone(&self.connection)));
-        let limits = self.admission.limits();
+        let limits = self.handler.limits();
         let service = {
-            let (admission, phase) = (Arc::clone(&self.admission), self.phase.clone());
+            let (handler, phase) = (Arc::clone(&self.handler), self.phase.clone());
             let (connection, tracker) = (Arc::clone(&self.connection), Arc::clone(&tracker));
             let progress = Arc::clone(&progress);
             service_fn(move |request| {
                 let span = RequestSpan::begin(Arc::clone(&connection), Arc::clone(&tracker));
                 respond(
-                    Arc::clone(&admission),
+                    Arc::clone(&handler),
                     request,
                     span,
                     Arc::clone(&progress),
@@ -226,21 +242,21 @@
         let is_stalled = progress.blocked_since().is_some_and(|since| since.elapsed() >= timeout);
         if is_stalled {
             let held = progress.held() as u64;
-            self.admission.gateway.metrics.stalled_connections.increment();
+            self.connection.intake().record_stalled();
             log::info!(target: DECISION, decision = "reader_stalled", held, after_ms = timeout.as_millis() as u64; "a caller reads nothing of its response; its connection is cut off");
         }
         is_stalled
     }
 }
 
-async fn respond(
-    admission: Arc<Admission>,
+async fn respond<H: Handler>(
+    handler: Arc<H>,
     request: Request<Incoming>,
     span: Arc<RequestSpan>,
     progress: Arc<Progress>,
     phase: Phase,
 ) -> Result<Response<TrackedBody>, Infallible> {
-    let mut response = admission.handle(request, &span).await;
+    let mut response = handler.handle(request, &span).await;
     if phase != Phase::Serving {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
--- a/crates/sparscale_gateway/src/slow_reader.rs
+++ b/crates/sparscale_intake/src/slow_reader.rs
@@ -1,20 +1,18 @@
 //! Bounds what the process holds for callers that read slowly or not at all.
 //!
-//! The HTTP library takes the next part of a response only once the parts before it have been written, so a connection
-//! holds the start of a response that is buffered ([`MAX_BUFFERED_BYTES`](crate::attempt::MAX_BUFFERED_BYTES), exceeded
-//! by one read), and two reads of [`MAX_READ_BUFFER_BYTES`](crate::pool::MAX_READ_BUFFER_BYTES), at most. Nothing more
-//! is read from its target then. But a response whose caller reads nothing would stay forever, with the slot in the
-//! group and the work of the target. So a connection is cut off when its caller accepts nothing for a time, and after a
-//! shorter one when the process holds too much for all of them.
+//! The HTTP library takes the next part of a response only once the parts before it have been written. But a response
+//! whose caller reads nothing would stay forever, with its work elsewhere. So a connection is cut off when its caller
+//! accepts nothing for a time, and after a shorter one when the process holds too much for all of them.
 
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
 
-use sparscale_intake::Connection;
 use tokio::time::Instant;
 
+use crate::connection::Connection;
+
 /// Send buffer that is requested for the socket of a caller; the kernel doubles it. It reports progress only once about
 /// a third of it is free, which a caller that reads 2 KiB a second achieves within 20 s.
 pub(crate) const SEND_BUFFER_BYTES: usize = 64 << 10;
--- a/crates/sparscale_policy/src/intake.rs
+++ b/crates/sparscale_policy/src/intake.rs
@@ -11,6 +11,7 @@
 //! behind large ones.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::time::{Duration, Instant};
 
 /// Memory counted for each connection, in bytes: the buffers for heads and for bytes that are not read yet, the request
@@ -109,6 +110,15 @@
     Workspace(u64),
 }
 
+impl Owner {
+    /// The owner for the workspace called `name`.
+    pub fn of_workspace(name: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        Self::Workspace(hasher.finish())
+    }
+}
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Activity {
