Soak: a system whose test fails leaves no process behind

Cause: crowd tests that failed on the old code left 36 entries running, since only System::stop killed them.

Change: dropping a System kills its processes.

Conclusion: a red run no longer loads the machine for the next one.

--- a/crates/sparscale_soak/src/environment.rs
+++ b/crates/sparscale_soak/src/environment.rs
@@ -300,6 +300,15 @@
         }
     }
 
+    /// Kills all processes without waiting for anything else that handles them.
+    pub(crate) fn kill_remaining(&mut self) {
+        for managed in &mut self.processes {
+            if let Some(process) = managed.process.get_mut().take() {
+                process.kill();
+            }
+        }
+    }
+
     /// Registers target `index` in the store.
     pub(crate) fn register(&self, index: usize, draining: bool) {
         let registration = Registration {
--- a/crates/sparscale_soak/src/system.rs
+++ b/crates/sparscale_soak/src/system.rs
@@ -89,6 +89,13 @@
     }
 }
 
+/// A test that fails leaves no process behind.
+impl Drop for System {
+    fn drop(&mut self) {
+        self.0.kill_remaining();
+    }
+}
+
 impl std::fmt::Debug for System {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("System").finish_non_exhaustive()
