Own path: callers of the product's own API stay within the same budget

What callers saw: 400 callers of two workspaces, each inside its limit of requests in flight, sent bodies of 1 MiB that stop one byte short: an entry took 670 MB (256 allowed). 800 heads of 390 KB that do not end took 327 MB. With 512 descriptors, 800 silent connections left an ordinary request without an answer within a minute.

Cause: dropshot accepts without a count, never times out a connection that says nothing, and allows heads of 400 KB; bodies were read into a buffer that doubles, up to the limit of each, without a sum.

Change: the entry serves its API with the server of sparscale_intake, on hyper, with the same ledger, limits and refusals as the gateway: 503 with Retry-After for a body without room, 408 for one that stopped arriving. The endpoints are matched in api::Endpoint. Settings memory_mb and descriptors (256 and 4,096 unless set). A service call's name is checked before its body.

--- a/crates/sparscale_entry/src/api.rs
+++ b/crates/sparscale_entry/src/api.rs
@@ -4,15 +4,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
-use bytes::{Bytes, BytesMut};
-use dropshot::{ApiDescription, Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
-use futures::StreamExt as _;
-use http::{HeaderMap, Response, StatusCode, header};
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use hyper::body::{Body as _, Incoming};
+use serde::Serialize;
 use sparscale_board::prefix_blocks;
 use sparscale_bundle::{Bundle, Workspace};
+use sparscale_catalog::Limits;
 use sparscale_control::Journal;
+use sparscale_intake::{Body, BodyError, BodyReader, Handler, Owner, RequestSpan, STALL_TIME, full_body};
 use sparscale_route::Request as RouteRequest;
 use sparscale_wire::{Call, Settlement};
 use tokio::time::Instant;
@@ -42,7 +42,8 @@
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) in_flight: InFlight,
-    pub(crate) max_body_bytes: usize,
+    /// Limits of requests.
+    pub(crate) limits: Limits,
     pub(crate) ticket_lifetime: Duration,
     pub(crate) is_stopping: AtomicBool,
 }
@@ -65,25 +66,27 @@
     guard: InFlightGuard,
 }
 
-type Context = RequestContext<Arc<Api>>;
-type HandlerResult = Result<Response<Body>, HttpError>;
+/// An endpoint, with the parts of its path.
+enum Endpoint {
+    /// A chat completion, streamed if the caller requests it.
+    Complete,
+    /// A call to a plain service.
+    CallService(ServicePath),
+    /// A ticket for one call that may not be repeated, to this service.
+    IssueTicket(String),
+    /// The outcome of the request with this id.
+    AskAbout(String),
+    /// Liveness check.
+    Health,
+    /// Readiness check for the balancer.
+    Readiness,
+}
 
-#[derive(Deserialize, JsonSchema)]
 struct ServicePath {
     service: String,
     call: String,
 }
 
-#[derive(Deserialize, JsonSchema)]
-struct TicketPath {
-    service: String,
-}
-
-#[derive(Deserialize, JsonSchema)]
-struct RequestPath {
-    id: String,
-}
-
 #[derive(Serialize)]
 struct TicketResponse {
     ticket: String,
@@ -95,78 +98,99 @@
     outcome: &'static str,
 }
 
-/// Serves a chat completion, streamed if the caller requests it.
-#[endpoint { method = POST, path = "/v1/chat/completions" }]
-async fn complete(context: Context, body: StreamingBody) -> HandlerResult {
-    let api = context.context();
-    into_handler_result(api.complete(context.request.headers(), body).await)
-}
-
-/// Calls a plain service.
-#[endpoint { method = POST, path = "/v1/services/{service}/{call}" }]
-async fn call_service(context: Context, path: Path<ServicePath>, body: StreamingBody) -> HandlerResult {
-    let api = context.context();
-    into_handler_result(
-        api.call_service(context.request.headers(), &path.into_inner(), body)
-            .await,
-    )
-}
-
-/// Issues a ticket for one call that may not be repeated.
-#[endpoint { method = POST, path = "/v1/tickets/{service}" }]
-async fn issue_ticket(context: Context, path: Path<TicketPath>) -> HandlerResult {
-    let api = context.context();
-    into_handler_result(api.issue_ticket(context.request.headers(), path.into_inner().service))
+impl Endpoint {
+    /// The endpoint of a request.
+    fn of(method: &Method, path: &str) -> Result<Self, Problem> {
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        let (allowed, endpoint) = match parts.as_slice() {
+            ["v1", "chat", "completions"] => (Method::POST, Self::Complete),
+            ["v1", "services", service, call] => (
+                Method::POST,
+                Self::CallService(ServicePath {
+                    service: decode(service)?,
+                    call: decode(call)?,
+                }),
+            ),
+            ["v1", "tickets", service] => (Method::POST, Self::IssueTicket(decode(service)?)),
+            ["v1", "requests", id] => (Method::GET, Self::AskAbout(decode(id)?)),
+            ["healthz"] => (Method::GET, Self::Health),
+            ["readyz"] => (Method::GET, Self::Readiness),
+            _ => return Err(not_found("no such path")),
+        };
+        if *method != allowed {
+            let detail = format!("use {allowed}");
+            return Err(Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, "Wrong method", detail));
+        }
+        Ok(endpoint)
+    }
 }
 
-/// Returns the outcome of a request.
-#[endpoint { method = GET, path = "/v1/requests/{id}" }]
-async fn ask_about(context: Context, path: Path<RequestPath>) -> HandlerResult {
-    let api = context.context();
-    into_handler_result(api.ask_about(context.request.headers(), &path.into_inner().id).await)
+/// Decodes the percent encoding of one part of a path.
+fn decode(part: &str) -> Result<String, Problem> {
+    let text = percent_encoding::percent_decode_str(part).decode_utf8();
+    let text = text.map_err(|_bytes| bad_request("the path is not valid UTF-8"))?;
+    if text.is_empty() {
+        return Err(not_found("no such path"));
+    }
+    Ok(text.into_owned())
 }
 
-/// Liveness check.
-#[endpoint { method = GET, path = "/healthz" }]
-async fn health(_context: Context) -> HandlerResult {
-    Ok(Response::new(Body::from("alive\n")))
-}
+impl Handler for Api {
+    fn limits(&self) -> Limits {
+        self.limits
+    }
 
-/// Readiness check for the balancer.
-#[endpoint { method = GET, path = "/readyz" }]
-async fn readiness(context: Context) -> HandlerResult {
-    let api = context.context();
-    let mut response = Response::new(Body::from("ready\n"));
-    if api.is_stopping.load(Ordering::Relaxed) || api.journal.active_certificate().is_none() {
-        response = Response::new(Body::from("not ready\n"));
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    async fn handle(&self, request: Request<Incoming>, span: &Arc<RequestSpan>) -> Response<Body> {
+        let (head, mut incoming) = request.into_parts();
+        let result = match Endpoint::of(&head.method, head.uri.path()) {
+            Ok(endpoint) => self.respond(endpoint, &head.headers, &mut incoming, span).await,
+            Err(problem) => Err(problem),
+        };
+        // A caller that waits for the decision has not sent the body.
+        if !incoming.is_end_stream() && !head.headers.contains_key(header::EXPECT) {
+            Arc::clone(span).discard(incoming, self.limits.max_body_bytes);
+        }
+        result.unwrap_or_else(|problem| problem.to_response())
     }
-    Ok(response)
 }
 
-/// Description of all endpoints.
-pub(crate) fn description() -> Result<ApiDescription<Arc<Api>>, String> {
-    let mut api = ApiDescription::new();
-    let registration = api
-        .register(complete)
-        .and_then(|()| api.register(call_service))
-        .and_then(|()| api.register(issue_ticket))
-        .and_then(|()| api.register(ask_about))
-        .and_then(|()| api.register(health))
-        .and_then(|()| api.register(readiness));
-    registration.map_err(|error| error.to_string())?;
-    Ok(api)
-}
+impl Api {
+    async fn respond(
+        &self,
+        endpoint: Endpoint,
+        headers: &HeaderMap,
+        incoming: &mut Incoming,
+        span: &Arc<RequestSpan>,
+    ) -> Result<Response<Body>, Problem> {
+        match endpoint {
+            Endpoint::Complete => self.complete(headers, incoming, span).await,
+            Endpoint::CallService(path) => self.call_service(headers, &path, incoming, span).await,
+            Endpoint::IssueTicket(service) => self.issue_ticket(headers, service),
+            Endpoint::AskAbout(id) => self.ask_about(headers, &id).await,
+            Endpoint::Health => Ok(Response::new(full_body("alive\n"))),
+            Endpoint::Readiness => Ok(self.readiness()),
+        }
+    }
 
-#[expect(clippy::unnecessary_wraps, reason = "the type that dropshot's handlers return")]
-fn into_handler_result(result: Result<Response<Body>, Problem>) -> HandlerResult {
-    Ok(result.unwrap_or_else(|problem| problem.to_response()))
+    fn readiness(&self) -> Response<Body> {
+        let is_ready = !self.is_stopping.load(Ordering::Relaxed) && self.journal.active_certificate().is_some();
+        let mut response = Response::new(full_body(if is_ready { "ready\n" } else { "not ready\n" }));
+        if !is_ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
 }
 
 impl Api {
-    async fn complete(&self, headers: &HeaderMap, body: StreamingBody) -> Result<Response<Body>, Problem> {
+    async fn complete(
+        &self,
+        headers: &HeaderMap,
+        incoming: &mut Incoming,
+        span: &Arc<RequestSpan>,
+    ) -> Result<Response<Body>, Problem> {
         let caller = self.admit_caller(headers)?;
-        let body = self.read_body(body).await?;
+        let body = self.read_body(incoming, &caller, span).await?;
         let request = completion::Request::parse(&body).map_err(|error| bad_request(&error.to_string()))?;
         let is_known = caller
             .bundle
@@ -238,11 +262,12 @@
         &self,
         headers: &HeaderMap,
         path: &ServicePath,
-        body: StreamingBody,
+        incoming: &mut Incoming,
+        span: &Arc<RequestSpan>,
     ) -> Result<Response<Body>, Problem> {
         let caller = self.admit_caller(headers)?;
-        let body = self.read_body(body).await?;
         let repeatable = is_repeatable(&caller.bundle, path)?;
+        let body = self.read_body(incoming, &caller, span).await?;
         let content_type = header_text(headers, header::CONTENT_TYPE.as_str()).unwrap_or("application/octet-stream");
         let mut job = Job {
             workspace: Arc::clone(&caller.workspace),
@@ -373,22 +398,40 @@
         })
     }
 
-    async fn read_body(&self, body: StreamingBody) -> Result<Bytes, Problem> {
-        let mut buffered = BytesMut::new();
-        let mut body_chunks = std::pin::pin!(body.into_stream());
-        while let Some(chunk) = body_chunks.next().await {
-            let chunk = chunk.map_err(|error| bad_request(&error.external_message))?;
-            buffered.extend_from_slice(&chunk);
-            if buffered.len() > self.max_body_bytes {
-                let detail = format!("a body has at most {} bytes", self.max_body_bytes);
-                return Err(Problem::not_run(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "The body is too long",
-                    detail,
-                ));
+    async fn read_body(
+        &self,
+        incoming: &mut Incoming,
+        caller: &Caller,
+        span: &Arc<RequestSpan>,
+    ) -> Result<Bytes, Problem> {
+        if incoming.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let reader = BodyReader {
+            connection: span.connection(),
+            owner: Owner::of_workspace(&caller.workspace.name),
+            limits: &self.limits,
+            deadline: caller.deadline,
+        };
+        let body = reader.read(incoming).await;
+        Ok(body.map_err(|error| self.body_problem(error))?.into_contiguous())
+    }
+
+    fn body_problem(&self, error: BodyError) -> Problem {
+        let late = |detail| Problem::not_run(StatusCode::REQUEST_TIMEOUT, "The body stopped arriving", detail);
+        match error {
+            BodyError::TooLong => {
+                let detail = format!("a body has at most {} bytes", self.limits.max_body_bytes);
+                Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, "The body is too long", detail)
+            }
+            BodyError::NoRoom => {
+                let detail = "this entry has no room for the body now";
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "No room", detail).retry_after(STALL_TIME)
             }
+            BodyError::Stalled => late("others needed its room").retry_after(STALL_TIME),
+            BodyError::Late => late("send it without pauses"),
+            BodyError::Unreadable => bad_request("the body cannot be read"),
         }
-        Ok(buffered.freeze())
     }
 }
 
--- a/crates/sparscale_entry/src/problem.rs
+++ b/crates/sparscale_entry/src/problem.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use dropshot::Body;
 use http::{Response, StatusCode, header};
 use serde::Serialize;
+use sparscale_intake::{Body, full_body};
 
 /// Outcome of a request that has no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -99,7 +99,7 @@
     }
 
     pub(crate) fn to_response(&self) -> Response<Body> {
-        let mut response = Response::new(Body::from(self.to_json()));
+        let mut response = Response::new(full_body(self.to_json()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(
--- a/crates/sparscale_entry/src/program.rs
+++ b/crates/sparscale_entry/src/program.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use clap::{Arg, Command, value_parser};
-use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
-use snafu::Snafu;
+use snafu::{ResultExt as _, Snafu};
+use sparscale_catalog::Limits;
 use sparscale_control::process;
-use sparscale_telemetry::{DECISION, Signals};
+use sparscale_intake::{Intake, Listener, Phase, Port};
+use sparscale_telemetry::{DECISION, Registry, Signals};
+use tokio::sync::watch;
 
-use crate::api::{self, Api};
+use crate::api::Api;
 use crate::board_control::{SharedBoard, follow_boxes, follow_bundle, watch_loads};
 use crate::dispatch::Dispatcher;
 use crate::limits::InFlight;
@@ -23,6 +25,16 @@
 
 /// Time to deliver the last frames before the socket closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest header section of a request, in bytes.
+const MAX_HEADER_BYTES: usize = 64 << 10;
+/// Time within which a header section has to arrive, and the longest pause inside a body.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that a connection may stay idle between two requests.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time without progress after which a caller that does not read its response is cut off.
+const STALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two checks whether all connections of a stopping entry have ended.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why an entry cannot run.
 #[derive(Debug, Snafu)]
@@ -40,10 +52,10 @@
         source: process::Error,
     },
     /// Callers cannot be served.
-    #[snafu(display("callers: {message}; set a free address of this box"))]
+    #[snafu(display("callers: {source}; set a free address of this box"))]
     Callers {
-        /// Error of the server.
-        message: String,
+        /// Error of the operating system.
+        source: std::io::Error,
     },
 }
 
@@ -95,43 +107,43 @@
         dispatcher: Arc::new(dispatcher),
         journal: Arc::clone(&process.journal),
         in_flight: InFlight::default(),
-        max_body_bytes: settings.max_body_bytes,
+        limits: Limits {
+            max_header_bytes: MAX_HEADER_BYTES,
+            max_body_bytes: settings.max_body_bytes,
+            header_timeout: HEADER_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        },
         ticket_lifetime: settings.ticket_lifetime,
         is_stopping: AtomicBool::new(false),
     });
-    let server = serve(&settings, Arc::clone(&api))?;
-    log::info!(name = name.as_str(), incarnation = process.incarnation, callers = server.local_addr().to_string().as_str(); "entry ready");
+    let intake = Intake::new(settings.capacity, &Registry::default());
+    let listener = Listener::bind(settings.callers, Arc::clone(&intake), Port::Callers).await;
+    let listener = listener.context(CallersSnafu)?;
+    let callers = listener.local_address().context(CallersSnafu)?;
+    let (phase, phases) = watch::channel(Phase::Serving);
+    tokio::spawn(sparscale_intake::serve(
+        listener,
+        Arc::clone(&api),
+        STALL_TIMEOUT,
+        phases,
+    ));
+    log::info!(name = name.as_str(), incarnation = process.incarnation, callers = callers.to_string().as_str(); "entry ready");
     process::wait_for_stop(&process.endpoint, &mut signals).await;
-    stop(&settings, &api, server).await;
+    stop(&settings, &api, &phase, &intake).await;
     let _closed = tokio::time::timeout(CLOSE_TIMEOUT, process.endpoint.close()).await;
     log::info!("entry stopped");
     Ok(())
 }
 
-fn serve(settings: &Settings, api: Arc<Api>) -> Result<HttpServer<Arc<Api>>, Error> {
-    let description = api::description().map_err(|message| Error::Callers { message })?;
-    let config = ConfigDropshot {
-        bind_address: settings.callers,
-        // The handlers read bodies themselves and reject those above the limit of the settings.
-        default_request_body_max_bytes: usize::MAX,
-        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-        ..ConfigDropshot::default()
-    };
-    ServerBuilder::new(description, api, sparscale_telemetry::dropshot_log())
-        .config(config)
-        .start()
-        .map_err(|error| Error::Callers {
-            message: error.to_string(),
-        })
-}
-
 /// Reports "not ready" to the balancer, keeps accepting requests until the balancer has noticed, and finishes all
 /// responses.
-async fn stop(settings: &Settings, api: &Api, server: HttpServer<Arc<Api>>) {
+async fn stop(settings: &Settings, api: &Api, phase: &watch::Sender<Phase>, intake: &Intake) {
     api.is_stopping.store(true, Ordering::Relaxed);
     log::info!(target: DECISION, decision = "drain", reason = "told to stop", in_progress = api.in_flight.total(); "draining");
+    phase.send_replace(Phase::Draining);
     tokio::time::sleep(settings.stop_lag).await;
-    if let Err(error) = server.close().await {
-        log::warn!(error = error.as_str(); "closing the server for callers failed");
+    phase.send_replace(Phase::Closing);
+    while intake.connections(Port::Callers) > 0 {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
 }
--- a/crates/sparscale_entry/src/respond.rs
+++ b/crates/sparscale_entry/src/respond.rs
@@ -3,11 +3,10 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use dropshot::Body;
 use http::{Response, StatusCode, header};
-use http_body_util::StreamBody;
+use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
-use sync_wrapper::SyncStream;
+use sparscale_intake::{Body, full_body};
 
 use crate::completion;
 use crate::limits::InFlightGuard;
@@ -25,10 +24,9 @@
     };
     let events = futures::stream::unfold(state, |mut state| async move {
         let event = state.next().await?;
-        Some((Ok::<_, std::convert::Infallible>(Frame::data(event)), state))
+        Some((Ok(Frame::data(event)), state))
     });
-    // Dropshot requires a body that is `Sync`, although only one thread at a time polls it.
-    let body = Body::wrap(StreamBody::new(SyncStream::new(events)));
+    let body = StreamBody::new(events).boxed_unsync();
     let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(
@@ -79,7 +77,7 @@
 }
 
 pub(crate) fn service_response(stream: &ResponseStream, body: Bytes) -> Result<Response<Body>, Problem> {
-    let mut response = Response::new(Body::from(body));
+    let mut response = Response::new(full_body(body));
     *response.status_mut() = StatusCode::from_u16(stream.head.status)
         .map_err(|_range| Problem::failed("the target's status is no HTTP status"))?;
     let headers = response.headers_mut();
@@ -93,7 +91,7 @@
 }
 
 pub(crate) fn json_response(json: String) -> Response<Body> {
-    let mut response = Response::new(Body::from(json));
+    let mut response = Response::new(full_body(json));
     let json = header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
--- a/crates/sparscale_entry/src/settings.rs
+++ b/crates/sparscale_entry/src/settings.rs
@@ -5,11 +5,26 @@
 
 use serde::Deserialize;
 use sparscale_control::process;
+use sparscale_intake::Capacity;
 use sparscale_settings::{Check, Problem};
 
 /// Minimum length of the secret for tickets and request ids, in characters.
 const MIN_SECRET_CHARS: usize = 32;
 
+/// Least memory that leaves something for callers.
+const MIN_MEMORY_MB: usize = 32;
+/// Fewest descriptors that leave some for callers.
+const MIN_DESCRIPTORS: usize = 64;
+const MEGABYTE: usize = 1_000_000;
+
+fn default_memory_mb() -> usize {
+    256
+}
+
+fn default_descriptors() -> usize {
+    4_096
+}
+
 /// The settings file as written.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +39,12 @@
     pub secret: String,
     /// Lifetime of a ticket, in seconds.
     pub ticket_seconds: u64,
+    /// Memory that the process may use, in megabytes; half of it is for callers.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
+    /// Descriptors that the process may open.
+    #[serde(default = "default_descriptors")]
+    pub descriptors: usize,
     /// Time for which a stopping entry still accepts requests, in milliseconds, because the balancer notices the stop
     /// late.
     pub stop_lag_ms: u64,
@@ -35,6 +56,7 @@
     pub(crate) process: process::Settings,
     pub(crate) callers: SocketAddr,
     pub(crate) max_body_bytes: usize,
+    pub(crate) capacity: Capacity,
     pub(crate) secret: String,
     pub(crate) ticket_lifetime: Duration,
     pub(crate) stop_lag: Duration,
@@ -56,11 +78,28 @@
         if !(1..=86_400).contains(&raw.ticket_seconds) {
             problems.push(Problem::new("ticket_seconds", "is out of range", "use 1 to 86400"));
         }
+        if raw.memory_mb < MIN_MEMORY_MB {
+            let remedy = "use the memory of the box, 32 or more";
+            problems.push(Problem::new(
+                "memory_mb",
+                "is too little for the process itself",
+                remedy,
+            ));
+        }
+        if raw.descriptors < MIN_DESCRIPTORS {
+            let remedy = "use the descriptors that the process may open, 64 or more";
+            problems.push(Problem::new(
+                "descriptors",
+                "is too little for the process itself",
+                remedy,
+            ));
+        }
         match process::Settings::try_from(raw.process) {
             Ok(process) if problems.is_empty() => Ok(Self {
                 process,
                 callers: raw.callers,
                 max_body_bytes: raw.max_body_bytes,
+                capacity: sparscale_intake::capacity(raw.memory_mb.saturating_mul(MEGABYTE), raw.descriptors),
                 secret: raw.secret,
                 ticket_lifetime: Duration::from_secs(raw.ticket_seconds),
                 stop_lag: Duration::from_millis(raw.stop_lag_ms),
--- a/crates/sparscale_fleet/src/files.rs
+++ b/crates/sparscale_fleet/src/files.rs
@@ -54,7 +54,7 @@
             let settings = json!({
                 "process": self.process_settings(&name, "entry", index, ENTRY_PORT),
                 "callers": self.socket_address(CALLERS_PORT + index as u16),
-                "max_body_bytes": 262_144,
+                "max_body_bytes": self.plan.max_body_bytes,
                 "secret": "a secret of the demo and of tests only",
                 "ticket_seconds": 600,
                 "stop_lag_ms": self.plan.stop_lag_ms,
--- a/crates/sparscale_fleet/src/plan.rs
+++ b/crates/sparscale_fleet/src/plan.rs
@@ -33,6 +33,8 @@
     pub weight_move: f64,
     /// Maximum number of requests in flight at one target.
     pub in_flight_per_target: u32,
+    /// Largest request body that entries accept, in bytes.
+    pub max_body_bytes: usize,
     /// Time for which a draining entry still accepts requests, in milliseconds.
     pub stop_lag_ms: u64,
 }
@@ -52,6 +54,7 @@
             weight_skew: 1.0,
             weight_move: 0.01,
             in_flight_per_target: 64,
+            max_body_bytes: 262_144,
             stop_lag_ms: 200,
         }
     }
