Intake: a connection whose body gave its room up still gets its refusal

Cause: the rest of a refused body is discarded so that the refusal arrives, but a body that had given its room up had its rest dropped at once, by the same eviction.

Change: an eviction says whether memory or the connection itself is short; only the latter ends the discarding.

Conclusion: a refusal of a stalled body has the same time to arrive as any other.

--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -455,6 +455,14 @@
         (length > 0).then_some(chunk)
     }
 
+    /// Whether something has arrived that is not read yet.
+    pub fn has_data(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("a socket");
+        let arrived = self.stream.peek(&mut [0]).is_ok_and(|bytes| bytes > 0);
+        self.stream.set_nonblocking(false).expect("a socket");
+        arrived
+    }
+
     /// Whether the entry has closed the connection.
     pub fn is_closed(&mut self) -> bool {
         let mut byte = [0; 1];
--- a/crates/sparscale_intake/src/connection.rs
+++ b/crates/sparscale_intake/src/connection.rs
@@ -18,8 +18,30 @@
 #[derive(Debug)]
 struct State {
     ledger: Ledger,
-    /// Tells connections that they have to give their room up.
-    evictions: HashMap<Account, watch::Sender<bool>>,
+    /// Tells connections what they have to give up.
+    evictions: HashMap<Account, watch::Sender<Eviction>>,
+}
+
+/// What a connection has to give up to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Eviction {
+    /// Nothing.
+    None,
+    /// Its body or response. A refusal may still be sent.
+    Memory,
+    /// The connection itself.
+    Connection,
+}
+
+impl Eviction {
+    /// Name of the shortage in log lines.
+    fn shortage(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Memory => "memory",
+            Self::Connection => "connections",
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -95,7 +117,7 @@
         let account = match state.ledger.open(port, Instant::now()) {
             Opening::Opened(account) => account,
             Opening::Replaced { account, victim } => {
-                self.evict(&mut state, victim, "connections");
+                self.evict(&mut state, victim, Eviction::Connection);
                 account
             }
             Opening::Full => {
@@ -103,12 +125,12 @@
                 return None;
             }
         };
-        let (sender, is_evicted) = watch::channel(false);
+        let (sender, eviction) = watch::channel(Eviction::None);
         state.evictions.insert(account, sender);
         Some(Connection {
             intake: Arc::clone(self),
             account,
-            is_evicted,
+            eviction,
         })
     }
 
@@ -117,19 +139,19 @@
         self.metrics.stalled.increment();
     }
 
-    fn evict(&self, state: &mut State, victim: Account, shortage: &str) {
-        let Some(eviction) = state.evictions.get(&victim) else {
+    fn evict(&self, state: &mut State, victim: Account, eviction: Eviction) {
+        let Some(sender) = state.evictions.get(&victim) else {
             return;
         };
-        eviction.send_replace(true);
+        sender.send_replace(eviction);
         self.metrics.evicted.increment();
         let held = state.ledger.held();
-        log::info!(target: DECISION, decision = "evict", shortage, held; "a connection without progress gives its room up");
+        log::info!(target: DECISION, decision = "evict", shortage = eviction.shortage(), held; "a connection without progress gives its room up");
     }
 
     fn finish(&self, state: &mut State, grant: &Grant) {
         for victim in &grant.victims {
-            self.evict(state, *victim, "memory");
+            self.evict(state, *victim, Eviction::Memory);
         }
     }
 
@@ -143,7 +165,7 @@
 pub struct Connection {
     intake: Arc<Intake>,
     account: Account,
-    is_evicted: watch::Receiver<bool>,
+    eviction: watch::Receiver<Eviction>,
 }
 
 impl Connection {
@@ -174,22 +196,28 @@
             .record_arrival(self.account, bytes, Instant::now());
     }
 
-    /// Returns once the connection has to give its room up.
+    /// Returns once the connection has to give up its body or response, or itself.
     ///
     /// Cancel safe.
     pub async fn evicted(&self) {
-        let mut is_evicted = self.is_evicted.clone();
-        if is_evicted.wait_for(|is_evicted| *is_evicted).await.is_err() {
+        self.wait_for(Eviction::Memory).await;
+    }
+
+    /// Returns once the connection itself has to be closed.
+    ///
+    /// Cancel safe.
+    pub async fn replaced(&self) {
+        self.wait_for(Eviction::Connection).await;
+    }
+
+    async fn wait_for(&self, least: Eviction) {
+        let mut eviction = self.eviction.clone();
+        if eviction.wait_for(|eviction| *eviction >= least).await.is_err() {
             // The sender lives as long as the connection.
             std::future::pending::<()>().await;
         }
     }
 
-    /// Whether the connection has to give its room up.
-    pub fn is_evicted(&self) -> bool {
-        *self.is_evicted.borrow()
-    }
-
     /// Reserves `bytes` for the body of a request of `owner`; none if there is no room.
     pub fn reserve_body(self: &Arc<Self>, owner: Owner, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation {
--- a/crates/sparscale_intake/src/request_span.rs
+++ b/crates/sparscale_intake/src/request_span.rs
@@ -51,7 +51,7 @@
             };
             tokio::select! {
                 _finished = tokio::time::timeout(DISCARD_TIMEOUT, discarding) => {}
-                () = self.connection.evicted() => {}
+                () = self.connection.replaced() => {}
             }
         });
     }
