--- a/crates/sparscale_entry/src/settings.rs
+++ b/crates/sparscale_entry/src/settings.rs
@@ -5,26 +5,12 @@
 
 use serde::Deserialize;
 use sparscale_control::process;
-use sparscale_intake::Capacity;
+use sparscale_intake::{Capacity, ProcessLimits};
 use sparscale_settings::{Check, Problem};
 
 /// Minimum length of the secret for tickets and request ids, in characters.
 const MIN_SECRET_CHARS: usize = 32;
 
-/// Least memory that leaves something for callers.
-const MIN_MEMORY_MB: usize = 16;
-/// Fewest descriptors that leave some for callers.
-const MIN_DESCRIPTORS: usize = 32;
-const MEGABYTE: usize = 1_000_000;
-
-fn default_memory_mb() -> usize {
-    256
-}
-
-fn default_descriptors() -> usize {
-    4_096
-}
-
 /// The settings file as written.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,12 +25,9 @@
     pub secret: String,
     /// Lifetime of a ticket, in seconds.
     pub ticket_seconds: u64,
-    /// Memory that the process may use, in megabytes; half of it is for callers.
-    #[serde(default = "default_memory_mb")]
-    pub memory_mb: usize,
-    /// Descriptors that the process may open.
-    #[serde(default = "default_descriptors")]
-    pub descriptors: usize,
+    /// What the process may use of its box.
+    #[serde(default)]
+    pub limits: ProcessLimits,
     /// Time for which a stopping entry still accepts requests, in milliseconds, because the balancer notices the stop
     /// late.
     pub stop_lag_ms: u64,
@@ -78,28 +61,13 @@
         if !(1..=86_400).contains(&raw.ticket_seconds) {
             problems.push(Problem::new("ticket_seconds", "is out of range", "use 1 to 86400"));
         }
-        if raw.memory_mb < MIN_MEMORY_MB {
-            let remedy = "use the memory of the box, 16 or more";
-            problems.push(Problem::new(
-                "memory_mb",
-                "is too little for the process itself",
-                remedy,
-            ));
-        }
-        if raw.descriptors < MIN_DESCRIPTORS {
-            let remedy = "use the descriptors that the process may open, 32 or more";
-            problems.push(Problem::new(
-                "descriptors",
-                "is too little for the process itself",
-                remedy,
-            ));
-        }
+        problems.extend(raw.limits.check());
         match process::Settings::try_from(raw.process) {
             Ok(process) if problems.is_empty() => Ok(Self {
                 process,
                 callers: raw.callers,
                 max_body_bytes: raw.max_body_bytes,
-                capacity: sparscale_intake::capacity(raw.memory_mb.saturating_mul(MEGABYTE), raw.descriptors),
+                capacity: raw.limits.capacity(),
                 secret: raw.secret,
                 ticket_lifetime: Duration::from_secs(raw.ticket_seconds),
                 stop_lag: Duration::from_millis(raw.stop_lag_ms),
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -10,7 +10,7 @@
 use sparscale_catalog::{Catalog, Configuration, Document, Roster, Target as RosterTarget, TargetStatus};
 use sparscale_clock::Clock;
 use sparscale_gateway::{Allowance, Dependencies, Entry, Freshness, HeaderNames, Settings};
-use sparscale_intake::Intake;
+use sparscale_intake::{Intake, ProcessLimits};
 use sparscale_quarantine::Strike;
 use sparscale_samples as samples;
 use sparscale_telemetry::Registry;
@@ -177,7 +177,7 @@
         strikes: FakeStrikeStore,
     ) -> Self {
         let registry = Arc::new(Registry::default());
-        let intake = Intake::new(sparscale_intake::capacity(256_000_000, 4_096), &registry);
+        let intake = Intake::new(ProcessLimits::default().capacity(), &registry);
         Self::with_parts(settings, catalogs, rosters, strikes, intake, registry)
     }
 
--- a/crates/sparscale_intake/src/server.rs
+++ b/crates/sparscale_intake/src/server.rs
@@ -201,7 +201,7 @@
             .serve_connection(io, service);
         let mut serving = pin!(serving);
         let mut phase = self.phase.clone();
-        let mut is_closing = false;
+        let (mut is_closing, mut is_evicted) = (false, false);
         loop {
             let deadline = tracker.deadline(&limits);
             let stall_check = Instant::now() + self.usual_stall_timeout / STALL_CHECKS;
@@ -220,8 +220,8 @@
                         }
                     }
                 }
-                () = self.connection.evicted(), if !is_closing => {
-                    is_closing = true;
+                () = self.connection.evicted(), if !is_evicted => {
+                    is_evicted = true;
                     // A body that is arriving or discarded ends by itself, and its refusal is sent.
                     if !tracker.is_waiting_for(Wait::Response) || progress.blocked_since().is_some() {
                         return;
