Intake: connections have memory of their own, and waiting for room costs little

Responses had filled the budget, so there was no room for new connections, and they were closed at once. Each response that waited for room also looked at all connections every 50 ms.

Change: six tenths of the memory are for callers: three eighths of that are set aside for connections (32 KiB each), the rest is room for bodies and responses, of which large bodies and responses leave a quarter to small bodies.

Conclusion: bodies and responses can no longer shut out new connections.

--- a/crates/sparscale_gateway/src/metrics.rs
+++ b/crates/sparscale_gateway/src/metrics.rs
@@ -112,7 +112,7 @@
     );
     let held = gauge(
         "sparscale_held_bytes",
-        "Bytes counted for callers: connections, request bodies and responses.",
+        "Bytes of request bodies and responses that are held for callers.",
     );
     let (board, mesh_status, intake) = (Arc::clone(board), mesh.status(), Arc::clone(intake));
     registry.before_render(move || {
--- a/crates/sparscale_intake/src/connection.rs
+++ b/crates/sparscale_intake/src/connection.rs
@@ -91,7 +91,7 @@
         self.lock().ledger.capacity()
     }
 
-    /// Bytes held for callers.
+    /// Bytes held of bodies and responses.
     pub fn held(&self) -> usize {
         self.lock().ledger.held()
     }
--- a/crates/sparscale_intake/src/process_limits.rs
+++ b/crates/sparscale_intake/src/process_limits.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ProcessLimits {
-    /// Memory, in megabytes; half of it is for callers.
+    /// Memory, in megabytes; six tenths of it are for callers.
     pub memory_mb: usize,
     /// Open descriptors.
     pub descriptors: usize,
--- a/crates/sparscale_policy/src/intake.rs
+++ b/crates/sparscale_policy/src/intake.rs
@@ -14,9 +14,9 @@
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::time::{Duration, Instant};
 
-/// Memory counted for each connection, in bytes: the buffers for heads and for bytes that are not read yet, the request
-/// that is in progress, and its connection to a target.
-pub const CONNECTION_BYTES: usize = 48 << 10;
+/// Memory set aside for each connection, in bytes: the buffers for heads and for bytes that are not read yet, and the
+/// request that is in progress.
+pub const CONNECTION_BYTES: usize = 32 << 10;
 /// Largest body that may use the room for small ones, in bytes.
 pub const SMALL_BODY_BYTES: usize = 64 << 10;
 /// Time without progress after which a body or an unread response gives its room up to others.
@@ -25,17 +25,17 @@
 const PROGRESS_BYTES: usize = 16 << 10;
 
 /// Part of the box's memory that may be held for callers; the rest is for the process itself.
-const HELD_FRACTION: f64 = 0.5;
-/// Part of the held memory that connections may take.
-const CONNECTIONS_FRACTION: f64 = 0.625;
-/// Part of the held memory that large bodies leave to small ones and to new connections.
+const HELD_FRACTION: f64 = 0.6;
+/// Part of the held memory that is set aside for connections; the rest is room for bodies and responses.
+const CONNECTIONS_FRACTION: f64 = 0.375;
+/// Part of the room that large bodies and responses leave to small bodies.
 const SMALL_BODIES_FRACTION: f64 = 0.25;
-/// Part of the held memory that the large bodies of one workspace may take.
+/// Part of the room that the large bodies of one workspace may take.
 const OWNER_FRACTION: f64 = 0.5;
-/// Part of the held memory that all bodies of one workspace may take: beside its large ones, it has room for small ones.
+/// Part of the room that all bodies of one workspace may take: beside its large ones, it has room for small ones.
 const OWNER_FRACTION_WITH_SMALL: f64 = 0.625;
-/// Part of the held memory above which callers that read nothing are cut off sooner.
-const PRESSED_FRACTION: f64 = 0.75;
+/// Part of the room above which callers that read nothing are cut off sooner.
+const PRESSED_FRACTION: f64 = 0.5;
 /// Descriptors left to files, as far as that is not more than a quarter of all.
 const FILE_DESCRIPTORS: usize = 200;
 /// Part of the other descriptors for connections of callers. Each request in progress needs another one, to a target.
@@ -65,7 +65,7 @@
 /// What a process may hold for its callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Capacity {
-    /// Memory for [`Port::Callers`], in bytes.
+    /// Room for bodies and responses, in bytes.
     pub memory: usize,
     /// Connections at [`Port::Callers`].
     pub connections: usize,
@@ -82,9 +82,10 @@
             .min(fraction(held, SERVICE_MEMORY_FRACTION) / SERVICE_CONNECTION_BYTES)
             .clamp(1, MAX_SERVICE_CONNECTIONS);
         let for_callers = held - SERVICE_PORTS * service_connections * SERVICE_CONNECTION_BYTES;
-        let by_memory = fraction(for_callers, CONNECTIONS_FRACTION) / CONNECTION_BYTES;
+        let for_connections = fraction(for_callers, CONNECTIONS_FRACTION);
+        let by_memory = for_connections / CONNECTION_BYTES;
         Self {
-            memory: for_callers,
+            memory: for_callers - for_connections,
             connections: fraction(sockets, CALLER_DESCRIPTORS_FRACTION).min(by_memory).max(1),
             service_connections,
         }
@@ -92,7 +93,7 @@
 
     /// Largest body that can be held while nothing else is, in bytes.
     pub fn max_body(self) -> usize {
-        fraction(self.memory, OWNER_FRACTION).saturating_sub(CONNECTION_BYTES)
+        fraction(self.memory, OWNER_FRACTION)
     }
 
     fn of_port(self, port: Port) -> usize {
@@ -168,6 +169,23 @@
     pub victims: Vec<Account>,
 }
 
+/// Which part of the room something may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Size {
+    Small,
+    Large,
+}
+
+impl Size {
+    fn of_body(bytes: usize) -> Self {
+        if bytes <= SMALL_BODY_BYTES {
+            Self::Small
+        } else {
+            Self::Large
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Connection {
     account: Account,
@@ -197,6 +215,8 @@
     held: usize,
     held_responses: usize,
     held_by_owner: HashMap<Owner, usize>,
+    /// No connection is stalled before this time; none if some may be. Saves looking at all of them.
+    none_stalled_until: Option<Instant>,
 }
 
 impl Ledger {
@@ -210,6 +230,7 @@
             held: 0,
             held_responses: 0,
             held_by_owner: HashMap::new(),
+            none_stalled_until: None,
         }
     }
 
@@ -218,7 +239,7 @@
         self.capacity
     }
 
-    /// Bytes held for callers.
+    /// Bytes held of bodies and responses.
     pub fn held(&self) -> usize {
         self.held
     }
@@ -240,7 +261,7 @@
 
     /// Decides about a new connection at `port`.
     pub fn open(&mut self, port: Port, now: Instant) -> Opening {
-        if self.connections(port) < self.capacity.of_port(port) && self.has_room_for(port) {
+        if self.connections(port) < self.capacity.of_port(port) {
             return Opening::Opened(self.add(port, now));
         }
         let victim = self
@@ -249,7 +270,7 @@
             .min_by_key(|connection| connection.last_progress())
             .map(|connection| connection.account);
         let Some(victim) = victim else { return Opening::Full };
-        // The victim is counted no longer; its socket is closed in a moment. What replaces it needs no more room.
+        // The victim is counted no longer; its socket is closed in a moment.
         self.close(victim);
         Opening::Replaced {
             account: self.add(port, now),
@@ -257,17 +278,12 @@
         }
     }
 
-    fn has_room_for(&self, port: Port) -> bool {
-        self.held + counted_bytes(port) <= self.capacity.memory
-    }
-
     /// Forgets a connection and everything that it holds.
     pub fn close(&mut self, account: Account) {
-        let Some(port) = self.get(account).map(|connection| connection.port) else {
+        if self.get(account).is_none() {
             return;
-        };
+        }
         self.release_all(account);
-        self.held -= counted_bytes(port);
         self.connections[account.index] = None;
         self.free.push(account.index);
     }
@@ -304,17 +320,17 @@
         let Some(connection) = self.get(account).filter(|connection| !connection.is_evicted) else {
             return Grant::denied(Vec::new());
         };
-        let is_small = connection.body_of(owner) + bytes <= SMALL_BODY_BYTES;
+        let size = Size::of_body(connection.body_of(owner) + bytes);
         let mut victims = Vec::new();
         loop {
-            let exceeds_share = self.held_by(owner) + bytes > self.share_of_owner(is_small);
-            let exceeds_room = self.held + bytes > self.room_for_bodies(is_small);
+            let exceeds_share = self.held_by(owner) + bytes > self.share_of_owner(size);
+            let exceeds_room = self.held + bytes > self.room_for(size);
             if !exceeds_share && !exceeds_room {
                 break;
             }
             // Only bodies of the same owner make room in its share.
             let is_candidate = |other: &Connection| !exceeds_share || other.body_of(owner) > 0;
-            let Some(victim) = self.longest_stalled(Some(account), now, is_candidate) else {
+            let Some(victim) = self.longest_stalled(account, now, is_candidate) else {
                 return Grant::denied(victims);
             };
             self.take_room(victim);
@@ -331,14 +347,14 @@
         Grant::granted(victims)
     }
 
-    /// Reserves `bytes` more for a response, which may use the same room as small bodies.
+    /// Reserves `bytes` more for a response, which may use the same room as large bodies.
     pub fn reserve_response(&mut self, account: Account, bytes: usize, now: Instant) -> Grant {
         if self.get(account).is_none_or(|connection| connection.is_evicted) {
             return Grant::denied(Vec::new());
         }
         let mut victims = Vec::new();
-        while self.held + bytes > self.capacity.memory {
-            let Some(victim) = self.longest_stalled(Some(account), now, |_| true) else {
+        while self.held + bytes > self.room_for(Size::Large) {
+            let Some(victim) = self.longest_stalled(account, now, |_| true) else {
                 return Grant::denied(victims);
             };
             self.take_room(victim);
@@ -393,36 +409,47 @@
         self.held_by_owner.get(&owner).copied().unwrap_or(0)
     }
 
-    fn share_of_owner(&self, is_small: bool) -> usize {
-        let share = if is_small {
-            OWNER_FRACTION_WITH_SMALL
-        } else {
-            OWNER_FRACTION
+    fn share_of_owner(&self, size: Size) -> usize {
+        let share = match size {
+            Size::Small => OWNER_FRACTION_WITH_SMALL,
+            Size::Large => OWNER_FRACTION,
         };
         fraction(self.capacity.memory, share)
     }
 
-    fn room_for_bodies(&self, is_small: bool) -> usize {
+    fn room_for(&self, size: Size) -> usize {
         let all = self.capacity.memory;
-        if is_small {
-            all
-        } else {
-            all - fraction(all, SMALL_BODIES_FRACTION)
+        match size {
+            Size::Small => all,
+            Size::Large => all - fraction(all, SMALL_BODIES_FRACTION),
         }
     }
 
     /// The connection that has held room without progress for longest, other than `account`.
     fn longest_stalled(
-        &self,
-        account: Option<Account>,
+        &mut self,
+        account: Account,
         now: Instant,
         is_candidate: impl Fn(&Connection) -> bool,
     ) -> Option<Account> {
-        self.iter()
-            .filter(|other| Some(other.account) != account && is_stalled(other, now))
-            .filter(|other| other.holds_room() && is_candidate(other))
-            .min_by_key(|other| other.last_progress())
-            .map(|other| other.account)
+        if self.none_stalled_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        // What begins to wait for its caller from now on is not stalled earlier than this.
+        let mut first_stall = now + STALL_TIME;
+        let mut longest: Option<(Instant, Account)> = None;
+        for other in self.iter().filter(|other| other.holds_room()) {
+            let Some(waiting_since) = other.waiting_since() else {
+                continue;
+            };
+            first_stall = first_stall.min(waiting_since + STALL_TIME);
+            let is_victim = other.account != account && is_stalled(other, now) && is_candidate(other);
+            if is_victim && longest.is_none_or(|(since, _)| waiting_since < since) {
+                longest = Some((waiting_since, other.account));
+            }
+        }
+        self.none_stalled_until = (first_stall > now).then_some(first_stall);
+        longest.map(|(_, victim)| victim)
     }
 
     /// Counts the bodies and the response of a connection no longer; they are freed in a moment.
@@ -453,7 +480,6 @@
             generation: self.next_generation,
         };
         self.next_generation += 1;
-        self.held += counted_bytes(port);
         self.connections[index] = Some(Connection {
             account,
             port,
@@ -509,15 +535,21 @@
         self.response > 0 || !self.bodies.is_empty()
     }
 
+    /// Since when it waits for its caller with a body or a response; none if it doesn't.
+    fn waiting_since(&self) -> Option<Instant> {
+        let since_body = (self.activity == Activity::Body).then_some(self.since);
+        self.unread_since.or(since_body)
+    }
+
     fn last_progress(&self) -> Instant {
         self.unread_since.unwrap_or(self.since)
     }
 }
 
-/// Whether a connection holds room without making progress.
+/// Whether a connection waits for its caller without progress.
 fn is_stalled(connection: &Connection, now: Instant) -> bool {
-    let can_stall = connection.unread_since.is_some() || connection.activity == Activity::Body;
-    can_stall && now.saturating_duration_since(connection.last_progress()) >= STALL_TIME
+    let waiting_since = connection.waiting_since();
+    waiting_since.is_some_and(|since| now.saturating_duration_since(since) >= STALL_TIME)
 }
 
 /// Whether a connection may be closed to make room for another one.
@@ -526,14 +558,6 @@
     (waits_for_caller && connection.unread_since.is_none()) || is_stalled(connection, now)
 }
 
-/// Bytes that the ledger counts for a connection; those for service ports are set aside.
-fn counted_bytes(port: Port) -> usize {
-    match port {
-        Port::Callers => CONNECTION_BYTES,
-        Port::Readiness | Port::Metrics => 0,
-    }
-}
-
 fn fraction(of: usize, fraction: f64) -> usize {
     (of as f64 * fraction) as usize
 }
