--- a/crates/sparscale_gateway/tests/path/refused_bodies.rs
+++ b/crates/sparscale_gateway/tests/path/refused_bodies.rs
@@ -171,7 +171,9 @@
             caller
         })
         .collect();
-    wait_for("both bodies hold room", || held(&fixture) >= 2.0 * MAX_BODY_BYTES as f64);
+    wait_for("both bodies hold room", || {
+        held(&fixture) >= 2.0 * MAX_BODY_BYTES as f64
+    });
     let large = Request::new("POST", "/once/x", "large").body(&"b".repeat(MAX_BODY_BYTES));
     let denied = fixture.fetch(&large);
     assert_eq!((denied.status, denied.header("retry-after")), (503, Some("1.000")));
