--- a/crates/sparscale_intake/src/connection.rs
+++ b/crates/sparscale_intake/src/connection.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 struct State {
     ledger: Ledger,
-    /// Tells connections what they have to give up.
+    /// Notifies connections of what they have to give up.
     evictions: HashMap<Account, watch::Sender<Eviction>>,
 }
 
--- a/crates/sparscale_intake/src/listener.rs
+++ b/crates/sparscale_intake/src/listener.rs
@@ -39,7 +39,7 @@
         self.socket.local_addr()
     }
 
-    /// The next connection that there is room for. Others are closed: their callers can tell that nothing was read.
+    /// The next connection that there is room for. Others are closed before anything is read.
     ///
     /// Cancel safe.
     pub async fn accept(&self) -> (TcpStream, Connection) {
