Review: a revoked key runs at an entry that starts beside a restored store

Tried: version 8 takes a key away; the store comes back from a copy without it, and one of six entries is killed and starts again after 0.3 s. The stand-ins of the further cases are in this commit, too. Order: ack, 5.4 s store away, 5.8 s back in the next era, 6.0 s kill, 6.3 s start, 7.8 s the operator writes version 8 again.

--- a/review/standin-2/src/cut_answers.rs
+++ b/review/standin-2/src/cut_answers.rs
@@ -19,11 +19,23 @@
     let routes = r#"[{"name":"r","host":"review.example","path_prefix":"/r/","kind":"non_idempotent","timeout_ms":60000,"latency_goal_ms":1000,"service":"app","attempts":1}]"#;
     system.configure(1, routes, r#"[{"name":"app","health_path":"/health","max_conns":380}]"#);
     let addresses: Vec<_> = (0..SERVERS).map(|index| system.server_address(index)).collect();
-    let arguments = |index: usize| [addresses[index].to_string(), format!("i-{index}"), "380".to_owned()];
+    let arguments = |index: usize| {
+        [
+            addresses[index].to_string(),
+            format!("i-{index}"),
+            "channels=380".to_owned(),
+        ]
+    };
     let mut servers = Vec::new();
     for index in 0..SERVERS {
         servers.push(system.start_server(&arguments(index)));
-        system.register(&format!("i-{index}"), "app", system.server_address(index), "ready", unix_ms());
+        system.register(
+            &format!("i-{index}"),
+            "app",
+            system.server_address(index),
+            "ready",
+            unix_ms(),
+        );
     }
     system.start_entries(1);
     let entry = system.entry_address(0);
@@ -41,7 +53,11 @@
                 record.note(&format!("caller sends {id}, and reads {rate} bytes a second"));
                 let answer = call(&mut channel, &request("POST", "/r/big/x", &id, 60_000), rate);
                 let is_whole = answer.body.len() == BIG_BYTES
-                    && answer.body.iter().enumerate().all(|(index, byte)| *byte == big_byte(index));
+                    && answer
+                        .body
+                        .iter()
+                        .enumerate()
+                        .all(|(index, byte)| *byte == big_byte(index));
                 record.note(&format!(
                     "caller has {id}: status {}, {} of {BIG_BYTES} bytes, {}",
                     answer.status,
@@ -64,7 +80,10 @@
         system.register("i-0", "app", system.server_address(0), "ready", unix_ms());
     }
     let results: Vec<(u16, bool, bool)> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
-    let spoiled = results.iter().filter(|(status, complete, whole)| *status == 200 && *complete && !whole).count();
+    let spoiled = results
+        .iter()
+        .filter(|(status, complete, whole)| *status == 200 && *complete && !whole)
+        .count();
     let whole = results.iter().filter(|(_, _, whole)| *whole).count();
     let broken = results.iter().filter(|(_, complete, _)| !complete).count();
     let verdicts = system.entry_log(0).matches("\"verdict\":\"running\"").count();
--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -49,7 +49,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -61,7 +65,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -78,7 +85,11 @@
                 break end;
             }
             if self.fill()? == 0 {
-                return if self.buffer.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
             }
         };
         let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
@@ -90,13 +101,22 @@
             Some((name.trim().to_owned(), value.trim().to_owned()))
         };
         let headers = lines.filter_map(header).collect();
-        Ok(Some(Message { start, headers, body: Vec::new() }))
+        Ok(Some(Message {
+            start,
+            headers,
+            body: Vec::new(),
+        }))
     }
 
     /// The next message, with its body if it has a length.
     pub fn message(&mut self) -> io::Result<Option<Message>> {
-        let Some(mut message) = self.head()? else { return Ok(None) };
-        let length: usize = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let Some(mut message) = self.head()? else {
+            return Ok(None);
+        };
+        let length: usize = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         message.body = self.exactly(length)?;
         Ok(Some(message))
     }
@@ -130,7 +150,10 @@
                 std::thread::sleep(Duration::from_micros(bytes as u64 * 1_000_000 / bytes_per_s));
             }
         };
-        if let Some(length) = head.header("content-length").and_then(|text| text.parse::<usize>().ok()) {
+        if let Some(length) = head
+            .header("content-length")
+            .and_then(|text| text.parse::<usize>().ok())
+        {
             while body.len() < length {
                 if self.buffer.is_empty() && self.fill()? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -2,15 +2,19 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use crate::net::{Message, Reader, respond};
 
-type Topics = HashMap<String, Vec<(String, Vec<u8>)>>;
+pub type Topics = HashMap<String, Vec<(String, Vec<u8>)>>;
 
 #[derive(Clone, Default)]
 pub struct Store {
     topics: Arc<Mutex<Topics>>,
+    /// How often it came back from an older copy.
+    era: Arc<AtomicU64>,
+    is_away: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -26,9 +30,17 @@
                     let _nodelay = stream.set_nodelay(true);
                     let mut reader = Reader::new(stream);
                     while let Ok(Some(call)) = reader.message() {
+                        if store.is_away.load(Ordering::SeqCst) {
+                            return;
+                        }
                         let (status, body) = store.answer(&call);
-                        let headers = "Store-Era: 0\r\nContent-Type: application/json\r\n";
-                        if respond(&mut reader.stream, status, headers, &body).is_err() {
+                        let era = store.era.load(Ordering::SeqCst);
+                        let headers = format!(
+                            "Store-Era: {era}
+Content-Type: application/json
+"
+                        );
+                        if respond(&mut reader.stream, status, &headers, &body).is_err() {
                             return;
                         }
                     }
@@ -38,10 +50,30 @@
         store
     }
 
+    /// A copy of everything that it holds.
+    pub fn copy(&self) -> Topics {
+        self.topics.lock().unwrap().clone()
+    }
+
+    /// Closes its channels, and answers nothing until it is restored.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+    }
+
+    /// Comes back from a copy.
+    pub fn restore(&self, copy: Topics) {
+        *self.topics.lock().unwrap() = copy;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Writes a record of a keyed topic; an empty value drops the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut topics = self.topics.lock().unwrap();
-        topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value.as_bytes().to_vec()));
+        topics
+            .entry(topic.to_owned())
+            .or_default()
+            .push((key.to_owned(), value.as_bytes().to_vec()));
     }
 
     fn answer(&self, call: &Message) -> (u16, Vec<u8>) {
@@ -89,10 +121,17 @@
                     let record = &rest[4..4 + length];
                     rest = &rest[4 + length..];
                     let key_length = if is_keyed { 1 + usize::from(record[0]) } else { 0 };
-                    let key = if is_keyed { String::from_utf8_lossy(&record[1..key_length]).into_owned() } else { String::new() };
+                    let key = if is_keyed {
+                        String::from_utf8_lossy(&record[1..key_length]).into_owned()
+                    } else {
+                        String::new()
+                    };
                     records.push((key, record[key_length..].to_vec()));
                 }
-                (200, format!("{{\"offset\":{offset},\"end\":{}}}", records.len()).into_bytes())
+                (
+                    200,
+                    format!("{{\"offset\":{offset},\"end\":{}}}", records.len()).into_bytes(),
+                )
             }
             _ => (404, Vec::new()),
         }
@@ -109,19 +148,33 @@
         }
     }
     let item = |(key, (offset, value)): (&&String, &(usize, &Vec<u8>))| {
-        format!("{{\"key_file\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+        format!(
+            "{{\"key_file\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+            base64(value)
+        )
     };
     let items: Vec<String> = latest.iter().map(item).collect();
-    format!("{{\"items\":[{}],\"more_pages\":false,\"end\":{}}}", items.join(","), records.len()).into_bytes()
+    format!(
+        "{{\"items\":[{}],\"more_pages\":false,\"end\":{}}}",
+        items.join(","),
+        records.len()
+    )
+    .into_bytes()
 }
 
 fn base64(bytes: &[u8]) -> String {
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let word = (0..3).fold(0_u32, |word, index| word << 8 | u32::from(part.get(index).copied().unwrap_or(0)));
+        let word = (0..3).fold(0_u32, |word, index| {
+            word << 8 | u32::from(part.get(index).copied().unwrap_or(0))
+        });
         for place in 0..4 {
-            let sign = if place <= part.len() { SIGNS[(word >> (18 - 6 * place)) as usize & 63] as char } else { '=' };
+            let sign = if place <= part.len() {
+                SIGNS[(word >> (18 - 6 * place)) as usize & 63] as char
+            } else {
+                '='
+            };
             text.push(sign);
         }
     }
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -3,8 +3,8 @@
 use std::fs::{self, File};
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt as _;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -25,12 +25,19 @@
 impl Record {
     fn new(path: &Path) -> Self {
         let file = File::create(path).expect("record.txt can be written");
-        Self { file: Arc::new(Mutex::new(file)), started_at: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            started_at: Instant::now(),
+        }
     }
 
     pub fn note(&self, text: &str) {
         let line = format!("{:>7} {text}\n", self.started_at.elapsed().as_millis());
-        self.file.lock().unwrap().write_all(line.as_bytes()).expect("record.txt can be written");
+        self.file
+            .lock()
+            .unwrap()
+            .write_all(line.as_bytes())
+            .expect("record.txt can be written");
     }
 }
 
@@ -85,6 +92,17 @@
     command.spawn()
 }
 
+/// Kills a process that the case has started.
+pub fn kill(id: u32) {
+    const SIGKILL: i32 = 9;
+    unsafe extern "C" {
+        fn kill(id: i32, signal: i32) -> i32;
+    }
+    // SAFETY: a plain system call.
+    let result = unsafe { kill(id as i32, SIGKILL) };
+    assert!(result == 0, "kill: {}", std::io::Error::last_os_error());
+}
+
 /// Why a case could not run.
 pub fn unable(text: &str) -> ! {
     eprintln!("the case could not run: {text}");
@@ -123,10 +141,23 @@
         format!("{}.{}:8227", self.net, 10 + index).parse().unwrap()
     }
 
+    /// The file at whose appearance a server ends once it has no requests.
+    pub fn end_file(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("end-{index}"))
+    }
+
     /// Writes the configuration; `routes` and `services` are JSON lists.
     pub fn configure(&self, version: u64, routes: &str, services: &str) {
+        self.configure_keys(version, routes, services, &[KEY]);
+    }
+
+    /// The same with other keys.
+    pub fn configure_keys(&self, version: u64, routes: &str, services: &str, keys: &[&str]) {
         let limits = r#"{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000}"#;
-        let tenants = format!(r#"[{{"name":"t1","api_keys":["{KEY}"],"priority":1}}]"#);
+        let tenants = format!(
+            r#"[{{"name":"t1","api_keys":["{}"],"priority":1}}]"#,
+            keys.join("\",\"")
+        );
         let config = format!(
             r#"{{"version":{version},"routes":{routes},"services":{services},"limits":{limits},"tenants":{tenants}}}"#
         );
@@ -146,8 +177,7 @@
     pub fn start_server(&self, arguments: &[String]) -> Process {
         let program = std::env::current_exe().expect("own program");
         let mut command = Command::new(program);
-        let mut child =
-            spawn(command.arg("server").args(arguments).stdout(Stdio::piped())).expect("the server starts");
+        let mut child = spawn(command.arg("server").args(arguments).stdout(Stdio::piped())).expect("the server starts");
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         match lines.next() {
             Some(Ok(line)) if line == "listening" => {}
@@ -166,24 +196,8 @@
     /// Starts the entries, as the deploy file says, and waits until they are ready.
     pub fn start_entries(&mut self, count: usize) {
         for index in 0..count {
-            let address = self.entry_address(index);
-            let ip = address.ip();
-            let seeds: Vec<String> = (0..count).map(|other| format!("\"{}\"", self.entry_address(other))).collect();
-            let settings = format!(
-                r#"{{"name":"front-{index}","hall":"zone-a","address":"{ip}","callers":"{address}","ready":"{ip}:8220","peer_port":7340,
-"seeds":[{}],"store":"{}.1:8223","first_start":true,"metrics":"{ip}:9464",
-"bounds":{{"drain_ms":3000,"apply_ms":3000,"revoke_ms":5000,"revoke_strict":true,"grace_s":8,"budget_ratio":0.2,"budget_window_s":10,"budget_slack":118}},
-"limits":{{"memory_mb":320,"descriptors":8200}}}}"#,
-                seeds.join(","),
-                self.net
-            );
-            let path = self.folder.join(format!("front-{index}.json"));
-            fs::write(&path, settings).expect("settings");
-            let log = File::create(self.folder.join(format!("front-{index}.log"))).expect("log");
-            let mut command = Command::new(self.root.join("target/release/platform-entry"));
-            let child = spawn(command.arg(&path).stdout(log))
-                .unwrap_or_else(|error| unable(&format!("platform-entry: {error}")));
-            self.entries.push(Process { child });
+            let entry = self.start_entry(index, count, true);
+            self.entries.push(entry);
         }
         let deadline = Instant::now() + Duration::from_secs(15);
         for index in 0..count {
@@ -197,12 +211,43 @@
         std::thread::sleep(Duration::from_millis(1_500));
     }
 
-    fn is_ready(&self, index: usize) -> bool {
+    /// Starts entry `index` of `count`.
+    pub fn start_entry(&self, index: usize, count: usize, is_first_start: bool) -> Process {
+        let address = self.entry_address(index);
+        let ip = address.ip();
+        let seeds: Vec<String> = (0..count.min(3))
+            .map(|other| format!("\"{}\"", self.entry_address(other)))
+            .collect();
+        let settings = format!(
+            r#"{{"name":"front-{index}","hall":"zone-a","address":"{ip}","callers":"{address}","ready":"{ip}:8220","peer_port":7340,
+"seeds":[{}],"store":"{}.1:8223","first_start":{is_first_start},"metrics":"{ip}:9464",
+"bounds":{{"drain_ms":3000,"apply_ms":3000,"revoke_ms":5000,"revoke_strict":true,"grace_s":8,"budget_ratio":0.2,"budget_window_s":10,"budget_slack":118}},
+"limits":{{"memory_mb":320,"descriptors":8200}}}}"#,
+            seeds.join(","),
+            self.net
+        );
+        let path = self.folder.join(format!("front-{index}.json"));
+        fs::write(&path, settings).expect("settings");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("front-{index}.log")));
+        let mut command = Command::new(self.root.join("target/release/platform-entry"));
+        let child = spawn(command.arg(&path).stdout(log.expect("log")))
+            .unwrap_or_else(|error| unable(&format!("platform-entry: {error}")));
+        Process { child }
+    }
+
+    /// Whether an entry says that it is ready.
+    pub fn is_ready(&self, index: usize) -> bool {
         let mut address = self.entry_address(index);
         address.set_port(8220);
         let asked = || {
             let mut reader = Reader::new(connect(address).ok()?);
-            reader.stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+            reader
+                .stream
+                .write_all(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                .ok()?;
             reader.message().ok()?
         };
         asked().is_some_and(|message| message.status() == 200)
@@ -224,9 +269,14 @@
 
 /// A request of a caller, with its key, without a body.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64) -> String {
+    request_with(KEY, method, path, id, deadline_ms)
+}
+
+/// The same with another key.
+pub fn request_with(key: &str, method: &str, path: &str, id: &str, deadline_ms: u64) -> String {
     let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{length}\r\n"
     )
 }
 
