Review: callers that read slowly are cut off as if they read nothing

Tried: 250 callers at one entry, kept channels, answers of 400 kB read at 20 kB/s without a pause. Order: the entry holds more than half of its room, its stall time falls to 1 s, the kernel reports progress of such a caller each 2 s, the entry closes.

--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -61,6 +61,8 @@
 pub struct Reader {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Most bytes that are read at once.
+    part_bytes: usize,
 }
 
 impl Reader {
@@ -68,12 +70,13 @@
         Self {
             stream,
             buffer: Vec::new(),
+            part_bytes: 16 << 10,
         }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
         let mut part = [0; 16 << 10];
-        let count = self.stream.read(&mut part)?;
+        let count = self.stream.read(&mut part[..self.part_bytes])?;
         self.buffer.extend_from_slice(&part[..count]);
         Ok(count)
     }
@@ -145,6 +148,10 @@
     /// The body of a response, with a length or in chunks, read at `bytes_per_s` (0: as fast as it comes). An error
     /// means that it ended before it was complete; what had arrived is in `body` in either case.
     pub fn paced_body(&mut self, head: &Message, bytes_per_s: u64, body: &mut Vec<u8>) -> io::Result<()> {
+        if bytes_per_s > 0 {
+            // Twenty reads a second.
+            self.part_bytes = (bytes_per_s as usize / 20).clamp(1, self.part_bytes);
+        }
         let pace = |bytes: usize| {
             if bytes_per_s > 0 {
                 std::thread::sleep(Duration::from_micros(bytes as u64 * 1_000_000 / bytes_per_s));
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -16,8 +16,8 @@
 pub const BIG_BYTES: usize = 3 << 20;
 /// Bytes that the kernel takes ahead from a server.
 const SEND_BUFFER_BYTES: i32 = 512 << 10;
-/// Bytes of an answer of medium size, which has a length.
-pub const MEDIUM_BYTES: usize = 250_000;
+/// Bytes of a large answer with a length.
+pub const LARGE_BYTES: usize = 400_000;
 /// Events of a stream, and the time between two.
 pub const EVENTS: u64 = 24;
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
@@ -175,8 +175,8 @@
             send_stream(&mut reader.stream, &headers, EVENTS, EVENT_INTERVAL)
         } else if path.starts_with("/r/long/") {
             send_stream(&mut reader.stream, &headers, LONG_EVENTS, LONG_EVENT_INTERVAL)
-        } else if path.starts_with("/r/medium/") {
-            return respond(&mut reader.stream, 200, &headers, &self.big_body[..MEDIUM_BYTES]).is_ok();
+        } else if path.starts_with("/r/large/") {
+            return respond(&mut reader.stream, 200, &headers, &self.big_body[..LARGE_BYTES]).is_ok();
         } else {
             let headers = format!("{headers}Keep-Alive: timeout={}\r\n", self.idle_time.as_secs());
             return respond(&mut reader.stream, 200, &headers, b"ok").is_ok();
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -258,12 +258,18 @@
         fs::read_to_string(self.folder.join(format!("front-{index}.log"))).unwrap_or_default()
     }
 
-    /// Processor time that an entry has used, in ms.
-    pub fn entry_cpu_ms(&self, index: usize) -> u64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.entries[index].child.id())).unwrap_or_default();
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-        (ticks(11) + ticks(12)) * 10
+    /// Most memory that an entry has held, in MB.
+    pub fn entry_peak_mb(&self, index: usize) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.entries[index].child.id())).unwrap_or_default();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .unwrap_or_default();
+        line.split_whitespace()
+            .next()
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+            / 1_024
     }
 }
 
