--- a/review/standin-2/src/stale_key.rs
+++ b/review/standin-2/src/stale_key.rs
@@ -7,7 +7,7 @@
 use crate::net::{Reader, connect};
 use crate::system::{KEY, System, call, kill, request_with, unix_ms};
 
-const ENTRIES: usize = 6;
+const ENTRIES: usize = 7;
 /// The entry that is killed.
 const KILLED: usize = ENTRIES - 1;
 const REVOKED_KEY: &str = "k2";
