Responses: witnesses of different age outlive a stall of the entry

Cause: two witnesses of a target were opened 150 ms apart, so a target that closes idle connections closed both within 150 ms, and none may join for 50 ms after a close. An entry that didn't get the processor for the 100 ms left saw both ends in one moment, had no proof any more, and cut what ended right then.

Change: the ages of two witnesses differ by half of the time for which the target keeps an idle connection; until that time is known, the difference doubles. The oldest of three is closed. No more connections than before (kept_custody::few_connections, unchanged).

The model in kept_custody closes what custody no longer needs, as the entry does.

Ruled out: stopping the servers, too, as a play of a slow machine: a read with a timeout ends with EINTR there, so they close all idle connections at once.

Conclusion: fixed for stalls up to about half of the idle time.

--- a/crates/sparscale_gateway/src/lineage.rs
+++ b/crates/sparscale_gateway/src/lineage.rs
@@ -175,7 +175,9 @@
 
     fn add(&self, state: &mut State, stream: TcpStream, started_at: Timestamp) {
         if let Some(link) = state.custody.establish(started_at, self.clock.now()) {
-            state.witnesses.push((link, Arc::new(Witness::new(stream))));
+            let State { custody, witnesses, .. } = state;
+            witnesses.push((link, Arc::new(Witness::new(stream))));
+            witnesses.retain(|(link, _)| custody.is_needed(*link));
             self.changes.send_replace(());
         }
     }
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -25,6 +25,7 @@
 mod shared_budget;
 mod slow_readers;
 mod sound_ends;
+mod stalled_entry;
 mod stopping;
 mod streams;
 mod suspended;
--- a/crates/sparscale_policy/src/custody.rs
+++ b/crates/sparscale_policy/src/custody.rs
@@ -15,9 +15,8 @@
 
 use crate::termination::Witness;
 
-/// Age of a connection at which a second one is established, so that a target which closes idle connections does not
-/// close both at once.
-const STAGGER: Duration = Duration::from_millis(150);
+/// Shortest difference of age between two connections.
+const MIN_SPACING: Duration = Duration::from_millis(150);
 /// Most connections at a time.
 const MAX_LINKS: usize = 2;
 /// A connection that is closed sooner was refused, or its target closes idle connections almost at once.
@@ -99,7 +98,7 @@
 impl Custody {
     /// Records a connection that was requested at `started_at` and is established now. Connections that have been closed
     /// before are recorded first. Returns none if it cannot be used: another one was closed a short time ago, so the next
-    /// process may have accepted it.
+    /// process may have accepted it. With too many connections, the oldest is no longer needed.
     pub fn establish(&mut self, started_at: Timestamp, now: Timestamp) -> Option<Link> {
         if !self.open.is_empty() && self.unsettled_until(now).is_some() {
             return None;
@@ -112,9 +111,17 @@
         let link = Link(self.next_link);
         self.next_link += 1;
         self.open.push((link, now));
+        if self.open.len() > MAX_LINKS {
+            self.open.remove(0);
+        }
         Some(link)
     }
 
+    /// Whether a connection is still needed.
+    pub fn is_needed(&self, link: Link) -> bool {
+        self.open.iter().any(|(open, _)| *open == link)
+    }
+
     /// Records that the target has closed a connection.
     pub fn close(&mut self, link: Link, now: Timestamp) {
         let Some(index) = self.open.iter().position(|(open, _)| *open == link) else {
@@ -163,16 +170,31 @@
 
     /// When a connection is needed so that the generation continues.
     pub fn need(&self, now: Timestamp) -> Need {
-        let due_at = match self.open.as_slice() {
-            [] => now,
-            // While the process may be terminating, the next one may accept a connection.
-            [(_, established_at)] => (*established_at + STAGGER).max(self.unsettled_until(now).unwrap_or(now)),
-            _ => return Need::AfterClose,
+        let Some(spacing) = self.spacing() else {
+            return Need::AfterClose;
         };
+        let due_at = self.open.last().map_or(now, |(_, established_at)| {
+            // While the process may be terminating, the next one may accept a connection.
+            (*established_at + spacing).max(self.unsettled_until(now).unwrap_or(now))
+        });
         let due_at = self.retry_at.map_or(due_at, |retry_at| retry_at.max(due_at));
         if due_at <= now { Need::Now } else { Need::At(due_at) }
     }
 
+    /// Age of the youngest connection at which the next one is needed; none if that is not before one is closed.
+    ///
+    /// The ages of two connections differ by as much as the idle time of the target allows, because this process may get
+    /// the processor late and then see the ends of both in one moment. Until the idle time is known, the difference doubles.
+    fn spacing(&self) -> Option<Duration> {
+        let spacing = match (self.open.as_slice(), self.last_lifetime) {
+            ([] | [_], Some(lifetime)) => lifetime / 2,
+            ([] | [_], None) => MIN_SPACING,
+            (_, Some(_)) => return None,
+            ([.., (_, older), (_, youngest)], None) => 2 * youngest.since(*older),
+        };
+        Some(spacing.max(MIN_SPACING))
+    }
+
     /// When a connection is needed for a request that is about to be sent. A single one should be young, as its target may
     /// close idle connections.
     pub fn need_for_request(&self, now: Timestamp) -> Need {
--- a/crates/sparscale_policy/tests/kept_custody.rs
+++ b/crates/sparscale_policy/tests/kept_custody.rs
@@ -42,6 +42,7 @@
     fn establish(&mut self) {
         let link = self.custody.establish(self.now, self.now);
         self.open.extend(link.map(|link| (link, self.process, self.now)));
+        self.open.retain(|(link, ..)| self.custody.is_needed(*link));
         self.established += 1;
     }
 
@@ -257,3 +258,36 @@
         .tests(5_000)
         .quickcheck(property as fn(Vec<Step>) -> bool);
 }
+
+/// A target closes idle connections, and the entry gets the processor only at the end of each `stall`, when it sees all that
+/// happened meanwhile in one moment.
+fn witness_beside_stalls(timeout: Duration, stall: Duration) -> Witness {
+    let mut target = Target::new();
+    target.establish();
+    let held = target.custody.current();
+    let end = target.now + Duration::from_secs(30);
+    while target.now < end {
+        let is_due = |since: Timestamp| target.now.since(since) >= timeout;
+        let closed = target.open.iter().take_while(|(_, _, since)| is_due(*since)).count();
+        for _ in 0..closed {
+            target.close_oldest();
+        }
+        if target.custody.need(target.now) == Need::Now {
+            target.establish();
+        }
+        target.wait(stall);
+    }
+    target.wait(ms(50));
+    target.witness(held)
+}
+
+/// An entry that gets the processor late keeps the proof: no two witnesses are closed within a stall.
+#[test]
+fn idle_closes_beside_stalls() {
+    for timeout in [1_000, 2_000, 5_000, 15_000] {
+        for stall in [60, 100, 150, 200, 240] {
+            let witness = witness_beside_stalls(ms(timeout), ms(stall));
+            assert_eq!(witness, Witness::Open, "timeout {timeout} ms, stalls of {stall} ms");
+        }
+    }
+}
