Responses: the order of ends shows that a leaving target ended its response

Cause: at the end of a response without a length the entry looks at its witnesses 5 to 50 ms later. A target that leaves has terminated by then, as it does right after its last response, so its witnesses are closed as after a crash. What differs is the order: a process ends the connection of a whole response before it terminates.

Change, one mechanism in four parts: - One epoll instance for each target queues the ends of its connections in their order (sparscale_witness::EndObserver). custody decides, purely, what the order shows. So the connection of such a response is requested between two others, its escorts; then 0. - Escorts are opened only where a quarter of the latest 16 responses of the service had no length, and the target keeps idle connections for longer than its responses take; a kept connection is used if a new one takes over 30 ms. - An open witness counts at once if both escorts are open; otherwise a half-closed connection shows that a process still accepts (one check for responses that end together). Closes at one age are idle closes and delay nothing. ClosedLater without an announcement is no termination for certain, so it leaves no strike.

Left: a server that closes idle connections before its last response ends, or during a stop, gives no order.

--- a/crates/sparscale_belief/src/throttle.rs
+++ b/crates/sparscale_belief/src/throttle.rs
@@ -124,6 +124,11 @@
         self.tracker().availability(instance.start, now)
     }
 
+    /// When the target announced that it is draining; none if it has not.
+    pub fn draining_since(&self, instance: &Instance) -> Option<Timestamp> {
+        self.tracker().draining_since(instance.start)
+    }
+
     /// Limit of a target in requests per second from all entries together, if it has one.
     pub fn rate(&self, instance: &Instance) -> Option<f64> {
         self.tracker().rate(instance.start).map(Rate::per_second)
--- a/crates/sparscale_gateway/src/admission.rs
+++ b/crates/sparscale_gateway/src/admission.rs
@@ -165,6 +165,7 @@
             deadline_timestamp: self.gateway.board.now() + deadline.saturating_duration_since(Instant::now()),
             tier: tier.unwrap_or(route.tier),
             retryable: route.kind.is_retryable(),
+            is_stream: route.kind.is_stream(),
             route: route_key,
             catalog,
         })
@@ -191,6 +192,7 @@
     deadline: Instant,
     deadline_timestamp: Timestamp,
     retryable: bool,
+    is_stream: bool,
 }
 
 impl Grant {
@@ -215,6 +217,7 @@
                 deadline: self.deadline,
                 deadline_timestamp: self.deadline_timestamp,
                 retryable: self.retryable,
+                is_stream: self.is_stream,
                 last_event_id: None,
                 urgency: Some(self.tier.min(9)),
             },
--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -18,14 +18,15 @@
 use sparscale_catalog::{Incarnation, Instance, Target};
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_intake::{Connection, RequestBody, Segments};
+use sparscale_policy::framing::Framing;
 use sparscale_quarantine::Content;
 use tokio::time::Instant;
 
 use crate::head::{Head, without_hop_by_hop};
 use crate::header_names::HeaderNames;
-use crate::pool::{self, Pool, connect};
-use crate::process_monitor::{PreparedWatch, ProcessMonitor};
-use crate::response_body::{RemainingBody, Watch, has_unknown_coding, is_delimited};
+use crate::pool::{self, Opening, Pool, connect};
+use crate::process_monitor::{OutgoingRequest, PreparedWatch, ProcessMonitor};
+use crate::response_body::{RemainingBody, Watch, framing_of, has_unknown_coding};
 use crate::response_error::ResponseError;
 use crate::response_room::ResponseRoom;
 
@@ -37,6 +38,10 @@
 /// targets send the body together with the head.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time after which a request uses a kept connection although its response is likely to have no length: a target with a full
+/// backlog accepts no new one.
+const ESCORTED_CONNECT_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Statuses that a final response may have. The HTTP client skips interim responses, but returns a 101, after which
 /// another protocol follows, and statuses of no class.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
@@ -58,6 +63,8 @@
     pub(crate) deadline_timestamp: Timestamp,
     /// Whether the request may run more than once.
     pub(crate) retryable: bool,
+    /// Whether the route returns event streams.
+    pub(crate) is_stream: bool,
     /// Event id after which a resumed stream continues, if it differs from the one that the caller sent.
     pub(crate) last_event_id: Option<u64>,
     /// How soon the target should start the request; 0 is the most urgent.
@@ -139,19 +146,38 @@
     /// Sends `outbound` to the target. Returns an event stream once its head has arrived, other responses once complete
     /// or longer than [`MAX_BUFFERED_BYTES`].
     pub(crate) async fn send(&self, instance: &Instance, outbound: &Outbound) -> SendOutcome {
-        let connection = match self.connection(instance, outbound).await {
+        let (connection, preceding) = match self.escorted_connection(instance, outbound).await {
             Ok(connection) => connection,
             Err(error) => {
                 log::debug!(target = instance.target.id.as_str(), error = error.to_string().as_str(); "connecting to the target failed");
                 return SendOutcome::NotSent;
             }
         };
-        let response = tokio::time::timeout_at(outbound.deadline, self.exchange(instance, outbound, connection));
+        let response = tokio::time::timeout_at(
+            outbound.deadline,
+            self.exchange(instance, outbound, connection, preceding),
+        );
         response
             .await
             .unwrap_or(SendOutcome::ResponseLost(ResponseError::Timeout))
     }
 
+    /// A connection for a request, and one that was requested right before if its response is likely to have no length.
+    async fn escorted_connection(
+        &self,
+        instance: &Instance,
+        outbound: &Outbound,
+    ) -> Result<(pool::Connection, Option<Opening>), pool::Error> {
+        if self.processes.needs_escorts(instance, outbound.is_stream) {
+            let preceding = Opening::start(instance.target.address, &*self.clock);
+            let connecting = tokio::time::timeout(ESCORTED_CONNECT_TIMEOUT, connect(instance.target.address));
+            if let Ok(connection) = connecting.await {
+                return Ok((connection?, Some(preceding)));
+            }
+        }
+        Ok((self.connection(instance, outbound).await?, None))
+    }
+
     async fn connection(&self, instance: &Instance, outbound: &Outbound) -> Result<pool::Connection, pool::Error> {
         let max_idle = if outbound.retryable {
             Duration::MAX
@@ -164,10 +190,21 @@
         }
     }
 
-    async fn exchange(&self, instance: &Instance, outbound: &Outbound, connection: pool::Connection) -> SendOutcome {
+    async fn exchange(
+        &self,
+        instance: &Instance,
+        outbound: &Outbound,
+        connection: pool::Connection,
+        preceding: Option<Opening>,
+    ) -> SendOutcome {
         let target = &instance.target;
         let mut connection = connection;
-        let prepared = self.processes.prepare(instance).await;
+        let outgoing = OutgoingRequest {
+            connection: &connection.stream,
+            preceding,
+            is_stream: outbound.is_stream,
+        };
+        let mut prepared = self.processes.prepare(instance, outgoing).await;
         let request = self.request(target, outbound);
         let mut result = connection.sender.try_send_request(request).await;
         if !connection.is_new && matches!(&result, Err(error) if error.message().is_some()) {
@@ -176,6 +213,7 @@
                 Ok(connection) => connection,
                 Err(_) => return SendOutcome::NotSent,
             };
+            prepared.carry(&connection.stream);
             result = connection.sender.try_send_request(self.request(target, outbound)).await;
         }
         let (parts, incoming) = match result {
@@ -348,15 +386,17 @@
         connection: pool::Connection,
         prepared: PreparedWatch,
     ) -> RemainingBody {
-        let watch = || Watch {
+        let watch = |prepared: PreparedWatch| Watch {
             sent_at: prepared.sent_at,
             process: self.processes.watch(instance, connection.stream.clone(), prepared),
             monitor: Arc::clone(&self.processes),
             request_id: parts.headers.get(&self.header_names.request_id).cloned(),
             received_bytes: 0,
         };
+        let framing = framing_of(&parts.headers, &incoming);
+        self.processes.record_framing(instance, &prepared, framing);
         RemainingBody {
-            watch: (!is_delimited(&parts.headers, &incoming)).then(watch),
+            watch: (framing == Framing::Undelimited).then(|| watch(prepared)),
             incoming,
             connection: Some(connection),
             headers: parts.headers.clone(),
--- a/crates/sparscale_gateway/src/entry.rs
+++ b/crates/sparscale_gateway/src/entry.rs
@@ -26,7 +26,7 @@
 use crate::loads::Loads;
 use crate::metrics::{Metrics, register_gauges};
 use crate::pool::Pool;
-use crate::process_monitor::ProcessMonitor;
+use crate::process_monitor::{Departures, ProcessMonitor};
 use crate::queues::Queues;
 use crate::readiness;
 use crate::response_monitor::ResponseMonitor;
@@ -96,7 +96,9 @@
         let strikes_schedule = spawn_quarantine(&settings, &board, parts.strikes, parts.archive, read_metrics());
         let entry_count = Arc::new(AtomicUsize::new(ASSUMED_ENTRY_COUNT));
         let pool = Arc::new(Pool::new(Arc::clone(&parts.clock)));
-        let processes = Arc::new(ProcessMonitor::new(&pool, &board, &parts.clock, &registry));
+        let departures = Departures::new(&settings);
+        let processes = ProcessMonitor::new(&pool, &board, &parts.clock, &registry, departures);
+        let processes = Arc::new(processes);
         let exit = Arc::new(Exit::default());
         let gateway = Arc::new(Gateway {
             board: Arc::clone(&board),
--- a/crates/sparscale_gateway/src/lineage.rs
+++ b/crates/sparscale_gateway/src/lineage.rs
@@ -1,4 +1,5 @@
-//! Connections to one target that carry no requests and show whether the process that received a request still runs.
+//! Connections to one target that carry no requests and show whether the process that received a request still runs, and
+//! the order in which they and the connections with requests end.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,12 +9,14 @@
 use sparscale_catalog::Instance;
 use sparscale_clock::{Clock, Timestamp};
 use sparscale_policy::custody::{Custody, Generation, Head, Link, Need};
-use sparscale_policy::termination;
-use sparscale_witness::Witness;
+use sparscale_policy::termination::{self, Listener};
+use sparscale_witness::{EndObserver, Witness};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex as AsyncMutex, watch};
 
-use crate::pool;
+use crate::pool::{self, Opening};
+use crate::shared_stream::SharedStream;
 
 /// The witnesses of one target.
 #[derive(Debug)]
@@ -23,6 +26,8 @@
     state: Mutex<State>,
     /// Held while a connection is being established.
     establishing: AsyncMutex<()>,
+    /// When the latest answered liveness check began. Held during a check.
+    last_check: AsyncMutex<Option<Timestamp>>,
     /// Signals that a connection was established or closed.
     changes: watch::Sender<()>,
 }
@@ -31,6 +36,8 @@
 struct State {
     custody: Custody,
     witnesses: Vec<(Link, Arc<Witness>)>,
+    /// Observes the witnesses and the connections with requests; none if the process has too many open files.
+    ends: Option<EndObserver>,
     /// Requests that rely on the witnesses.
     holds: usize,
     last_held_at: Timestamp,
@@ -38,39 +45,65 @@
     is_maintained: bool,
     /// Whether the witnesses are kept while none of them is held.
     is_kept: bool,
+    /// Since when the roster has listed the target as draining, or not at all.
+    departed_at: Option<Timestamp>,
 }
 
 impl State {
-    /// Records which connections have been closed; returns whether any was.
+    /// Records which connections have been closed; returns whether a witness was.
     fn record_closed(&mut self, now: Timestamp) -> bool {
-        let Self { custody, witnesses, .. } = self;
+        let Self {
+            custody,
+            witnesses,
+            ends,
+            ..
+        } = self;
+        // Checked before the ends are taken, so that these include what the check shows.
+        let closed: Vec<Link> = witnesses
+            .iter()
+            .filter(|(_, witness)| !witness.is_open())
+            .map(|(link, _)| *link)
+            .collect();
+        let ended = ends.as_ref().map(EndObserver::take_ended).unwrap_or_default();
+        for link in ended.into_iter().map(Link::from).chain(closed) {
+            custody.close(link, now);
+        }
+        custody.observe_open(now);
         let count = witnesses.len();
-        witnesses.retain(|(link, witness)| {
-            let is_open = witness.is_open();
-            if !is_open {
-                custody.close(*link, now);
-            }
-            is_open
-        });
+        witnesses.retain(|(link, _)| custody.is_needed(*link));
         witnesses.len() < count
     }
+
+    /// Lets the end of a connection be observed.
+    fn observe(&self, observe: impl FnOnce(&EndObserver) -> std::io::Result<()>) {
+        let Some(ends) = &self.ends else { return };
+        if let Err(error) = observe(ends) {
+            log::debug!(error = error.to_string().as_str(); "the order in which a connection to a target ends is not observed");
+        }
+    }
 }
 
 impl Lineage {
     pub(crate) fn new(instance: Instance, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
+        let ends = EndObserver::new().inspect_err(|error| {
+            log::warn!(error = error.to_string().as_str(); "the order in which connections to a target end cannot be observed");
+        });
         Self {
             instance,
             clock,
             state: Mutex::new(State {
                 custody: Custody::default(),
                 witnesses: Vec::new(),
+                ends: ends.ok(),
                 holds: 0,
                 last_held_at: now,
                 is_maintained: false,
                 is_kept: true,
+                departed_at: None,
             }),
             establishing: AsyncMutex::default(),
+            last_check: AsyncMutex::default(),
             changes: watch::Sender::default(),
         }
     }
@@ -87,7 +120,38 @@
             self.changes.send_replace(());
         }
         drop(state);
-        Hold(Arc::clone(self))
+        Hold {
+            lineage: Arc::clone(self),
+            carrier: None,
+        }
+    }
+
+    /// Records that `stream` carries a request.
+    fn carry(&self, stream: &SharedStream) -> Link {
+        let mut state = self.refresh();
+        let carrier = state.custody.carry(self.clock.now());
+        state.observe(|ends| stream.observe_end(ends, carrier.into()));
+        carrier
+    }
+
+    /// Whether escorts are likely to stay open until a response ends.
+    pub(crate) fn allows_escorts(&self) -> bool {
+        self.lock().custody.allows_escorts()
+    }
+
+    /// Opens a connection right after that of `carrier`, and uses it and `preceding` to show in which order they end.
+    pub(crate) async fn escort(self: Arc<Self>, carrier: Link, preceding: Opening) {
+        let following = Opening::start(self.instance.target.address, &*self.clock);
+        for escort in [preceding, following] {
+            match escort.opening.await {
+                Ok(stream) => self.add(&mut self.refresh(), stream, |custody, now| {
+                    custody.escort(carrier, escort.started_at, now)
+                }),
+                Err(error) => {
+                    log::debug!(target = self.instance.target.id.as_str(), error = error.to_string().as_str(); "a response has no connection that shows in which order it ends");
+                }
+            }
+        }
     }
 
     /// Closes the witnesses once none of them is held.
@@ -96,6 +160,18 @@
         self.changes.send_replace(());
     }
 
+    /// Records whether the roster lists the target as one that leaves.
+    pub(crate) fn record_departure(&self, is_leaving: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.departed_at = is_leaving.then(|| state.departed_at.unwrap_or(now));
+    }
+
+    /// Since when the roster has listed the target as one that leaves; none if it doesn't.
+    pub(crate) fn departed_at(&self) -> Option<Timestamp> {
+        self.lock().departed_at
+    }
+
     /// What the maintaining task does next; none if it ends.
     fn plan_upkeep(&self, now: Timestamp) -> Option<Need> {
         let mut state = self.refresh();
@@ -153,6 +229,27 @@
         self.refresh().custody.witness(held, ended_at, self.clock.now())
     }
 
+    /// Whether the witnesses show by themselves that the process of generation `held` still ran when it ended `carrier`.
+    pub(crate) fn is_proved(&self, held: Option<Generation>, carrier: Link) -> bool {
+        self.refresh().custody.is_proved(held, carrier, self.clock.now())
+    }
+
+    /// Whether witnesses of generation `held` are open.
+    pub(crate) fn is_held(&self, held: Option<Generation>) -> bool {
+        self.refresh().custody.is_held(held)
+    }
+
+    /// Time in which the ends of all connections that a terminating process closes together arrive.
+    pub(crate) fn delivery_time(&self) -> Duration {
+        self.lock().custody.delivery_time()
+    }
+
+    /// Whether the process of generation `held` ended the connection `carrier` while it was running, and terminated
+    /// afterwards.
+    pub(crate) fn is_ended_before_process(&self, held: Option<Generation>, carrier: Link) -> bool {
+        self.refresh().custody.is_ended_before_process(held, carrier)
+    }
+
     /// Age of the oldest open witness.
     pub(crate) fn age(&self) -> Option<Duration> {
         self.lock().custody.age(self.clock.now())
@@ -164,17 +261,51 @@
         if state.custody.current().is_some() {
             return Some(stream);
         }
-        self.add(&mut state, stream, started_at);
+        self.add(&mut state, stream, |custody, now| custody.establish(started_at, now));
         None
     }
 
+    /// Checks whether a process at the address of the target still runs after `time`. A terminating process accepts no
+    /// connections, but its kernel does until all others are closed. So the connection is half-closed: a running process
+    /// closes it, too. Responses that end at the same time share a check.
+    pub(crate) async fn check_liveness(&self, time: Timestamp) -> Listener {
+        let mut last_check = self.last_check.lock().await;
+        if last_check.is_some_and(|began_at| began_at >= time) {
+            return Listener::Answers;
+        }
+        let began_at = self.clock.now();
+        let mut stream = match pool::open_stream(self.instance.target.address).await {
+            Ok(stream) => stream,
+            Err(error) if error.is_refused() => return Listener::Refuses,
+            Err(_) => return Listener::Unreachable,
+        };
+        let answer = async {
+            stream.shutdown().await?;
+            stream.read(&mut [0]).await
+        };
+        match answer.await {
+            Ok(_) => {
+                *last_check = Some(began_at);
+                Listener::Answers
+            }
+            Err(_reset) => Listener::Unreachable,
+        }
+    }
+
     /// Signals each change of the witnesses.
     pub(crate) fn changes(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
     }
 
-    fn add(&self, state: &mut State, stream: TcpStream, started_at: Timestamp) {
-        if let Some(link) = state.custody.establish(started_at, self.clock.now()) {
+    /// Uses a connection as a witness if `establish` records it.
+    fn add(
+        &self,
+        state: &mut State,
+        stream: TcpStream,
+        establish: impl FnOnce(&mut Custody, Timestamp) -> Option<Link>,
+    ) {
+        if let Some(link) = establish(&mut state.custody, self.clock.now()) {
+            state.observe(|ends| ends.observe(&stream, link.into()));
             let State { custody, witnesses, .. } = state;
             witnesses.push((link, Arc::new(Witness::new(stream))));
             witnesses.retain(|(link, _)| custody.is_needed(*link));
@@ -195,7 +326,9 @@
         let started_at = self.clock.now();
         match pool::open_stream(self.instance.target.address).await {
             // Whether older connections are open is checked only now: the new one may belong to the next process.
-            Ok(stream) => self.add(&mut self.refresh(), stream, started_at),
+            Ok(stream) => self.add(&mut self.refresh(), stream, |custody, now| {
+                custody.establish(started_at, now)
+            }),
             Err(error) => {
                 self.lock().custody.fail(self.clock.now());
                 log::debug!(target = self.instance.target.id.as_str(), error = error.to_string().as_str(); "no connection that shows whether the process of the target still runs");
@@ -239,7 +372,7 @@
         let Some(need) = lineage.plan_upkeep(now) else {
             return;
         };
-        let due_at = match need {
+        let needed_at = match need {
             Need::Now => {
                 lineage.establish_if_needed(Custody::need).await;
                 continue;
@@ -247,6 +380,8 @@
             Need::At(due_at) => Some(due_at),
             Need::AfterClose => None,
         };
+        let confirmable_at = lineage.lock().custody.confirmable_at();
+        let due_at = [needed_at, confirmable_at].into_iter().flatten().min();
         let due = async {
             match due_at {
                 Some(due_at) => tokio::time::sleep(due_at.since(now)).await,
@@ -261,20 +396,41 @@
     }
 }
 
-/// Keeps the witnesses of a target maintained.
+/// Keeps the witnesses of a target maintained during a request.
 #[derive(Debug)]
-pub(crate) struct Hold(Arc<Lineage>);
+pub(crate) struct Hold {
+    lineage: Arc<Lineage>,
+    /// The connection of the request, once it is known.
+    carrier: Option<Link>,
+}
 
 impl Hold {
     pub(crate) fn lineage(&self) -> &Arc<Lineage> {
-        &self.0
+        &self.lineage
+    }
+
+    /// The connection of the request, if it was recorded.
+    pub(crate) fn carrier(&self) -> Option<Link> {
+        self.carrier
+    }
+
+    /// Records that `stream` carries the request, in place of any other connection.
+    pub(crate) fn carry(&mut self, stream: &SharedStream) -> Link {
+        let carrier = self.lineage.carry(stream);
+        if let Some(earlier) = self.carrier.replace(carrier) {
+            self.lineage.lock().custody.release(earlier);
+        }
+        carrier
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let mut state = self.0.lock();
+        let mut state = self.lineage.lock();
+        if let Some(carrier) = self.carrier {
+            state.custody.release(carrier);
+        }
         state.holds -= 1;
-        state.last_held_at = self.0.clock.now();
+        state.last_held_at = self.lineage.clock.now();
     }
 }
--- a/crates/sparscale_gateway/src/pool.rs
+++ b/crates/sparscale_gateway/src/pool.rs
@@ -2,10 +2,14 @@
 //! long that the target may have closed them.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use futures::FutureExt as _;
+use futures::future::{self, BoxFuture};
 use http::header::{HeaderMap, HeaderName};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -171,6 +175,34 @@
     Ok(stream)
 }
 
+/// A connection that is being opened.
+pub(crate) struct Opening {
+    pub(crate) started_at: Timestamp,
+    pub(crate) opening: BoxFuture<'static, Result<TcpStream, Error>>,
+}
+
+impl Opening {
+    /// Requests a connection to `address`, before this returns.
+    pub(crate) fn start(address: SocketAddr, clock: &dyn Clock) -> Self {
+        let started_at = clock.now();
+        let mut opening = open_stream(address).boxed();
+        let mut context = Context::from_waker(Waker::noop());
+        let opening = match opening.as_mut().poll(&mut context) {
+            Poll::Ready(result) => future::ready(result).boxed(),
+            Poll::Pending => opening,
+        };
+        Self { started_at, opening }
+    }
+}
+
+impl fmt::Debug for Opening {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Opening")
+            .field("started_at", &self.started_at)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Prepares an open TCP connection for requests.
 pub(crate) async fn handshake(stream: TcpStream) -> Result<Connection, Error> {
     let stream = SharedStream::new(stream);
--- a/crates/sparscale_gateway/src/process_monitor.rs
+++ b/crates/sparscale_gateway/src/process_monitor.rs
@@ -7,27 +7,53 @@
 use sparscale_belief::Board;
 use sparscale_catalog::{Directory, Instance};
 use sparscale_clock::{Clock, Timestamp};
-use sparscale_policy::termination::{End, Evidence, Listener, Verdict};
+use sparscale_policy::framing::Framing;
+use sparscale_policy::termination::{End, Evidence, Listener, Verdict, Witness};
 use sparscale_telemetry::{DECISION, Registry};
 use sparscale_witness::ReceiveState;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
-use crate::pool::{self, Pool};
+use crate::pool::{self, Opening, Pool};
+use crate::settings::Settings;
 use crate::shared_stream::SharedStream;
 use crate::suspension::SuspensionDetector;
 use crate::witness::{Begun, Held, ProcessWatch, Witnesses};
 
 /// Time in which a terminating process closes the rest of its connections after the first one.
 const CLOSING_TIME: Duration = Duration::from_millis(5);
+/// Time after which a process that neither closes its witnesses nor answers a liveness check is taken to run: not every
+/// server closes a connection whose other side is closed.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request that is about to be sent.
+#[derive(Debug)]
+pub(crate) struct OutgoingRequest<'a> {
+    pub(crate) connection: &'a SharedStream,
+    /// A connection that was requested right before.
+    pub(crate) preceding: Option<Opening>,
+    /// Whether its route returns event streams.
+    pub(crate) is_stream: bool,
+}
 
 /// What is known of the process of a target when a request is sent to it.
 #[derive(Debug)]
 pub(crate) struct PreparedWatch {
     pub(crate) sent_at: Timestamp,
+    /// Whether the request was sent on a route for event streams.
+    is_stream: bool,
     held: Option<Held>,
 }
 
+impl PreparedWatch {
+    /// Records that the request is sent on `connection` in place of another one.
+    pub(crate) fn carry(&mut self, connection: &SharedStream) {
+        if let Some(held) = &mut self.held {
+            held.carry(connection);
+        }
+    }
+}
+
 /// A response without a length whose connection has ended.
 #[derive(Debug)]
 pub(crate) struct EndedResponse<'a> {
@@ -52,9 +78,28 @@
 /// Most lost connections that are followed at a time.
 const MAX_PENDING_TERMINATIONS: usize = 256;
 
+/// When targets that leave may terminate.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Departures {
+    /// Time for which a target goes on serving, at least, after it has announced that it leaves.
+    min_drain_time: Duration,
+    /// Time until this process learns of the announcement, at most.
+    max_notice_delay: Duration,
+}
+
+impl Departures {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Self {
+            min_drain_time: settings.target_drain_time,
+            max_notice_delay: settings.max_observation_age,
+        }
+    }
+}
+
 /// Observes the processes of the targets.
 #[derive(Debug)]
 pub(crate) struct ProcessMonitor {
+    departures: Departures,
     pool: Arc<Pool>,
     board: Arc<Board>,
     clock: Arc<dyn Clock>,
@@ -65,8 +110,15 @@
 }
 
 impl ProcessMonitor {
-    pub(crate) fn new(pool: &Arc<Pool>, board: &Arc<Board>, clock: &Arc<dyn Clock>, registry: &Arc<Registry>) -> Self {
+    pub(crate) fn new(
+        pool: &Arc<Pool>,
+        board: &Arc<Board>,
+        clock: &Arc<dyn Clock>,
+        registry: &Arc<Registry>,
+        departures: Departures,
+    ) -> Self {
         Self {
+            departures,
             registry: Arc::clone(registry),
             pool: Arc::clone(pool),
             board: Arc::clone(board),
@@ -82,11 +134,25 @@
         self.suspensions.run().await;
     }
 
+    /// Whether the connection of a request should have escorts, because its response is likely to have no length.
+    pub(crate) fn needs_escorts(&self, instance: &Instance, is_stream: bool) -> bool {
+        self.witnesses.needs_escorts(instance, is_stream)
+    }
+
+    /// Records how the response to a request shows where it ends.
+    pub(crate) fn record_framing(&self, instance: &Instance, prepared: &PreparedWatch, framing: Framing) {
+        self.witnesses.record_framing(instance, prepared.is_stream, framing);
+    }
+
     /// Prepares to watch the process of a target to which a request is about to be sent.
-    pub(crate) async fn prepare(&self, instance: &Instance) -> PreparedWatch {
-        let held = self.witnesses.prepare(instance).await;
+    pub(crate) async fn prepare(&self, instance: &Instance, request: OutgoingRequest<'_>) -> PreparedWatch {
+        let held = self
+            .witnesses
+            .prepare(instance, request.connection, request.preceding)
+            .await;
         PreparedWatch {
             sent_at: self.clock.now(),
+            is_stream: request.is_stream,
             held,
         }
     }
@@ -99,39 +165,28 @@
 
     /// What became of the process of a target whose response without a length ended with its connection.
     pub(crate) async fn verdict(&self, response: &EndedResponse<'_>) -> Verdict {
-        let instance = response.instance;
         let ended_at = self.clock.now();
-        let (listener, stream) = probe(instance).await;
-        let stream = stream.and_then(|stream| self.witnesses.offer(instance, stream, ended_at));
-        tokio::time::sleep(CLOSING_TIME).await;
-        response.process.settle().await;
-        let is_reset = |stream: &TcpStream| ReceiveState::of(stream).is_ended();
+        let (listener, witness) = self.observe(response, ended_at).await;
         let evidence = Evidence {
             end: response.stream.end().unwrap_or(End::Broken),
-            // The listener of a terminating process may have been closed only after it accepted the connection.
-            listener: if stream.as_ref().is_some_and(is_reset) {
-                Listener::Unreachable
-            } else {
-                listener
-            },
-            witness: response.process.state(ended_at),
-            is_replaced: self.is_replaced(instance),
+            listener,
+            witness,
+            is_due_to_end: self.is_due_to_end(response, ended_at),
+            is_replaced: self.is_replaced(response.instance),
             was_suspended: self.suspensions.was_suspended_since(response.sent_at),
         };
-        if let Some(stream) = stream {
-            self.add_to_pool(instance, stream).await;
-        }
         let verdict = evidence.verdict();
         log::info!(
             target: DECISION,
             decision = "unframed_end",
             request = response.request_id_text(),
-            at = instance.target.id.as_str(),
+            at = response.instance.target.id.as_str(),
             bytes = response.received_bytes,
             end = evidence.end.name(),
             listener = evidence.listener.name(),
             witness = evidence.witness.name(),
             witness_ms = response.process.witness_age().map(|age| age.as_millis() as u64),
+            due_to_end = evidence.is_due_to_end,
             replaced = evidence.is_replaced,
             suspended = evidence.was_suspended,
             verdict = verdict.name();
@@ -145,6 +200,73 @@
         verdict
     }
 
+    /// What the address of a target and the witnesses of its process show after a response ended at `ended_at`.
+    async fn observe(&self, response: &EndedResponse<'_>, ended_at: Timestamp) -> (Listener, Witness) {
+        let process = response.process;
+        tokio::time::sleep(process.delivery_time()).await;
+        if process.is_proved() {
+            return (Listener::Unchecked, Witness::Open);
+        }
+        let listener = if process.is_held() {
+            self.check_liveness(process, ended_at).await
+        } else {
+            self.probe_after(response, ended_at).await
+        };
+        if listener == Listener::Answers && process.is_held() {
+            return (listener, Witness::Open);
+        }
+        process.settle().await;
+        (listener, process.state(ended_at))
+    }
+
+    /// Checks whether a process runs at the address of a target whose response ended at `ended_at`, while witnesses of the
+    /// one that sent it are open.
+    async fn check_liveness(&self, process: &ProcessWatch, ended_at: Timestamp) -> Listener {
+        let deadline = tokio::time::Instant::now() + CHECK_TIMEOUT;
+        let listener = tokio::select! {
+            listener = tokio::time::timeout_at(deadline, process.check_liveness(ended_at)) => {
+                listener.unwrap_or(Listener::Accepts)
+            }
+            () = process.wait_lost() => return Listener::Unreachable,
+        };
+        if listener == Listener::Answers {
+            // A successor may answer while the kernel still closes the last connections of the process.
+            tokio::time::sleep(CLOSING_TIME).await;
+        } else {
+            // A process that is leaving may accept no connections and still run.
+            let _lost = tokio::time::timeout_at(deadline, process.wait_lost()).await;
+        }
+        listener
+    }
+
+    /// Opens a connection to the address of a target whose response ended at `ended_at` without witnesses of its process.
+    async fn probe_after(&self, response: &EndedResponse<'_>, ended_at: Timestamp) -> Listener {
+        let instance = response.instance;
+        let (listener, stream) = probe(instance).await;
+        let stream = stream.and_then(|stream| self.witnesses.offer(instance, stream, ended_at));
+        tokio::time::sleep(CLOSING_TIME).await;
+        let Some(stream) = stream else { return listener };
+        // The listener of a terminating process may have been closed only after it accepted the connection.
+        if ReceiveState::of(&stream).is_ended() {
+            return Listener::Unreachable;
+        }
+        self.add_to_pool(instance, stream).await;
+        listener
+    }
+
+    /// Whether a target had announced that it leaves for so long, when a response ended at `ended_at`, that it may have
+    /// terminated as planned. This process learns of it up to the age of its observations later.
+    fn is_due_to_end(&self, response: &EndedResponse<'_>, ended_at: Timestamp) -> bool {
+        let announced_at = self.board.throttle.draining_since(response.instance);
+        let leaving_since = [announced_at, response.process.departed_at()]
+            .into_iter()
+            .flatten()
+            .min();
+        leaving_since.is_some_and(|since| {
+            ended_at.since(since) + self.departures.max_notice_delay >= self.departures.min_drain_time
+        })
+    }
+
     /// Whether the process of a target that lost a connection has terminated: nothing listens at its address, or the
     /// roster lists a successor. A target that does not respond may be partitioned instead.
     pub(crate) async fn has_terminated(&self, instance: &Instance) -> bool {
--- a/crates/sparscale_gateway/src/response_body.rs
+++ b/crates/sparscale_gateway/src/response_body.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body as _, Incoming};
 use sparscale_catalog::Instance;
 use sparscale_clock::Timestamp;
+use sparscale_policy::framing::Framing;
 use sparscale_policy::termination::Verdict;
 
 use crate::pool::{Connection, Pool};
@@ -84,9 +85,13 @@
     }
 }
 
-/// Whether the response states where it ends, as the HTTP client understands it. Otherwise it ends with its connection.
-pub(crate) fn is_delimited(headers: &HeaderMap, body: &Incoming) -> bool {
-    body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked(headers)
+/// How the response shows where it ends, as the HTTP client understands it.
+pub(crate) fn framing_of(headers: &HeaderMap, body: &Incoming) -> Framing {
+    if body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked(headers) {
+        Framing::Delimited
+    } else {
+        Framing::Undelimited
+    }
 }
 
 /// Whether the body has a transfer coding that is not decoded, so that its bytes are not those of the response.
--- a/crates/sparscale_gateway/src/settings.rs
+++ b/crates/sparscale_gateway/src/settings.rs
@@ -44,6 +44,8 @@
     pub max_observation_age: Duration,
     /// Time that each further entry waits longer than the one before it.
     pub read_delay_per_entry: Duration,
+    /// Time for which a target that leaves goes on serving, at least, after it has announced that.
+    pub target_drain_time: Duration,
     /// Time without progress after which the connection of a caller that does not read its response is cut off.
     pub stall_timeout: Duration,
     /// Time after SIGTERM during which connections are still accepted, so that the load balancer can notice the stop.
--- a/crates/sparscale_gateway/src/shared_stream.rs
+++ b/crates/sparscale_gateway/src/shared_stream.rs
@@ -9,7 +9,7 @@
 
 use socket2::SockRef;
 use sparscale_policy::termination::End;
-use sparscale_witness::ReceiveState;
+use sparscale_witness::{EndObserver, ReceiveState};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -49,6 +49,11 @@
         WeakStream(Arc::downgrade(&self.0))
     }
 
+    /// Lets `observer` observe the end of the connection under `key`.
+    pub(crate) fn observe_end(&self, observer: &EndObserver, key: u64) -> io::Result<()> {
+        observer.observe(&self.0.stream, key)
+    }
+
     pub(crate) fn receive_state(&self) -> ReceiveState {
         ReceiveState::of(&self.0.stream)
     }
--- a/crates/sparscale_gateway/tests/path/entry.rs
+++ b/crates/sparscale_gateway/tests/path/entry.rs
@@ -131,6 +131,7 @@
         },
         max_observation_age: Duration::from_millis(100),
         read_delay_per_entry: Duration::from_millis(50),
+        target_drain_time: Duration::from_millis(300),
         stall_timeout: Duration::from_secs(2),
         drain_notice_time: Duration::from_millis(300),
         drain_stream_time: Duration::from_millis(150),
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod groups;
 mod improper_statuses;
 mod observations;
+mod planned_ends;
 mod rate_limits;
 mod refused_bodies;
 mod requested_backoffs;
--- a/crates/sparscale_policy/src/lib.rs
+++ b/crates/sparscale_policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deadlines;
 pub mod evacuation;
 pub mod fair_share;
+pub mod framing;
 pub mod gate;
 pub mod group;
 pub mod headroom;
--- a/crates/sparscale_policy/src/termination.rs
+++ b/crates/sparscale_policy/src/termination.rs
@@ -17,6 +17,10 @@
     Refuses,
     /// Nothing responded on time.
     Unreachable,
+    /// A process that was running after the end of the response has closed the connection.
+    Answers,
+    /// It was not asked, because the witnesses suffice.
+    Unchecked,
 }
 
 impl Listener {
@@ -26,6 +30,8 @@
             Self::Accepts => "accepts",
             Self::Refuses => "refuses",
             Self::Unreachable => "unreachable",
+            Self::Answers => "answers",
+            Self::Unchecked => "unchecked",
         }
     }
 }
@@ -56,6 +62,8 @@
     Open,
     /// All of them were closed together with the response.
     Closed,
+    /// All of them were closed, after the response and in an order that shows that the process ended it.
+    ClosedLater,
     /// It was closed: the target closed an idle connection, or its process terminated, perhaps while the kernel still
     /// delivered the response.
     Lost,
@@ -69,6 +77,7 @@
         match self {
             Self::Open => "open",
             Self::Closed => "closed",
+            Self::ClosedLater => "closed_later",
             Self::Lost => "lost",
             Self::Missing => "missing",
         }
@@ -84,6 +93,8 @@
     pub listener: Listener,
     /// State of the witness.
     pub witness: Witness,
+    /// Whether the target has announced that it leaves, for so long that it may have terminated as planned.
+    pub is_due_to_end: bool,
     /// Whether the roster lists another start of the target, or another target at its address.
     pub is_replaced: bool,
     /// Whether this process was suspended since it sent the request, so that the end may be old.
@@ -121,10 +132,13 @@
         match self.witness {
             // The process may have stopped listening, or have replaced the listed one before the request was sent.
             Witness::Open => Verdict::Running,
+            // Descriptors that are used again can make a termination in the middle of a response look like this, so the
+            // order is no proof by itself.
+            Witness::ClosedLater if self.is_due_to_end => Verdict::Running,
             _ if self.listener == Listener::Refuses => Verdict::Terminated,
             Witness::Closed if self.is_replaced || !self.was_suspended => Verdict::Terminated,
             // The target may have closed idle connections.
-            Witness::Closed | Witness::Lost | Witness::Missing => Verdict::Unknown,
+            Witness::Closed | Witness::ClosedLater | Witness::Lost | Witness::Missing => Verdict::Unknown,
         }
     }
 }
--- a/crates/sparscale_policy/src/throttle.rs
+++ b/crates/sparscale_policy/src/throttle.rs
@@ -47,8 +47,8 @@
 /// The limits of one target, and what this entry may send to it.
 #[derive(Debug)]
 struct State {
-    /// Whether the target has announced that it is draining, which is final for its start.
-    is_draining: bool,
+    /// When the target announced that it is draining, which is final for its start.
+    draining_since: Option<Timestamp>,
     /// End of the backoff that the target requested from this entry.
     backoff_until: Option<Timestamp>,
     rate: Option<Rate>,
@@ -156,7 +156,7 @@
             .or_insert_with(|| State::new(as_of, notice.origin, now));
         let is_latest = state.is_superseded_by(&notice);
         let rate_changes = is_latest && state.rate != notice.rate;
-        let starts_draining = notice.is_draining && !state.is_draining;
+        let starts_draining = notice.is_draining && state.draining_since.is_none();
         if is_latest {
             state.as_of = state.as_of.max(as_of);
             state.origin = notice.origin;
@@ -172,7 +172,9 @@
         if is_latest && notice.rate.is_some() {
             state.pacer.confirm(as_of);
         }
-        state.is_draining |= starts_draining;
+        if starts_draining {
+            state.draining_since = Some(as_of);
+        }
         let announce = starts_draining || (rate_changes && state.should_announce());
         if announce {
             self.position += 1;
@@ -263,7 +265,7 @@
         let Some(state) = self.targets.get(&start) else {
             return Availability::Now;
         };
-        if state.is_draining {
+        if state.draining_since.is_some() {
             return Availability::Never;
         }
         let next_by_others = |rate: Rate| now + Duration::from_secs_f64(1.0 / rate.per_second());
@@ -285,12 +287,17 @@
         let Some(state) = self.targets.get(&start) else {
             return false;
         };
-        if is_cold(state) && state.rate.is_none() && !state.is_draining {
+        if is_cold(state) && state.rate.is_none() && state.draining_since.is_none() {
             return state.backoff_until.is_some_and(|until| until > now);
         }
         self.availability(start, now) != Availability::Now
     }
 
+    /// When a target announced that it is draining; none if it has not.
+    pub fn draining_since(&self, start: StartId) -> Option<Timestamp> {
+        self.targets.get(&start)?.draining_since
+    }
+
     /// Requests a second that a target accepts from all entries, if it has a limit.
     pub fn rate(&self, start: StartId) -> Option<Rate> {
         self.targets.get(&start)?.rate
@@ -307,7 +314,7 @@
         let notices = changed.map(|(start, state)| Notice {
             start: *start,
             rate: state.rate,
-            is_draining: state.is_draining,
+            is_draining: state.draining_since.is_some(),
             as_of: state.as_of,
             origin: state.origin,
         });
@@ -325,7 +332,7 @@
     fn is_needed(&self, now: Timestamp) -> bool {
         let has_backoff = self.backoff_until.is_some_and(|until| until > now);
         // The end of an announced limit is remembered, so that a late notice of its beginning is recognized.
-        self.position > 0 || self.rate.is_some() || self.is_draining || has_backoff || self.cold.is_some()
+        self.position > 0 || self.rate.is_some() || self.draining_since.is_some() || has_backoff || self.cold.is_some()
     }
 
     /// Whether to announce the rate to the other entries. Each change is sent from every entry to every other one, and
@@ -359,7 +366,7 @@
 
     fn new(as_of: Timestamp, origin: Origin, now: Timestamp) -> Self {
         Self {
-            is_draining: false,
+            draining_since: None,
             backoff_until: None,
             rate: None,
             as_of,
--- a/crates/sparscale_policy/tests/kept_custody.rs
+++ b/crates/sparscale_policy/tests/kept_custody.rs
@@ -39,6 +39,12 @@
         self.now = self.now + time;
     }
 
+    /// Lets the entry look at the connections, of which all that are recorded as open are open.
+    fn observe(&mut self) {
+        self.custody.observe_open(self.now);
+        self.open.retain(|(link, ..)| self.custody.is_needed(*link));
+    }
+
     fn establish(&mut self) {
         let link = self.custody.establish(self.now, self.now);
         self.open.extend(link.map(|link| (link, self.process, self.now)));
@@ -71,6 +77,7 @@
             {
                 self.close_oldest();
             }
+            self.observe();
             if self.custody.need(self.now) == Need::Now {
                 self.establish();
             }
@@ -214,6 +221,7 @@
     Establish,
     CloseOldest,
     Restart,
+    Observe,
     Send,
 }
 
@@ -227,6 +235,7 @@
             Self::Establish,
             Self::CloseOldest,
             Self::Restart,
+            Self::Observe,
             Self::Send,
         ];
         *g.choose(&steps).unwrap_or(&waiting)
@@ -245,6 +254,7 @@
                 Step::Establish => target.establish(),
                 Step::CloseOldest => target.close_oldest(),
                 Step::Restart => target.restart(),
+                Step::Observe => target.observe(),
                 Step::Send => sent.extend(target.custody.current().map(|held| (held, target.process))),
             }
             sent.iter().all(|(held, process)| {
@@ -272,6 +282,7 @@
         for _ in 0..closed {
             target.close_oldest();
         }
+        target.observe();
         if target.custody.need(target.now) == Need::Now {
             target.establish();
         }
--- a/crates/sparscale_witness/src/lib.rs
+++ b/crates/sparscale_witness/src/lib.rs
@@ -1,8 +1,11 @@
 //! Shows whether the process at the other end of a connection still runs.
 //!
 //! A process that terminates closes all of its connections, however soon the next one listens at its address. A
-//! [`Witness`] is an idle connection by which that is noticed.
+//! [`Witness`] is an idle connection by which that is noticed, and an [`EndObserver`] shows in which order connections end.
 
+mod ends;
+
+pub use ends::EndObserver;
 use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 use tokio::net::TcpStream;
