Own path: the status of a model call decides whether it is a success

Callers of the own path got a 200 with the end marker [DONE] from an engine that had answered with a failure: a 500 with a stream of tokens was passed on as a complete stream or completion, and a JSON rejection of a streaming request as its only event.

Cause: the agent forwards the status of the engine, and the entry looked at it for services only.

Change: a model call succeeds only with a 2xx. From 500 on another engine is tried, as for a broken response; a 4xx is final. One log line, engine_failure.

Conclusion: fixed; services keep forwarding their status.

--- a/crates/sparscale_entry/src/api.rs
+++ b/crates/sparscale_entry/src/api.rs
@@ -23,7 +23,7 @@
 use crate::limits::{InFlight, InFlightGuard};
 use crate::problem::Problem;
 use crate::respond::{json_response, response_text, service_response, stream_response};
-use crate::response_stream::ResponseStream;
+use crate::response_stream::{ReadExtent, ResponseStream};
 use crate::ticket::{self, Ticket};
 
 /// Header with the deadline of a request, in milliseconds from its arrival.
@@ -48,15 +48,6 @@
     pub(crate) is_stopping: AtomicBool,
 }
 
-/// How much of a response is read before the caller receives any of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ReadExtent {
-    /// Only the first chunk.
-    FirstChunk,
-    /// The complete response.
-    Whole,
-}
-
 /// An authenticated caller whose request was admitted.
 struct Caller {
     bundle: Arc<Bundle>,
@@ -245,11 +236,11 @@
                 Ok(stream) => stream,
                 Err(problem) => return Err(last_problem.unwrap_or(problem)),
             };
-            let problem = match read_chunks(&mut stream, extent).await {
+            let problem = match stream.read(extent).await {
                 Ok(chunks) => return Ok((stream, chunks)),
                 Err(problem) => problem,
             };
-            if !job.repeatable || Instant::now() >= job.deadline {
+            if !job.repeatable || stream.is_rejection() || Instant::now() >= job.deadline {
                 return Err(problem);
             }
             self.dispatcher.avoid(&stream);
@@ -435,17 +426,6 @@
     }
 }
 
-async fn read_chunks(stream: &mut ResponseStream, extent: ReadExtent) -> Result<Vec<Bytes>, Problem> {
-    let mut chunks = Vec::new();
-    while let Some(chunk) = stream.next().await {
-        chunks.push(chunk?);
-        if extent == ReadExtent::FirstChunk {
-            return Ok(chunks);
-        }
-    }
-    Ok(chunks)
-}
-
 fn is_repeatable(bundle: &Bundle, path: &ServicePath) -> Result<bool, Problem> {
     let service = bundle
         .fleet()
--- a/crates/sparscale_entry/src/response_stream.rs
+++ b/crates/sparscale_entry/src/response_stream.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use sparscale_board::TargetKey;
-use sparscale_wire::{Channel, Failure, Frame, Head};
+use sparscale_telemetry::DECISION;
+use sparscale_wire::{Call, Channel, Failure, Frame, Head};
 use tokio::time::Instant;
 
 use crate::assembly::{Assembly, Step};
@@ -20,6 +22,15 @@
 /// Delay between two resumptions.
 const RESUME_DELAY: Duration = Duration::from_millis(100);
 
+/// How much of a response is read before the caller receives any of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadExtent {
+    /// Only the first chunk.
+    FirstChunk,
+    /// The complete response.
+    Whole,
+}
+
 /// A response that has begun.
 pub(crate) struct ResponseStream {
     dispatcher: Arc<Dispatcher>,
@@ -81,6 +92,37 @@
         }
     }
 
+    /// Whether the target rejected the request for what it holds, as any other would.
+    pub(crate) fn is_rejection(&self) -> bool {
+        StatusCode::from_u16(self.head.status).is_ok_and(|status| status.is_client_error())
+    }
+
+    /// Reads the response as far as `extent`.
+    pub(crate) async fn read(&mut self, extent: ReadExtent) -> Result<Vec<Bytes>, Problem> {
+        self.check_status()?;
+        let mut chunks = Vec::new();
+        while let Some(chunk) = self.next().await {
+            chunks.push(chunk?);
+            if extent == ReadExtent::FirstChunk {
+                return Ok(chunks);
+            }
+        }
+        Ok(chunks)
+    }
+
+    /// Fails if the engine answered a model call with another status than that of a success: its body is no completion.
+    /// Responses of services are forwarded with their status.
+    fn check_status(&self) -> Result<(), Problem> {
+        let status = self.head.status;
+        let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
+        if is_success || matches!(self.job.call, Call::Service { .. }) {
+            return Ok(());
+        }
+        let id = self.request_id();
+        log::warn!(target: DECISION, decision = "engine_failure", request = id.as_str(), status; "the engine answered with a failure");
+        Err(Problem::failed(format!("the engine answered with status {status}")).request_id(id))
+    }
+
     async fn receive(&mut self) -> Result<(), Problem> {
         let receive_result = tokio::time::timeout_at(self.job.deadline, self.channel.receiver.receive()).await;
         match receive_result {
@@ -124,7 +166,7 @@
             }
             self.resume_count += 1;
             let from = self.assembly.next_sequence();
-            log::info!(target: sparscale_telemetry::DECISION, decision = "resume", attempt = self.sent.attempt.to_string().as_str(), from, reason; "resuming a broken stream");
+            log::info!(target: DECISION, decision = "resume", attempt = self.sent.attempt.to_string().as_str(), from, reason; "resuming a broken stream");
             if let Ok(channel) = self.dispatcher.resume(&self.sent, from).await {
                 self.channel = channel;
                 return Ok(());
--- a/crates/sparscale_fleet/tests/process/log_outage.rs
+++ b/crates/sparscale_fleet/tests/process/log_outage.rs
@@ -10,6 +10,7 @@
     delay_ms: 0,
     lose_answers: 0,
     rest_s: 0,
+    stream_status: 0,
     rate_limit: 0,
 };
 
--- a/crates/sparscale_fleet/tests/process/main.rs
+++ b/crates/sparscale_fleet/tests/process/main.rs
@@ -3,6 +3,7 @@
 
 mod box_drain;
 mod crashing_calls;
+mod failed_engines;
 mod interrupted_responses;
 mod key_resend;
 mod log_outage;
--- a/crates/sparscale_standin/src/fault.rs
+++ b/crates/sparscale_standin/src/fault.rs
@@ -35,6 +35,8 @@
     pub lose_answers: u32,
     /// Backoff in seconds that a target requests when it rejects calls; 0 rejects none.
     pub rest_s: u32,
+    /// Status of an engine's streams of tokens; 0 for that of a success.
+    pub stream_status: u16,
     /// Rate limit in requests per second that a target states in its responses; 0 states none.
     pub rate_limit: u32,
 }
--- a/crates/sparscale_standin/src/group.rs
+++ b/crates/sparscale_standin/src/group.rs
@@ -207,7 +207,8 @@
     });
     let with_end_marker = tokens.chain(futures::stream::iter([Bytes::from_static(b"data: [DONE]\n\n")]));
     let frames = with_end_marker.map(|bytes| Ok::<_, std::convert::Infallible>(Frame::data(bytes)));
-    server::respond(StatusCode::OK, "text/event-stream", Body::wrap(StreamBody::new(frames)))
+    let status = StatusCode::from_u16(rank.faults.get().stream_status).unwrap_or(StatusCode::OK);
+    server::respond(status, "text/event-stream", Body::wrap(StreamBody::new(frames)))
 }
 
 /// Returns a server-sent event with one token, as a chunk of a chat completion.
