Responses: idle closes that are noticed late are no sign that requests crash a target

Cause: connections that are closed in one moment at different ages counted as a terminating process. An entry that gets the processor late sees idle closes of different connections in one moment as well, and then struck the request whose response ended meanwhile.

Change: if all of them were open for at least as long as the connection that the target closed before, they may have been closed for being idle. The witnesses are lost then, which proves nothing, instead of closed.

Measured: `kept_custody::late_idle_closes` failed before (Closed) and passes.

--- a/crates/sparscale_policy/src/custody.rs
+++ b/crates/sparscale_policy/src/custody.rs
@@ -148,6 +148,8 @@
     unsettled_since: Option<Timestamp>,
     /// How long the connection that was closed most recently had been open.
     last_lifetime: Option<Duration>,
+    /// The same of the one before those that were closed together most recently.
+    earlier_lifetime: Option<Duration>,
     /// Time until the target ended the connection of a request most recently.
     last_duration: Option<Duration>,
     /// Generations in a row whose last connection was closed sooner than after [`MIN_LIFETIME`].
@@ -169,6 +171,7 @@
             last_closed_at: None,
             unsettled_since: None,
             last_lifetime: None,
+            earlier_lifetime: None,
             last_duration: None,
             short_lived: 0,
             retry_at: None,
@@ -298,8 +301,13 @@
         let is_same_age = self
             .last_lifetime
             .is_some_and(|other| lifetime.abs_diff(other) <= JOINT_TIME.max(lifetime / 8));
-        // A target that closes idle connections closes all of them at the same age.
-        let is_joint = is_simultaneous && !is_same_age;
+        if !is_simultaneous && self.last_ended.is_none() {
+            self.earlier_lifetime = self.last_lifetime;
+        }
+        let shortest = self.last_lifetime.map_or(lifetime, |other| lifetime.min(other));
+        // A target that closes idle connections closes all of them at the same age, but this process may notice it late.
+        let is_idle = self.earlier_lifetime.is_some_and(|idle_time| shortest >= idle_time);
+        let is_joint = is_simultaneous && !is_same_age && !is_idle;
         if !is_same_age {
             self.unsettled_since = Some(now);
         }
--- a/crates/sparscale_policy/tests/kept_custody.rs
+++ b/crates/sparscale_policy/tests/kept_custody.rs
@@ -302,3 +302,31 @@
         }
     }
 }
+
+/// What two witnesses of a target with an idle timeout of 100 ms show that are closed in one moment, `ages` after they were
+/// established.
+fn closed_together(ages: [u64; 2]) -> Witness {
+    let mut target = Target::new();
+    target.establish();
+    target.wait(ms(100));
+    target.close_oldest();
+    target.wait(ms(500));
+    target.establish();
+    let held = target.custody.current();
+    target.wait(ms(ages[0] - ages[1]));
+    target.establish();
+    target.wait(ms(10));
+    target.observe();
+    target.wait(ms(ages[1] - 10));
+    target.close_oldest();
+    target.close_oldest();
+    target.witness(held)
+}
+
+/// Witnesses that have been open for longer than the idle timeout were closed for that, and seen late.
+#[test]
+fn late_idle_closes() {
+    assert_eq!(closed_together([140, 120]), Witness::Lost);
+    assert_eq!(closed_together([80, 20]), Witness::Closed);
+    assert_eq!(closed_together([140, 20]), Witness::Closed);
+}
