Responses: a connection from before the request proves the first response without a length

Cause: no witness is kept until a target has sent such a response, so the first one was proved by a connection that was established within 20 ms of its head. The next process may have accepted it by then.

Change: until the framing of the kind of a request is known, a connection without requests is opened beside it. It counts only if it is established when the head arrives, so it belongs to the process that sent the head. The proof by nearness is gone. Requests that may be repeated get no such connection: another target serves them.

Tests: `half_heads` (20 starts of a head, 4 endings, what was sent before, 4 paths). `kept_custody::first_response` and `late_witness` tested the proof by nearness and went with it; `half_heads` and `unproved_ends` test the promise through the entry, which is stricter.

The first undelimited response to a request that may be repeated fails visibly (502) if its entry has no other target.

--- a/crates/sparscale_gateway/src/attempt.rs
+++ b/crates/sparscale_gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::response_body::{RemainingBody, Watch, framing_of, has_unknown_coding};
 use crate::response_error::ResponseError;
 use crate::response_room::ResponseRoom;
+use crate::witness::Preparation;
 
 /// Bytes of a response that are buffered before any of them goes to the caller. A longer response is forwarded as it
 /// arrives.
@@ -146,7 +147,7 @@
     /// Sends `outbound` to the target. Returns an event stream once its head has arrived, other responses once complete
     /// or longer than [`MAX_BUFFERED_BYTES`].
     pub(crate) async fn send(&self, instance: &Instance, outbound: &Outbound) -> SendOutcome {
-        let (connection, preceding) = match self.escorted_connection(instance, outbound).await {
+        let (connection, preceding) = match self.prepared_connection(instance, outbound).await {
             Ok(connection) => connection,
             Err(error) => {
                 log::debug!(target = instance.target.id.as_str(), error = error.to_string().as_str(); "connecting to the target failed");
@@ -162,20 +163,24 @@
             .unwrap_or(SendOutcome::ResponseLost(ResponseError::Timeout))
     }
 
-    /// A connection for a request, and one that was requested right before if its response is likely to have no length.
-    async fn escorted_connection(
+    /// A connection for a request, and one that was requested right before if its response may have no length.
+    async fn prepared_connection(
         &self,
         instance: &Instance,
         outbound: &Outbound,
     ) -> Result<(pool::Connection, Option<Opening>), pool::Error> {
-        if self.processes.needs_escorts(instance, outbound.is_stream) {
-            let preceding = Opening::start(instance.target.address, &*self.clock);
+        let preparation = self.processes.preparation(instance, outbound);
+        if preparation == Preparation::None {
+            return Ok((self.connection(instance, outbound).await?, None));
+        }
+        let preceding = Opening::start(instance.target.address, &*self.clock);
+        if preparation == Preparation::Escorts {
             let connecting = tokio::time::timeout(ESCORTED_CONNECT_TIMEOUT, connect(instance.target.address));
             if let Ok(connection) = connecting.await {
                 return Ok((connection?, Some(preceding)));
             }
         }
-        Ok((self.connection(instance, outbound).await?, None))
+        Ok((self.connection(instance, outbound).await?, Some(preceding)))
     }
 
     async fn connection(&self, instance: &Instance, outbound: &Outbound) -> Result<pool::Connection, pool::Error> {
--- a/crates/sparscale_gateway/src/lineage.rs
+++ b/crates/sparscale_gateway/src/lineage.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::FutureExt as _;
 use futures::future;
 use sparscale_catalog::Instance;
 use sparscale_clock::{Clock, Timestamp};
-use sparscale_policy::custody::{Custody, Generation, Head, Link, Need};
+use sparscale_policy::custody::{Custody, Generation, Link, Need};
 use sparscale_policy::termination::{self, Listener};
 use sparscale_witness::{EndObserver, Witness};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -144,9 +145,10 @@
         let following = Opening::start(self.instance.target.address, &*self.clock);
         for escort in [preceding, following] {
             match escort.opening.await {
-                Ok(stream) => self.add(&mut self.refresh(), stream, |custody, now| {
-                    custody.escort(carrier, escort.started_at, now)
-                }),
+                Ok(stream) => {
+                    let escort = |custody: &mut Custody, now| custody.escort(carrier, escort.started_at, now);
+                    self.add(&mut self.refresh(), stream, escort);
+                }
                 Err(error) => {
                     log::debug!(target = self.instance.target.id.as_str(), error = error.to_string().as_str(); "a response has no connection that shows in which order it ends");
                 }
@@ -203,16 +205,6 @@
         self.current()
     }
 
-    /// The moment at which the head of a response arrives.
-    pub(crate) fn head(&self) -> Head {
-        self.lock().custody.head(self.clock.now())
-    }
-
-    /// The generation that began with a response whose head arrived at `head`.
-    pub(crate) fn begun_with(&self, head: Head) -> Option<Generation> {
-        self.refresh().custody.begun_with(head)
-    }
-
     /// Returns once no witness was closed for so long that the process would have closed the others, too.
     pub(crate) async fn settle(&self) {
         loop {
@@ -255,6 +247,18 @@
         self.lock().custody.age(self.clock.now())
     }
 
+    /// Uses a connection that was opened before a request was sent, if it is established by now and still open. Returns its
+    /// generation.
+    pub(crate) fn take_established(&self, opening: Opening) -> Option<Generation> {
+        let Opening { started_at, opening } = opening;
+        let stream = opening.now_or_never()?.ok()?;
+        let link = self.add(&mut self.refresh(), stream, |custody, now| {
+            custody.establish(started_at, now)
+        })?;
+        let state = self.refresh();
+        state.custody.current().filter(|_| state.custody.is_needed(link))
+    }
+
     /// Uses a connection that was established after `started_at`, if there is no witness; otherwise returns it.
     pub(crate) fn offer(&self, stream: TcpStream, started_at: Timestamp) -> Option<TcpStream> {
         let mut state = self.refresh();
@@ -303,14 +307,14 @@
         state: &mut State,
         stream: TcpStream,
         establish: impl FnOnce(&mut Custody, Timestamp) -> Option<Link>,
-    ) {
-        if let Some(link) = establish(&mut state.custody, self.clock.now()) {
-            state.observe(|ends| ends.observe(&stream, link.into()));
-            let State { custody, witnesses, .. } = state;
-            witnesses.push((link, Arc::new(Witness::new(stream))));
-            witnesses.retain(|(link, _)| custody.is_needed(*link));
-            self.changes.send_replace(());
-        }
+    ) -> Option<Link> {
+        let link = establish(&mut state.custody, self.clock.now())?;
+        state.observe(|ends| ends.observe(&stream, link.into()));
+        let State { custody, witnesses, .. } = state;
+        witnesses.push((link, Arc::new(Witness::new(stream))));
+        witnesses.retain(|(link, _)| custody.is_needed(*link));
+        self.changes.send_replace(());
+        Some(link)
     }
 
     /// Establishes a connection if it is needed now.
@@ -326,9 +330,11 @@
         let started_at = self.clock.now();
         match pool::open_stream(self.instance.target.address).await {
             // Whether older connections are open is checked only now: the new one may belong to the next process.
-            Ok(stream) => self.add(&mut self.refresh(), stream, |custody, now| {
-                custody.establish(started_at, now)
-            }),
+            Ok(stream) => {
+                self.add(&mut self.refresh(), stream, |custody, now| {
+                    custody.establish(started_at, now)
+                });
+            }
             Err(error) => {
                 self.lock().custody.fail(self.clock.now());
                 log::debug!(target = self.instance.target.id.as_str(), error = error.to_string().as_str(); "no connection that shows whether the process of the target still runs");
--- a/crates/sparscale_gateway/src/process_monitor.rs
+++ b/crates/sparscale_gateway/src/process_monitor.rs
@@ -14,11 +14,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
+use crate::attempt::Outbound;
 use crate::pool::{self, Opening, Pool};
 use crate::settings::Settings;
 use crate::shared_stream::SharedStream;
 use crate::suspension::SuspensionDetector;
-use crate::witness::{Begun, Held, ProcessWatch, Witnesses};
+use crate::witness::{Held, Preparation, ProcessWatch, Witnesses};
 
 /// Time in which a terminating process closes the rest of its connections after the first one.
 const CLOSING_TIME: Duration = Duration::from_millis(5);
@@ -42,15 +43,13 @@
     pub(crate) sent_at: Timestamp,
     /// Whether the request was sent on a route for event streams.
     is_stream: bool,
-    held: Option<Held>,
+    held: Held,
 }
 
 impl PreparedWatch {
     /// Records that the request is sent on `connection` in place of another one.
     pub(crate) fn carry(&mut self, connection: &SharedStream) {
-        if let Some(held) = &mut self.held {
-            held.carry(connection);
-        }
+        self.held.carry(connection);
     }
 }
 
@@ -134,9 +133,13 @@
         self.suspensions.run().await;
     }
 
-    /// Whether the connection of a request should have escorts, because its response is likely to have no length.
-    pub(crate) fn needs_escorts(&self, instance: &Instance, is_stream: bool) -> bool {
-        self.witnesses.needs_escorts(instance, is_stream)
+    /// What a request needs before it is sent.
+    pub(crate) fn preparation(&self, instance: &Instance, request: &Outbound) -> Preparation {
+        // Another target gets a retryable request if its response cannot be proved.
+        if request.retryable {
+            return Preparation::None;
+        }
+        self.witnesses.preparation(instance, request.is_stream)
     }
 
     /// Records how the response to a request shows where it ends.
@@ -159,8 +162,7 @@
 
     /// Watches the process that sends a response without a length on the connection `stream`. Its head has just been read.
     pub(crate) fn watch(&self, instance: &Instance, stream: SharedStream, prepared: PreparedWatch) -> ProcessWatch {
-        let is_old = self.suspensions.was_suspended_since(prepared.sent_at);
-        self.witnesses.watch(instance, Begun { stream, is_old }, prepared.held)
+        self.witnesses.watch(instance, stream, prepared.held)
     }
 
     /// What became of the process of a target whose response without a length ended with its connection.
--- a/crates/sparscale_gateway/src/witness.rs
+++ b/crates/sparscale_gateway/src/witness.rs
@@ -7,7 +7,7 @@
 
 use sparscale_catalog::{Directory, Incarnation, Instance, TargetStatus};
 use sparscale_clock::{Clock, Timestamp};
-use sparscale_policy::custody::{Generation, Head};
+use sparscale_policy::custody::Generation;
 use sparscale_policy::framing::{self, Framing};
 use sparscale_policy::termination::{self, Listener};
 use sparscale_witness::ReceiveState;
@@ -32,31 +32,39 @@
 pub(crate) struct Witnesses {
     clock: Arc<dyn Clock>,
     by_target: Mutex<HashMap<Incarnation, Arc<Lineage>>>,
-    /// Framing of the latest responses, by service and whether the request was for an event stream.
-    framings: Mutex<HashMap<(String, bool), framing::History>>,
+    /// Framing of the latest responses of each service, to requests for event streams and to others.
+    framings: Mutex<HashMap<String, [framing::History; 2]>>,
     /// Whether a target has sent a response without a length. From then on any target may.
     are_needed: AtomicBool,
 }
 
-/// The witnesses of a target that were open when a request was sent.
-#[derive(Debug)]
-pub(crate) struct Held {
-    hold: Hold,
-    generation: Option<Generation>,
+/// What a request needs before it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Preparation {
+    /// No connection of its own.
+    None,
+    /// A connection without requests, because its response may have no length.
+    Witness,
+    /// A new connection, and others that are requested right before and after it, because its response is likely to have no
+    /// length.
+    Escorts,
 }
 
-/// A response without a length whose head has arrived.
+/// The witnesses of a target when a request was sent.
 #[derive(Debug)]
-pub(crate) struct Begun {
-    pub(crate) stream: SharedStream,
-    /// Whether the head may have arrived much earlier than it was read.
-    pub(crate) is_old: bool,
+pub(crate) enum Held {
+    /// Those that were open, if any.
+    Witnesses { hold: Hold, generation: Option<Generation> },
+    /// At most one that was being opened, because no target has sent a response without a length so far.
+    Opening(Option<Opening>),
 }
 
 impl Held {
     /// Records that the request is sent on `connection` in place of another one.
     pub(crate) fn carry(&mut self, connection: &SharedStream) {
-        self.hold.carry(connection);
+        if let Self::Witnesses { hold, .. } = self {
+            hold.carry(connection);
+        }
     }
 }
 
@@ -70,37 +78,46 @@
         }
     }
 
-    /// Whether the connection of a request should have escorts, because its response is likely to have no length.
-    pub(crate) fn needs_escorts(&self, instance: &Instance, is_stream: bool) -> bool {
-        if !self.are_needed.load(Ordering::Relaxed) {
-            return false;
+    /// What a request needs before it is sent.
+    pub(crate) fn preparation(&self, instance: &Instance, is_stream: bool) -> Preparation {
+        let prediction = {
+            let framings = lock(&self.framings);
+            let histories = framings.get(&instance.target.service);
+            histories.and_then(|histories| histories[usize::from(is_stream)].prediction())
+        };
+        match prediction {
+            None if !self.are_needed.load(Ordering::Relaxed) => Preparation::Witness,
+            Some(Framing::Undelimited) if self.lineage(instance).allows_escorts() => Preparation::Escorts,
+            _ => Preparation::None,
         }
-        let kind = (instance.target.service.clone(), is_stream);
-        let prediction = lock(&self.framings).get(&kind).map(framing::History::prediction);
-        prediction == Some(Framing::Undelimited) && self.lineage(instance).allows_escorts()
     }
 
     /// Records how a response shows where it ends.
     pub(crate) fn record_framing(&self, instance: &Instance, is_stream: bool, framing: Framing) {
         if framing == Framing::Undelimited {
             self.are_needed.store(true, Ordering::Relaxed);
-        } else if !self.are_needed.load(Ordering::Relaxed) {
+        }
+        let mut framings = lock(&self.framings);
+        let service = &instance.target.service;
+        if let Some(histories) = framings.get_mut(service) {
+            histories[usize::from(is_stream)].record(framing);
             return;
         }
-        let kind = (instance.target.service.clone(), is_stream);
-        lock(&self.framings).entry(kind).or_default().record(framing);
+        let mut histories = <[framing::History; 2]>::default();
+        histories[usize::from(is_stream)].record(framing);
+        framings.insert(service.clone(), histories);
     }
 
     /// Makes sure that there is a witness of a target to which a request is about to be sent on `connection`, which was
-    /// requested right after `preceding`; none if no target sends responses without a length.
+    /// requested right after `preceding`.
     pub(crate) async fn prepare(
         &self,
         instance: &Instance,
         connection: &SharedStream,
         preceding: Option<Opening>,
-    ) -> Option<Held> {
+    ) -> Held {
         if !self.are_needed.load(Ordering::Relaxed) {
-            return None;
+            return Held::Opening(preceding);
         }
         let mut hold = self.lineage(instance).hold();
         let carrier = hold.carry(connection);
@@ -109,31 +126,26 @@
         }
         let ensured = tokio::time::timeout(PREPARE_TIMEOUT, hold.lineage().ensure()).await;
         let generation = ensured.unwrap_or_default();
-        Some(Held { hold, generation })
+        Held::Witnesses { hold, generation }
     }
 
-    /// Watches the process that sends a response. `prepared` are the witnesses from when the request was sent.
-    pub(crate) fn watch(&self, instance: &Instance, response: Begun, prepared: Option<Held>) -> ProcessWatch {
-        let lineage = prepared.as_ref().map_or_else(
-            || self.lineage(instance),
-            |prepared| Arc::clone(prepared.hold.lineage()),
-        );
-        let begun = (!response.is_old).then(|| lineage.head());
-        let Held { mut hold, generation } = prepared.unwrap_or_else(|| Held {
-            hold: lineage.hold(),
-            generation: None,
-        });
-        if hold.carrier().is_none() {
-            hold.carry(&response.stream);
-        }
-        let held = Arc::new(Mutex::new(generation));
-        let task = tokio::spawn(follow(lineage, response.stream, Arc::clone(&held)));
-        ProcessWatch {
-            hold,
-            held,
-            begun,
-            task,
-        }
+    /// Watches the process that sends a response on `stream`, whose head has just arrived. `prepared` is from when the
+    /// request was sent.
+    pub(crate) fn watch(&self, instance: &Instance, stream: SharedStream, prepared: Held) -> ProcessWatch {
+        let (hold, generation) = match prepared {
+            Held::Witnesses { hold, generation } => (hold, generation),
+            Held::Opening(opening) => {
+                let mut hold = self.lineage(instance).hold();
+                hold.carry(&stream);
+                // A connection that was established before the head arrived belongs to the process that sent it.
+                let generation = opening.and_then(|opening| hold.lineage().take_established(opening));
+                (hold, generation)
+            }
+        };
+        let generation = Arc::new(Mutex::new(generation));
+        let lineage = Arc::clone(hold.lineage());
+        let task = tokio::spawn(follow(lineage, stream, Arc::clone(&generation)));
+        ProcessWatch { hold, generation, task }
     }
 
     /// Uses a connection that was requested at `started_at` as the witness of a target without one; otherwise returns it.
@@ -179,9 +191,7 @@
 pub(crate) struct ProcessWatch {
     hold: Hold,
     /// The witnesses that belong to the process, once that is known.
-    held: Arc<Mutex<Option<Generation>>>,
-    /// When the head arrived, if that is known.
-    begun: Option<Head>,
+    generation: Arc<Mutex<Option<Generation>>>,
     task: JoinHandle<()>,
 }
 
@@ -245,8 +255,7 @@
 
     /// The witnesses that belong to the process, as far as that is known.
     fn generation(&self) -> Option<Generation> {
-        let begun_with = || self.begun.and_then(|head| self.hold.lineage().begun_with(head));
-        (*lock(&self.held)).or_else(begun_with)
+        *lock(&self.generation)
     }
 }
 
--- a/crates/sparscale_gateway/tests/path/main.rs
+++ b/crates/sparscale_gateway/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod evacuations;
 mod groups;
+mod half_heads;
 mod improper_statuses;
 mod observations;
 mod planned_ends;
--- a/crates/sparscale_policy/src/custody.rs
+++ b/crates/sparscale_policy/src/custody.rs
@@ -45,8 +45,6 @@
 /// Shortest and longest time that is waited for the ends of connections that were closed together.
 const MIN_DELIVERY_TIME: Duration = Duration::from_millis(5);
 const MAX_DELIVERY_TIME: Duration = Duration::from_millis(100);
-/// Time in which no target terminates and is replaced at its address.
-const MIN_REPLACEMENT_TIME: Duration = Duration::from_millis(20);
 
 /// Connections that belong to one process of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,14 +66,6 @@
     }
 }
 
-/// When the head of a response arrived.
-#[derive(Debug, Clone, Copy)]
-pub struct Head {
-    at: Timestamp,
-    /// Generations up to then.
-    generations: u64,
-}
-
 /// When the next connection is needed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Need {
@@ -139,8 +129,6 @@
     carriers: Vec<Carrier>,
     /// The connections that ended last, in that order.
     ended: VecDeque<Ended>,
-    /// When the first connection of the generation was requested.
-    begun_at: Option<Timestamp>,
     /// The generation whose last connection was closed most recently, if another one was closed together with it.
     last_ended: Option<(Generation, Timestamp)>,
     last_closed_at: Option<Timestamp>,
@@ -166,7 +154,6 @@
             open: Vec::new(),
             carriers: Vec::new(),
             ended: VecDeque::new(),
-            begun_at: None,
             last_ended: None,
             last_closed_at: None,
             unsettled_since: None,
@@ -224,8 +211,6 @@
         }
         if let Some(oldest) = self.open.first_mut() {
             oldest.is_confirmed = true;
-            // It was established a round trip later; this process may have noticed that much later.
-            self.begun_at = Some(oldest.establishment.started_at);
             self.generation.0 += 1;
         }
     }
@@ -392,23 +377,6 @@
         if due_at <= now { Need::Now } else { Need::At(due_at) }
     }
 
-    /// The moment at which the head of a response arrives.
-    pub fn head(&self, now: Timestamp) -> Head {
-        Head {
-            at: now,
-            generations: self.generation.0,
-        }
-    }
-
-    /// The current generation, if it belongs to the process that sent a response whose head arrived at `head`: it is the
-    /// first since then, and began so soon that the process cannot have been replaced in between.
-    pub fn begun_with(&self, head: Head) -> Option<Generation> {
-        let is_first = self.generation.0 <= head.generations + 1;
-        let is_soon = |begun_at: Timestamp| begun_at.since(head.at) <= MIN_REPLACEMENT_TIME;
-        self.current()
-            .filter(|_| is_first && self.begun_at.is_some_and(is_soon))
-    }
-
     /// Whether open connections of generation `held` show by themselves that the process still ran when it ended the
     /// connection `carrier` of a response: its escorts are open, and none was closed a short time ago.
     pub fn is_proved(&self, held: Option<Generation>, carrier: Link, now: Timestamp) -> bool {
--- a/crates/sparscale_policy/src/framing.rs
+++ b/crates/sparscale_policy/src/framing.rs
@@ -34,12 +34,16 @@
         self.count = HISTORY.min(self.count + 1);
     }
 
-    /// How the next response is likely to show where it ends.
-    pub fn prediction(&self) -> Framing {
-        if self.undelimited != 0 && self.undelimited.count_ones() * MIN_SHARE >= self.count {
+    /// How the next response is likely to show where it ends; none before the first one.
+    pub fn prediction(&self) -> Option<Framing> {
+        if self.count == 0 {
+            return None;
+        }
+        let is_undelimited = self.undelimited != 0 && self.undelimited.count_ones() * MIN_SHARE >= self.count;
+        Some(if is_undelimited {
             Framing::Undelimited
         } else {
             Framing::Delimited
-        }
+        })
     }
 }
--- a/crates/sparscale_policy/tests/kept_custody.rs
+++ b/crates/sparscale_policy/tests/kept_custody.rs
@@ -133,30 +133,6 @@
     assert_eq!(target.witness(None), Witness::Missing);
 }
 
-/// Witnesses of a first response are established only after its head has arrived.
-#[test]
-fn first_response() {
-    let mut target = Target::new();
-    let head = target.custody.head(target.now);
-    assert_eq!(target.custody.begun_with(head), None);
-    target.wait(ms(2));
-    target.establish();
-    assert_eq!(target.custody.begun_with(head), target.custody.current());
-    target.restart();
-    target.establish();
-    assert_eq!(target.custody.begun_with(head), None, "not the first since the head");
-}
-
-/// The process that sent the head may have been replaced before there was a witness.
-#[test]
-fn late_witness() {
-    let mut target = Target::new();
-    let head = target.custody.head(target.now);
-    target.wait(ms(60));
-    target.establish();
-    assert_eq!(target.custody.begun_with(head), None);
-}
-
 /// A target that closes idle connections too soon for a second one gets a young one before each request.
 #[test]
 fn short_idle_timeout() {
--- a/crates/sparscale_policy/tests/response_framing.rs
+++ b/crates/sparscale_policy/tests/response_framing.rs
@@ -12,10 +12,10 @@
 
 #[test]
 fn one_framing() {
-    assert_eq!(History::default().prediction(), Framing::Delimited);
+    assert_eq!(History::default().prediction(), None);
     for framing in [Framing::Delimited, Framing::Undelimited] {
         for count in [1, 5, 40] {
-            assert_eq!(history(&vec![framing; count]).prediction(), framing, "{count}");
+            assert_eq!(history(&vec![framing; count]).prediction(), Some(framing), "{count}");
         }
     }
 }
@@ -29,7 +29,7 @@
         Framing::Delimited,
         Framing::Delimited,
     ];
-    assert_eq!(history(&mixed.repeat(10)).prediction(), Framing::Undelimited);
+    assert_eq!(history(&mixed.repeat(10)).prediction(), Some(Framing::Undelimited));
 }
 
 /// Connections are reused again once responses have lengths.
@@ -37,5 +37,5 @@
 fn changed_framing() {
     let mut framings = vec![Framing::Undelimited; 30];
     framings.extend([Framing::Delimited; 13]);
-    assert_eq!(history(&framings).prediction(), Framing::Delimited);
+    assert_eq!(history(&framings).prediction(), Some(Framing::Delimited));
 }
