--- a/crates/sparscale_agent/tests/responses/service.rs
+++ b/crates/sparscale_agent/tests/responses/service.rs
@@ -32,6 +32,12 @@
         while self.send(bytes) {}
     }
 
+    /// Closes the connection.
+    pub fn close(&mut self) {
+        let _closed = self.stream.shutdown(Shutdown::Both);
+        self.is_closed = true;
+    }
+
     /// Waits until the client has closed the connection; returns whether it did so in time.
     pub fn wait_closed(&mut self) -> bool {
         self.stream.set_read_timeout(Some(CLOSED_WITHIN)).expect("a timeout");
@@ -40,8 +46,7 @@
             Ok(count) => *count == 0,
             Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
         };
-        let _closed = self.stream.shutdown(Shutdown::Both);
-        self.is_closed = true;
+        self.close();
         is_closed
     }
 }
