--- a/crates/sparscale_gateway/tests/path/custody_gaps.rs
+++ b/crates/sparscale_gateway/tests/path/custody_gaps.rs
@@ -42,6 +42,7 @@
 
 /// The first response of an entry; the next process accepts connections at once, as with a socket that a supervisor
 /// keeps open.
+#[test]
 fn cold_entry_quick_return() {
     let successes = [0, 1, 5, 15].map(|delay| (delay, cold_successes(Duration::from_millis(delay))));
     println!("successes of {COLD_ENTRIES} by ms until the restart: {successes:?}");
@@ -50,6 +51,7 @@
 
 /// The entry reads the head late, but not so late that it counts as suspended. Meanwhile the target exits, and the next
 /// process listens 20 ms later.
+#[test]
 fn cold_entry_late_head() {
     let stall = Duration::from_millis(140);
     let successes = (0..COLD_ENTRIES).filter(|_| {
@@ -242,12 +244,10 @@
     assert!(successes.iter().all(|(_, is_success)| !is_success), "{successes:?}");
 }
 
-/// Ends that the witnesses do not distinguish yet: first responses of an entry, and ends whose packets arrive late.
+/// Ends that the witnesses do not distinguish yet, as their packets arrive late.
 #[test]
 fn unproved_ends() {
-    let checks: [(&str, fn()); 4] = [
-        ("cold_entry_quick_return", cold_entry_quick_return),
-        ("cold_entry_late_head", cold_entry_late_head),
+    let checks: [(&str, fn()); 2] = [
         ("end_delivered_late", end_delivered_late),
         ("end_of_one_witness_late", end_of_one_witness_late),
     ];
