Own path: a witness goes on being opened when the request that needs it ends

Cause: the agent keeps two witnesses whose difference of age doubles. Each is opened beside a request, as a part of it. When the request ended first, the opening was dropped, but its time was recorded, so the next request did not open one either. All witnesses had the age of the first, and the target closed them together.

Evidence: the witnesses of each judgement, printed in a trial: 175/178 to 691/692 ms, always a millisecond apart, then none; no opening between the idle closes.

Change: the opening is a task of its own.

Conclusion: fixed.

--- a/crates/sparscale_agent/src/custody.rs
+++ b/crates/sparscale_agent/src/custody.rs
@@ -123,7 +123,7 @@
 
     /// Prepares a request: opens a witness where the response may end with its connection. Returns the time from which
     /// the process must be known to run.
-    pub(crate) async fn prepare(&self) -> Instant {
+    pub(crate) async fn prepare(self: &Arc<Self>) -> Instant {
         let is_due = {
             let mut state = self.lock();
             state.refresh();
@@ -144,7 +144,7 @@
     }
 
     /// Runs a part of a request that was sent at `sent_at`, and keeps witnesses open meanwhile.
-    pub(crate) async fn during<F: Future>(&self, sent_at: Instant, part: F) -> F::Output {
+    pub(crate) async fn during<F: Future>(self: &Arc<Self>, sent_at: Instant, part: F) -> F::Output {
         let mut part = pin!(part);
         tokio::select! {
             biased;
@@ -155,7 +155,7 @@
     }
 
     /// Judges the orderly end of a response without a length to a request that was sent at `sent_at`.
-    pub(crate) async fn judge(&self, sent_at: Instant) -> Judgement {
+    pub(crate) async fn judge(self: &Arc<Self>, sent_at: Instant) -> Judgement {
         let check = tokio::select! {
             check = self.check() => check,
             () = self.keep(sent_at) => Check::Unanswered,
@@ -194,7 +194,7 @@
     }
 
     /// Keeps witnesses open until none is needed, or none proves anything.
-    async fn keep(&self, sent_at: Instant) {
+    async fn keep(self: &Arc<Self>, sent_at: Instant) {
         loop {
             let step = self.lock().step(sent_at);
             match step {
@@ -213,10 +213,17 @@
         }
     }
 
-    async fn open(&self) {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&self.address));
-        if let Ok(Ok(stream)) = connecting.await {
-            self.lock().push(stream);
+    /// Opens a witness, also if the request that needs it ends meanwhile: later ones rely on the age of this one.
+    async fn open(self: &Arc<Self>) {
+        let custody = Arc::clone(self);
+        let opening = tokio::spawn(async move {
+            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&custody.address));
+            if let Ok(Ok(stream)) = connecting.await {
+                custody.lock().push(stream);
+            }
+        });
+        if let Err(error) = opening.await {
+            log::warn!(error = error.to_string().as_str(); "opening an idle connection to the target failed");
         }
     }
 
--- a/crates/sparscale_agent/tests/undelimited_ends/main.rs
+++ b/crates/sparscale_agent/tests/undelimited_ends/main.rs
@@ -4,5 +4,6 @@
 mod case;
 mod crash;
 mod reset;
+mod stalled;
 mod target;
 mod whole;
--- a/crates/sparscale_policy/src/custody.rs
+++ b/crates/sparscale_policy/src/custody.rs
@@ -136,7 +136,7 @@
     unsettled_since: Option<Timestamp>,
     /// How long the connection that was closed most recently had been open.
     last_lifetime: Option<Duration>,
-    /// The same of the one before those that were closed together most recently.
+    /// How long the one had been open that was closed before those that were closed together most recently.
     earlier_lifetime: Option<Duration>,
     /// Time until the target ended the connection of a request most recently.
     last_duration: Option<Duration>,
