--- a/crates/sparscale_gateway/tests/path/half_heads.rs
+++ b/crates/sparscale_gateway/tests/path/half_heads.rs
@@ -7,7 +7,7 @@
 use crate::entry::{Caller, Fixture, Request, Response};
 use crate::target::{Arrival, Connection, Target};
 
-/// Start of a response, in which `{id}` stands for the id of the request.
+/// Start of a response; `{id}` is replaced by the id of the request.
 const STARTS: [&str; 20] = [
     "",
     "HTT",
